--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseDispatcher.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseDispatcher.java
@@ -400,7 +400,8 @@
         takenOver.foundRunning(id, upstream, now);
       }
     }
-    upstream.renewAt = now;
+    // At once: until the next call waits there, no end of a run is heard of.
+    renew(upstream, true);
   }
 
   /** Compares a run with the list of an upstream's runs. */
--- a/burdockbay-core/src/main/java/org/burdockbay/core/message/PeerMessage.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/message/PeerMessage.java
@@ -1,6 +1,7 @@
 package org.burdockbay.core.message;
 
 import java.util.List;
+import java.util.OptionalLong;
 import org.burdockbay.core.agreement.GroupId;
 import org.burdockbay.core.agreement.RaftMessage;
 import org.burdockbay.core.control.ControlCommand;
@@ -18,8 +19,19 @@
 /** A message from one host to another. */
 public sealed interface PeerMessage {
 
-  /** What the sender tells of itself. */
-  record Heartbeat(HostStatus status) implements PeerMessage {}
+  /**
+   * What the sender tells of itself.
+   *
+   * @param heardAgoMillis how long ago the sender heard the receiver, in milliseconds; empty if it
+   *     hasn't, or doesn't tell
+   */
+  record Heartbeat(HostStatus status, OptionalLong heardAgoMillis) implements PeerMessage {
+
+    /** Creates a heartbeat that doesn't tell when the receiver was heard. */
+    public Heartbeat(HostStatus status) {
+      this(status, OptionalLong.empty());
+    }
+  }
 
   /** A message of an agreement group. */
   record Agreement(GroupId group, RaftMessage message) implements PeerMessage {}
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/HostDirectory.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/HostDirectory.java
@@ -34,7 +34,12 @@
     if (known != null && known.card.equals(card)) {
       return false;
     }
-    hosts.put(card.id(), new Known(card, now));
+    Known added = new Known(card, now);
+    if (known != null) {
+      added.heardAt = known.heardAt;
+      added.heard = known.heard;
+    }
+    hosts.put(card.id(), added);
     return true;
   }
 
@@ -42,9 +47,17 @@
     Known known = hosts.get(host);
     if (known != null) {
       known.heardAt = now;
+      known.heard = true;
     }
   }
 
+  /** Returns how long ago a host was heard, in milliseconds; empty if it never was. */
+  Optional<Long> heardSince(String host, long now) {
+    return Optional.ofNullable(hosts.get(host))
+        .filter(known -> known.heard)
+        .map(known -> now - known.heardAt);
+  }
+
   /** Returns for how long a host has been silent, in milliseconds; empty if it is unknown. */
   Optional<Long> silence(String host, long now) {
     return Optional.ofNullable(hosts.get(host)).map(known -> now - known.heardAt);
@@ -83,6 +96,7 @@
 
     private final HostCard card;
     private long heardAt;
+    private boolean heard;
 
     Known(HostCard card, long heardAt) {
       this.card = card;
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
@@ -52,11 +53,17 @@
    * Silence after which a host counts as lost, in milliseconds.
    *
    * <p>With {@link org.burdockbay.core.lease.LeaseTerms#DEFAULT} it bounds how long work of a lost
-   * entry host runs on; four heartbeats fit into it.
+   * entry host runs on; three heartbeats fit into it.
    */
   public static final long LOST_MILLIS = 450;
 
-  private static final long HEARTBEAT_MILLIS = 100;
+  private static final long HEARTBEAT_MILLIS = 150;
+
+  /**
+   * A host that says that it hasn't heard this one for so long is not reached by the connection to
+   * it, in milliseconds; two heartbeats and a margin.
+   */
+  private static final long UNHEARD_MILLIS = 350;
   private static final long MEMBERSHIP_MILLIS = 25;
   private static final long KNOWN_HOSTS_MILLIS = 2_000;
   private static final long RECONCILE_MILLIS = 500;
@@ -215,7 +222,7 @@
     onControl(
         () -> {
           send(host, new PeerMessage.KnownHosts(directory.cards()));
-          send(host, new PeerMessage.Heartbeat(status()));
+          send(host, heartbeatTo(host, status()));
           fleet.tellAll(clock.millis()).ifPresent(news -> send(host, news));
           desk.intake(new IntakeEvent.PeerReset(host));
         });
@@ -292,7 +299,7 @@
     long now = clock.millis();
     directory.heard(host, now);
     switch (message) {
-      case PeerMessage.Heartbeat heartbeat -> heard(heartbeat.status(), now);
+      case PeerMessage.Heartbeat heartbeat -> heard(heartbeat, now);
       case PeerMessage.KnownHosts known -> known.hosts().forEach(card -> learn(card, now));
       case PeerMessage.UpstreamNews news -> fleet.told(news, now);
       case PeerMessage.SubmitWork submit ->
@@ -326,7 +333,9 @@
     }
   }
 
-  private void heard(HostStatus status, long now) {
+  private void heard(PeerMessage.Heartbeat heartbeat, long now) {
+    HostStatus status = heartbeat.status();
+    renewIfUnheard(status.host(), heartbeat.heardAgoMillis());
     Long before = incarnations.put(status.host(), status.incarnation());
     if (before != null && before < status.incarnation()) {
       // The process was restarted within the time that its loss would have shown by silence.
@@ -340,6 +349,20 @@
     }
   }
 
+  /**
+   * Replaces a connection that has gone silent while others work.
+   *
+   * <p>Something between two hosts may lose track of an open connection. TCP alone notices after
+   * many minutes, and until then the other host misses every heartbeat and takes this one for lost.
+   * The other host's heartbeats, which come over a connection of its own, tell.
+   */
+  private void renewIfUnheard(String host, OptionalLong heardAgoMillis) {
+    boolean unheard = heardAgoMillis.isPresent() && heardAgoMillis.getAsLong() > UNHEARD_MILLIS;
+    if (unheard && parts.transport().renew(host, UNHEARD_MILLIS)) {
+      log.warn("connection-silent", "to=" + host + " unheard=" + heardAgoMillis.getAsLong());
+    }
+  }
+
   private void fetched(String host, long haveVersion) {
     long version = catalog.current().version();
     if (version > haveVersion) {
@@ -473,7 +496,14 @@
 
   private void heartbeat() {
     heartbeatAt = clock.millis() + HEARTBEAT_MILLIS;
-    broadcast(new PeerMessage.Heartbeat(status()));
+    HostStatus status = status();
+    directory.others().forEach(host -> parts.transport().send(host, heartbeatTo(host, status)));
+  }
+
+  private PeerMessage.Heartbeat heartbeatTo(String host, HostStatus status) {
+    Optional<Long> silence = directory.heardSince(host, clock.millis());
+    return new PeerMessage.Heartbeat(
+        status, silence.map(OptionalLong::of).orElse(OptionalLong.empty()));
   }
 
   private HostStatus status() {
--- a/burdockbay-server/src/main/java/org/burdockbay/server/transport/OutboundConnection.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/transport/OutboundConnection.java
@@ -35,6 +35,7 @@
   private final Clock clock;
   private final Bootstrap bootstrap;
   private volatile @Nullable Channel ready;
+  private volatile long readyAt;
   private volatile boolean closed;
 
   OutboundConnection(
@@ -93,6 +94,17 @@
     channel.writeAndFlush(envelope);
   }
 
+  /** Closes the connection of the moment if it has been open for longer than the given time. */
+  boolean renew(long olderThanMillis) {
+    Channel channel = ready;
+    boolean old = channel != null && clock.millis() - readyAt > olderThanMillis;
+    if (old) {
+      ready = null;
+      channel.close();
+    }
+    return old;
+  }
+
   void close() {
     closed = true;
     Channel channel = ready;
@@ -149,6 +161,7 @@
         }
         case PROOF -> {
           if (handshake.proven(envelope.getProof(), other, own)) {
+            readyAt = clock.millis();
             ready = context.channel();
             listener.reset(peer.id());
           } else {
--- a/burdockbay-server/src/main/java/org/burdockbay/server/transport/PeerTransport.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/transport/PeerTransport.java
@@ -89,6 +89,17 @@
     connection.connect();
   }
 
+  /**
+   * Closes the connection to a host if it has been open for longer than the given time, so that a
+   * new one takes its place.
+   *
+   * @return whether it was closed
+   */
+  public boolean renew(String host, long olderThanMillis) {
+    OutboundConnection connection = outbound.get(host);
+    return connection != null && connection.renew(olderThanMillis);
+  }
+
   /** Gives up sending to a host. */
   public void disconnect(String host) {
     OutboundConnection connection = outbound.remove(host);
--- a/burdockbay-wire/src/main/java/org/burdockbay/wire/PeerCodec.java
+++ b/burdockbay-wire/src/main/java/org/burdockbay/wire/PeerCodec.java
@@ -1,5 +1,6 @@
 package org.burdockbay.wire;
 
+import java.util.OptionalLong;
 import org.burdockbay.core.agreement.GroupId;
 import org.burdockbay.core.dispatch.DomainLoad;
 import org.burdockbay.core.membership.HostStatus;
@@ -14,7 +15,7 @@
   public static Wire.Envelope encode(PeerMessage message) {
     Wire.Envelope.Builder envelope = Wire.Envelope.newBuilder();
     switch (message) {
-      case PeerMessage.Heartbeat heartbeat -> envelope.setHeartbeat(encode(heartbeat.status()));
+      case PeerMessage.Heartbeat heartbeat -> envelope.setHeartbeat(encode(heartbeat));
       case PeerMessage.Agreement agreement ->
           envelope.setRaft(RaftCodec.encode(agreement.group(), agreement.message()));
       case PeerMessage.Propose propose ->
@@ -62,7 +63,8 @@
     return envelope.build();
   }
 
-  private static Wire.HostStatus encode(HostStatus status) {
+  private static Wire.HostStatus encode(PeerMessage.Heartbeat heartbeat) {
+    HostStatus status = heartbeat.status();
     return Wire.HostStatus.newBuilder()
         .setHost(status.host())
         .setDomain(status.domain())
@@ -75,6 +77,7 @@
         .setLeader(status.leader())
         .setFreeSlots(status.load().freeSlots())
         .setWaitMs(status.load().waitMillis())
+        .setHeardAgoMsPlusOne(heartbeat.heardAgoMillis().orElse(-1) + 1)
         .build();
   }
 
@@ -85,7 +88,7 @@
    */
   public static PeerMessage decode(Wire.Envelope envelope) throws WireException {
     return switch (envelope.getBodyCase()) {
-      case HEARTBEAT -> new PeerMessage.Heartbeat(decode(envelope.getHeartbeat()));
+      case HEARTBEAT -> heartbeat(envelope.getHeartbeat());
       case RAFT ->
           new PeerMessage.Agreement(
               new GroupId(envelope.getRaft().getGroup()), RaftCodec.decode(envelope.getRaft()));
@@ -129,6 +132,12 @@
     };
   }
 
+  private static PeerMessage.Heartbeat heartbeat(Wire.HostStatus status) {
+    long heardAgo = status.getHeardAgoMsPlusOne();
+    return new PeerMessage.Heartbeat(
+        decode(status), heardAgo == 0 ? OptionalLong.empty() : OptionalLong.of(heardAgo - 1));
+  }
+
   private static HostStatus decode(Wire.HostStatus status) {
     return new HostStatus(
         status.getHost(),
