--- a/burdockbay-core/src/main/java/org/burdockbay/core/intake/WorkIntake.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/intake/WorkIntake.java
@@ -27,6 +27,7 @@
   /** Longest wait for a dispatcher, in milliseconds: an election and a few heartbeats. */
   private static final long NO_DISPATCHER_MILLIS = 1_000;
 
+  private final String self;
   private final long runsOnMillis;
   private final Map<Long, Pending> byTicket = new LinkedHashMap<>();
   private final Map<String, List<Pending>> byWork = new HashMap<>();
@@ -38,10 +39,12 @@
   /**
    * Creates an intake that knows no dispatcher yet.
    *
+   * @param self the id of this host
    * @param runsOnMillis for how long a dispatcher that this host doesn't hear any more may keep
    *     runs of its work alive, in milliseconds
    */
-  public WorkIntake(long runsOnMillis) {
+  public WorkIntake(String self, long runsOnMillis) {
+    this.self = self;
     this.runsOnMillis = runsOnMillis;
   }
 
@@ -110,6 +113,7 @@
     if (changed.equals(dispatcher)) {
       return;
     }
+    noteHeard();
     dispatcher = changed;
     changed.ifPresent(
         next -> {
@@ -124,6 +128,21 @@
     }
   }
 
+  /**
+   * Notes when the dispatcher was heard last for the work that it has; this host hears itself all
+   * the time.
+   */
+  private void noteHeard() {
+    if (dispatcher.map(IntakeEvent.Dispatcher::host).filter(self::equals).isPresent()) {
+      heardAt = now;
+    }
+    for (Pending pending : byTicket.values()) {
+      if (pending.submittedTo.equals(dispatcher)) {
+        pending.heardAt = heardAt;
+      }
+    }
+  }
+
   private void reset(String host) {
     if (dispatcher.map(IntakeEvent.Dispatcher::host).filter(host::equals).isPresent()) {
       byTicket.values().forEach(this::submit);
@@ -138,10 +157,11 @@
     if (pending.submittedTo.isPresent() && !pending.submittedTo.get().equals(target)) {
       pending.quietUntil = Math.max(pending.quietUntil, pending.heardAt + runsOnMillis);
       pending.mayHaveRun = true;
+      // In a cut of one direction the earlier dispatcher may hear this host and go on.
+      effects.add(new IntakeEffect.Cancel(pending.submittedTo.get().host(), pending.request.id()));
       note("work-moved", pending, " to=" + target.host() + " token=" + target.token());
     }
     pending.submittedTo = dispatcher;
-    pending.heardAt = heardAt;
     pending.submittedAt = now;
     effects.add(
         new IntakeEffect.Submit(
@@ -153,10 +173,8 @@
   }
 
   private void tick() {
+    noteHeard();
     for (Pending pending : List.copyOf(byTicket.values())) {
-      if (pending.submittedTo.equals(dispatcher)) {
-        pending.heardAt = heardAt;
-      }
       long age = now - pending.arrivedAt;
       if (age >= pending.request.budgetMillis()) {
         giveUp(pending, "no outcome in time");
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseDispatcher.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseDispatcher.java
@@ -30,10 +30,27 @@
   /** Outcomes are kept for entry hosts that ask again, in milliseconds. */
   private static final long KEPT_OUTCOME_MILLIS = 5_000;
 
+  /**
+   * An upstream that has seen a higher token is asked again after this, in milliseconds: longer
+   * than a lease, so that a dispatcher that is gone doesn't hold it any more.
+   */
+  private static final long FENCED_MILLIS = 1_200;
+
+  /**
+   * A gap between two events that shows that the process stood still, in milliseconds. A heartbeat
+   * of 150 ms and this are less than the 450 ms after which hosts count as lost.
+   */
+  private static final long STALL_MILLIS = 250;
+
+  /** After so many refusals in a row this host asks for a higher token; takes about 4 s. */
+  private static final int MOST_FENCED = 4;
+
+  private final String self;
   private final LeaseTerms terms;
   private final Map<String, UpstreamLease> upstreams = new LinkedHashMap<>();
   private final Map<String, WorkState> works = new LinkedHashMap<>();
   private final Map<TaskId, LeasedRun> openRuns = new HashMap<>();
+  private final Map<String, Long> entriesHeard = new HashMap<>();
   private final Map<String, KeptOutcome> outcomes = new LinkedHashMap<>();
   private final Map<RefusedTicket, KeptOutcome> refusals = new HashMap<>();
   private final Map<String, Long> highestRuns = new LinkedHashMap<>();
@@ -41,17 +58,32 @@
   private final AdmissionRule admission = new AdmissionRule();
   private List<LeaseEffect> effects = new ArrayList<>();
   private long token;
+  private long lastRenewal;
   private long now;
 
-  /** Creates a dispatcher without the role. */
-  public LeaseDispatcher(LeaseTerms terms) {
+  /**
+   * Creates a dispatcher without the role.
+   *
+   * @param self the id of this host
+   */
+  public LeaseDispatcher(String self, LeaseTerms terms) {
+    this.self = self;
     this.terms = terms;
   }
 
   /** Handles an event and returns what is to be done. */
   public List<LeaseEffect> handle(LeaseEvent event, long time) {
+    boolean stalled = dispatches() && time - now > STALL_MILLIS;
+    if (stalled) {
+      stalled(time - now);
+    }
     now = Math.max(now, time);
     switch (event) {
+      case LeaseEvent.Stalled suspended -> {
+        if (dispatches()) {
+          stalled(suspended.millis());
+        }
+      }
       case LeaseEvent.RoleGained gained -> roleGained(gained.token());
       case LeaseEvent.RoleLost lost -> roleLost();
       case LeaseEvent.Announced announced -> announced(announced.notice());
@@ -93,6 +125,7 @@
     switch (event) {
       case LeaseEvent.Submitted submitted -> submitted(submitted);
       case LeaseEvent.Cancelled cancelled -> abandon(cancelled.entryHost(), cancelled.workId());
+      case LeaseEvent.EntryHeard heard -> entriesHeard.put(heard.entryHost(), now);
       case LeaseEvent.EntryLost lost -> entryLost(lost.entryHost());
       case LeaseEvent.StartAnswered answered -> startAnswered(answered);
       case LeaseEvent.StopAnswered answered -> stopAnswered(answered);
@@ -100,6 +133,7 @@
       case LeaseEvent.Tick tick -> tick();
       case LeaseEvent.RoleGained gained -> throw new IllegalStateException("handled before");
       case LeaseEvent.RoleLost lost -> throw new IllegalStateException("handled before");
+      case LeaseEvent.Stalled stalled -> throw new IllegalStateException("handled before");
       case LeaseEvent.Announced announced -> throw new IllegalStateException("handled before");
       case LeaseEvent.Departed departed -> throw new IllegalStateException("handled before");
     }
@@ -114,6 +148,20 @@
     }
   }
 
+  /**
+   * Gives the role up after a stall.
+   *
+   * <p>A frozen process that goes on finds messages that were sent long ago, takes them for fresh,
+   * and would start work that its entry hosts have given to another dispatcher meanwhile. Up to
+   * {@link #STALL_MILLIS} no entry host has turned away yet, since a heartbeat that was due during
+   * the stall is missing for less than the time after which hosts count as lost.
+   */
+  private void stalled(long millis) {
+    note("stalled", "millis=" + millis);
+    effects.add(new LeaseEffect.Stalled());
+    roleLost();
+  }
+
   /** Forgets everything but the upstreams: what runs goes on until its lease is over. */
   private void roleLost() {
     if (!dispatches()) {
@@ -123,6 +171,7 @@
     token = 0;
     works.clear();
     openRuns.clear();
+    entriesHeard.clear();
     outcomes.clear();
     refusals.clear();
     takenOver.clear();
@@ -182,6 +231,7 @@
 
   private void submitted(LeaseEvent.Submitted submitted) {
     String id = submitted.request().id();
+    entriesHeard.put(submitted.entryHost(), now);
     KeptOutcome kept = outcomes.get(id);
     if (kept != null && now - kept.at <= KEPT_OUTCOME_MILLIS) {
       report(submitted.entryHost(), id, kept.outcome);
@@ -204,7 +254,9 @@
     WorkState work = new WorkState(submitted.request(), now - submitted.ageMillis());
     work.tickets.put(submitted.entryHost(), submitted.ticket());
     work.quietUntil = now + submitted.quietMillis();
-    work.offered = submitted.quietMillis() > 0;
+    // Dropped before, for an entry host that was lost and is back, or run by another dispatcher:
+    // "not run" can't be promised any more.
+    work.offered = submitted.quietMillis() > 0 || highestRuns.containsKey(id);
     works.put(id, work);
     adopt(work);
     refuseImpossible(work);
@@ -280,6 +332,19 @@
     lost.forEach(id -> abandon(entryHost, id));
   }
 
+  private void dropLostEntries() {
+    List<String> silent =
+        entriesHeard.entrySet().stream()
+            .filter(heard -> now - heard.getValue() > LeaseTerms.ENTRY_LOST_MILLIS)
+            .map(Map.Entry::getKey)
+            .filter(host -> !host.equals(self))
+            .toList();
+    for (String host : silent) {
+      entriesHeard.remove(host);
+      entryLost(host);
+    }
+  }
+
   private void startAnswered(LeaseEvent.StartAnswered answered) {
     UpstreamLease upstream = same(answered.upstream());
     if (upstream == null) {
@@ -384,6 +449,7 @@
       note("upstream-back", "upstream=" + upstream.notice.id());
     }
     upstream.owned = true;
+    upstream.fencedTimes = 0;
     upstream.unanswered = 0;
     for (RunEnd end : answered.ended()) {
       if (end.number() > upstream.acknowledged) {
@@ -397,13 +463,32 @@
     }
     for (RunId id : running) {
       if (!upstream.runs.containsKey(id)) {
-        takenOver.foundRunning(id, upstream, now);
+        found(id, upstream);
       }
     }
     // At once: until the next call waits there, no end of a run is heard of.
     renew(upstream, true);
   }
 
+  /** Gives a run of an earlier dispatcher to the work that it belongs to, now or once it comes. */
+  private void found(RunId id, UpstreamLease upstream) {
+    TaskState task = task(id.task());
+    if (task != null && task.waits() && !openRuns.containsKey(id.task())) {
+      adopt(task, upstream, id);
+    } else {
+      takenOver.foundRunning(id, upstream, now);
+    }
+  }
+
+  private @Nullable TaskState task(TaskId id) {
+    WorkState work = works.get(id.work());
+    boolean exists =
+        work != null
+            && id.step() < work.steps.size()
+            && id.index() < work.steps.get(id.step()).size();
+    return exists ? work.steps.get(id.step()).get(id.index()) : null;
+  }
+
   /** Compares a run with the list of an upstream's runs. */
   private void compare(LeasedRun run, boolean there) {
     boolean listedSince = run.confirmedAt != 0 && run.confirmedAt <= run.upstream.renewalSentAt;
@@ -436,7 +521,7 @@
     LeasedRun run = upstream.runs.get(end.run());
     if (run == null) {
       if (end.cause() == RunEnd.Cause.DONE) {
-        takenOver.foundFinished(end.run().task(), now);
+        foundFinished(end.run().task());
       }
       return;
     }
@@ -450,13 +535,26 @@
     }
   }
 
+  /** Takes the result of a run of an earlier dispatcher. */
+  private void foundFinished(TaskId id) {
+    TaskState task = task(id);
+    if (task == null) {
+      takenOver.foundFinished(id, now);
+    } else if (task.waits()) {
+      finish(task);
+    }
+  }
+
   private void done(LeasedRun run) {
     run.upstream.failureStreak = 0;
     TaskState task = run.task;
     runOver(run);
-    if (task == null) {
-      return;
+    if (task != null) {
+      finish(task);
     }
+  }
+
+  private void finish(TaskState task) {
     task.work.finished(task);
     if (task.work.complete()) {
       answer(task.work, new WorkOutcome.Completed());
@@ -501,11 +599,24 @@
     upstreams.remove(upstream.notice.id(), upstream);
   }
 
+  /**
+   * Leaves an upstream to the host that holds the higher token.
+   *
+   * <p>That host is usually a dispatcher on the other side of a partition, and one of the two gives
+   * the role up once they hear each other. Where the upstream goes on refusing, the higher token
+   * may belong to a host that is gone, and only a still higher one helps.
+   */
   private void outranked(UpstreamLease upstream) {
-    note("outranked", "upstream=" + upstream.notice.id() + " token=" + token);
     upstream.owned = false;
-    upstream.renewAt = now + terms.leaseMillis();
-    effects.add(new LeaseEffect.Outranked());
+    upstream.fencedTimes++;
+    upstream.renewAt = now + FENCED_MILLIS;
+    note(
+        "outranked",
+        "upstream=" + upstream.notice.id() + " token=" + token + " times=" + upstream.fencedTimes);
+    if (upstream.fencedTimes >= MOST_FENCED) {
+      upstream.fencedTimes = 0;
+      effects.add(new LeaseEffect.Outranked(token));
+    }
   }
 
   private void answer(WorkState work, WorkOutcome outcome) {
@@ -580,6 +691,7 @@
         note("upstream-left", "upstream=" + upstream.notice.id());
       }
     }
+    dropLostEntries();
     takenOver.expire(now).forEach(this::stopUnclaimed);
     outcomes.values().removeIf(kept -> now - kept.at > KEPT_OUTCOME_MILLIS);
     refusals.values().removeIf(kept -> now - kept.at > KEPT_OUTCOME_MILLIS);
@@ -616,16 +728,16 @@
    * Renews the lease of an upstream.
    *
    * <p>Once a renewal wasn't answered twice, the lease isn't made longer: an upstream that receives
-   * and can't answer would otherwise never end its runs, and they couldn't start elsewhere. The
-   * same holds while a stop isn't confirmed.
+   * and can't answer would otherwise never end its runs, and they couldn't start elsewhere.
    */
   private void renew(UpstreamLease upstream, boolean wait) {
-    boolean extend = upstream.unanswered < 2 && !hasUnconfirmedStop(upstream);
+    boolean extend = upstream.unanswered < 2 && mayExtend(upstream);
     long deadline = extend && upstream.owned ? upstream.deadline(terms, now) : 0;
     if (deadline != 0) {
       upstream.covered(terms, now);
     }
-    upstream.renewal++;
+    lastRenewal++;
+    upstream.renewal = lastRenewal;
     upstream.renewalOpen = true;
     upstream.renewalSentAt = now;
     boolean longPoll = wait && upstream.owned && upstream.unanswered == 0;
@@ -639,13 +751,17 @@
             longPoll ? terms.pollMillis() : 0));
   }
 
-  private boolean hasUnconfirmedStop(UpstreamLease upstream) {
-    return upstream.runs.values().stream()
-        .anyMatch(
-            run ->
-                run.phase == LeasedRun.Phase.STOPPING
-                    && run.confirmedAt == 0
-                    && now - run.stopSentAt > terms.answerMillis());
+  /**
+   * Returns whether the lease of an upstream may be made longer.
+   *
+   * <p>A lease covers everything that runs on the upstream. A run that is to stop, or that nobody
+   * has claimed, may start elsewhere under another dispatcher as soon as the lease that it had is
+   * over; a longer one would let the two overlap.
+   */
+  private boolean mayExtend(UpstreamLease upstream) {
+    return !takenOver.anyOn(upstream)
+        && upstream.runs.values().stream()
+            .noneMatch(run -> run.phase == LeasedRun.Phase.STOPPING && run.confirmedAt == 0);
   }
 
   /** Places waiting tasks: work with the earliest latest start first. */
@@ -653,24 +769,28 @@
     if (works.isEmpty()) {
       return;
     }
+    List<UpstreamLease> open =
+        upstreams.values().stream()
+            .filter(upstream -> upstream.usable(now) && mayExtend(upstream))
+            .toList();
     for (WorkState work : admission.order(works.values(), now)) {
       if (now < work.quietUntil) {
         continue;
       }
       for (int step = 0; step < work.steps.size(); step++) {
         if (work.ready(step)) {
-          place(work.steps.get(step));
+          place(work.steps.get(step), open);
         }
       }
     }
   }
 
-  private void place(Collection<TaskState> tasks) {
+  private void place(Collection<TaskState> tasks, List<UpstreamLease> open) {
     for (TaskState task : tasks) {
       if (!task.waits() || openRuns.containsKey(task.id)) {
         continue;
       }
-      var chosen = PlacementPolicy.choose(upstreams.values(), task, now);
+      var chosen = PlacementPolicy.choose(open, task, now);
       if (chosen.isEmpty()) {
         return;
       }
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseEffect.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseEffect.java
@@ -38,8 +38,11 @@
   /** Tells an entry host the outcome of its work. */
   record Report(String entryHost, String workId, WorkOutcome outcome) implements LeaseEffect {}
 
-  /** An upstream has seen a higher token than this host's. */
-  record Outranked() implements LeaseEffect {}
+  /** An upstream goes on refusing this host's token, as it has seen a higher one. */
+  record Outranked(long token) implements LeaseEffect {}
+
+  /** This host stood still and has given the role up. */
+  record Stalled() implements LeaseEffect {}
 
   /** A decision for the log; {@code fields} are key=value pairs. */
   record Note(String event, String fields) implements LeaseEffect {}
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseEvent.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseEvent.java
@@ -29,6 +29,9 @@
   /** An entry host's caller no longer waits. */
   record Cancelled(String entryHost, String workId) implements LeaseEvent {}
 
+  /** A heartbeat of an entry host arrived. */
+  record EntryHeard(String entryHost) implements LeaseEvent {}
+
   /** An entry host is lost, so its callers' connections are too. */
   record EntryLost(String entryHost) implements LeaseEvent {}
 
@@ -65,6 +68,9 @@
     }
   }
 
-  /** Time passes. */
+  /** The machine was suspended, which its steady clock doesn't show. */
+  record Stalled(long millis) implements LeaseEvent {}
+
+  /** Time passes; at least every 100 ms. */
   record Tick() implements LeaseEvent {}
 }
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseTerms.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseTerms.java
@@ -9,6 +9,9 @@
  */
 public record LeaseTerms(long leaseMillis, long pollMillis, long answerMillis) {
 
+  /** Silence after which an entry host's work is dropped, in milliseconds: three heartbeats. */
+  public static final long ENTRY_LOST_MILLIS = 450;
+
   /** An upstream's clock may run this much slow: its second lasts up to 1.02 seconds. */
   public static final double SLOWEST_CLOCK = 0.98;
 
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/TakenOverRuns.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/TakenOverRuns.java
@@ -16,8 +16,12 @@
  */
 final class TakenOverRuns {
 
-  /** Time for entry hosts to claim runs, in milliseconds: three heartbeats and some round trips. */
-  static final long CLAIM_MILLIS = 400;
+  /**
+   * Time for entry hosts to claim runs, in milliseconds: they submit their work again as soon as
+   * they hear of the new dispatcher. Meanwhile the upstream's lease isn't renewed, and it may have
+   * 200 ms left.
+   */
+  static final long CLAIM_MILLIS = 150;
 
   /** Results are kept longer, since they cost nothing, in milliseconds. */
   private static final long KEPT_MILLIS = 3_000;
@@ -48,6 +52,10 @@
     running.values().removeIf(found -> found.upstream == upstream);
   }
 
+  boolean anyOn(UpstreamLease upstream) {
+    return running.values().stream().anyMatch(found -> found.upstream == upstream);
+  }
+
   void clear() {
     running.clear();
     finished.clear();
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/UpstreamLease.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/UpstreamLease.java
@@ -33,6 +33,10 @@
   long renewAt;
   long acknowledged;
   int unanswered;
+
+  /** How often in a row it has refused this host's token. */
+  int fencedTimes;
+
   int failureStreak;
   long pausedUntil;
 
--- a/burdockbay-core/src/main/java/org/burdockbay/core/membership/Membership.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/membership/Membership.java
@@ -25,12 +25,15 @@
   /** Silence after which a host counts as lost, in milliseconds. */
   public static final long LOST_MILLIS = 2_000;
 
+  /** By how many rounds an unknown higher claim is outbid: clocks may differ by some seconds. */
+  private static final long OUTRANK_ROUNDS = 10;
+
   private final String self;
   private final String domain;
   private final Map<String, String> domainByHost;
   private final MembershipTerms terms;
   private final boolean fixedHosts;
-  private final long startedAt;
+  private long startedAt;
   private final TreeMap<String, Heard> heard = new TreeMap<>();
   private long claimedEpoch;
   private long highestEpoch;
@@ -152,6 +155,34 @@
     return effects;
   }
 
+  /**
+   * Gives a claim up because it is below one that nobody tells of, and claims again well above it.
+   *
+   * @param epoch the claim that proved too low; another one is left as it is
+   */
+  public List<MembershipEffect> outranked(long epoch, long now) {
+    if (epoch != claimedEpoch) {
+      return List.of();
+    }
+    return fenced(epoch + (OUTRANK_ROUNDS << terms.hostBits()), now);
+  }
+
+  /**
+   * Starts over after the process stood still: what it believes of the others is out of date.
+   *
+   * <p>A claim is given up, and none is made until others would have been heard of again.
+   */
+  public List<MembershipEffect> startOver(long now) {
+    startedAt = now;
+    List<MembershipEffect> effects = new ArrayList<>();
+    if (claimedEpoch != 0) {
+      claimedEpoch = 0;
+      effects.add(new MembershipEffect.Yield());
+    }
+    effects.addAll(elect(now));
+    return effects;
+  }
+
   /** Returns the last status of every live host but this one. */
   public Collection<HostStatus> live() {
     return heard.values().stream().map(last -> last.status).toList();
--- /dev/null
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseFuzzTest.java
@@ -0,0 +1,127 @@
+package org.burdockbay.core.lease;
+
+import java.util.List;
+import java.util.SplittableRandom;
+import org.burdockbay.core.FuzzDepth;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.Test;
+
+/** Drives hosts, upstreams and callers through faults against {@link LeaseModel}. */
+public class LeaseFuzzTest {
+
+  private static final int STEPS = 120;
+  private static final int RUNS = 40;
+
+  /**
+   * A trader would see a lot sold twice, or hear "not run" of a contract that was confirmed. Hosts
+   * die, freeze with or without their clock, and stop as planned; failure domains are cut off;
+   * upstreams crash, come back under their old id, stand still, or carry orders out seconds later.
+   * The cause would be a gap between lease, fencing token and the time that a successor waits.
+   */
+  @Test
+  public void overlapsNoTwoRunsOfTaskThroughFaults() {
+    int runs = FuzzDepth.examples(RUNS);
+    for (int run = 0; run < runs; run++) {
+      long seed = FuzzDepth.seed() + run;
+      try {
+        play(seed);
+      } catch (AssertionError e) {
+        throw new AssertionError("seed " + seed + ": " + e.getMessage(), e);
+      }
+    }
+  }
+
+  /** Prints the figures of the run. */
+  @AfterClass
+  public void printFigures() {
+    System.out.println(FuzzDepth.figures("lease"));
+  }
+
+  private static void play(long seed) {
+    LeaseModel model = new LeaseModel(seed, 2, 3);
+    SplittableRandom random = new SplittableRandom(~seed);
+    for (int step = 0; step < STEPS; step++) {
+      int burst = 1 + random.nextInt(3);
+      for (int i = 0; i < burst; i++) {
+        model.submit(1 + random.nextInt(4));
+      }
+      if (random.nextInt(4) == 0) {
+        disturb(model, random);
+      }
+      model.advance(20 + random.nextLong(300));
+    }
+    model.heal();
+    FuzzDepth.count("lease", model.starts, model.answers);
+  }
+
+  private static void disturb(LeaseModel model, SplittableRandom random) {
+    ModelEntryHost host = host(model, random);
+    ModelUpstream upstream = model.upstreams.get(random.nextInt(model.upstreams.size()));
+    int fault = random.nextInt(16);
+    model.trace("faults", "fault=" + fault + " host=" + host.name + " upstream=" + upstream.id);
+    switch (fault) {
+      case 0, 1 -> {
+        if (host.up && model.hosts.values().stream().filter(each -> each.up).count() > 2) {
+          model.kill(host);
+          model.after(200 + random.nextLong(4_000), host::recover);
+        }
+      }
+      case 2 -> freeze(model, random, host, false);
+      case 3 -> freeze(model, random, host, true);
+      case 4, 5 -> {
+        String domain = List.of("north", "south", "east").get(random.nextInt(3));
+        model.cutDomains.add(domain);
+        model.after(300 + random.nextLong(5_000), () -> model.cutDomains.remove(domain));
+      }
+      case 6 -> {
+        if (upstream.up) {
+          upstream.crash();
+          model.after(100 + random.nextLong(3_000), upstream::restart);
+        }
+      }
+      case 7 ->
+          toggleLater(model, random, () -> upstream.hangs = true, () -> upstream.hangs = false);
+      case 8 ->
+          toggleLater(
+              model, random, () -> upstream.failsAll = true, () -> upstream.failsAll = false);
+      case 9, 10 -> toggleLater(model, random, () -> model.heldUp = 0.05, () -> model.heldUp = 0);
+      case 11, 12 ->
+          toggleLater(model, random, () -> model.answerLost = 0.1, () -> model.answerLost = 0);
+      case 13 -> {
+        if (host.up && !host.frozen) {
+          host.drain();
+          model.after(
+              2_600,
+              () -> {
+                if (host.up) {
+                  host.kill();
+                  host.start();
+                }
+              });
+        }
+      }
+      default -> {
+        if (host.up && host.dispatches()) {
+          freeze(model, random, host, random.nextBoolean());
+        }
+      }
+    }
+  }
+
+  private static ModelEntryHost host(LeaseModel model, SplittableRandom random) {
+    List<ModelEntryHost> hosts = List.copyOf(model.hosts.values());
+    return hosts.get(random.nextInt(hosts.size()));
+  }
+
+  private static void freeze(
+      LeaseModel model, SplittableRandom random, ModelEntryHost host, boolean clockToo) {
+    host.freeze(clockToo);
+    model.after(200 + random.nextLong(4_000), host::thaw);
+  }
+
+  private static void toggleLater(
+      LeaseModel model, SplittableRandom random, Runnable on, Runnable off) {
+    on.run();
+    model.after(500 + random.nextLong(5_000), off);
+  }
+}
--- /dev/null
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseModel.java
@@ -0,0 +1,245 @@
+package org.burdockbay.core.lease;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.burdockbay.core.work.RunId;
+import org.burdockbay.core.work.TaskId;
+import org.burdockbay.core.work.TaskSize;
+import org.burdockbay.core.work.WorkOutcome;
+import org.burdockbay.core.work.WorkRequest;
+import org.burdockbay.core.work.WorkStep;
+
+/**
+ * Hosts, upstreams, callers and the network between them in simulated time, and the oracle: no two
+ * runs of a task overlap, refused work has not run, completed work has, and everybody who waits is
+ * answered.
+ */
+final class LeaseModel {
+
+  static final int TASK_CPU = 14_000;
+
+  private static final long RESEND_MILLIS = 1_300;
+  private static final long PATIENCE_MILLIS = 2_500;
+  private static final long LONGEST_WORK_MILLIS = 900;
+
+  private final SplittableRandom random;
+  private final PriorityQueue<Timed> queue = new PriorityQueue<>();
+  private final Map<TaskId, ModelUpstream> runningOn = new HashMap<>();
+  private final Map<TaskId, Integer> finished = new HashMap<>();
+  private final Set<String> begun = new HashSet<>();
+  private final Set<String> notRun = new HashSet<>();
+
+  /** Work whose first submission got no answer; a refusal of a later one says nothing about it. */
+  private final Set<String> broken = new HashSet<>();
+
+  final Map<String, ModelEntryHost> hosts = new LinkedHashMap<>();
+  final List<ModelUpstream> upstreams = new ArrayList<>();
+  final Set<String> cutDomains = new HashSet<>();
+
+  /** Share of calls to upstreams that aren't answered and carried out seconds later. */
+  double heldUp;
+
+  /** Share of calls to upstreams that are carried out and whose answer is lost. */
+  double answerLost;
+
+  int answers;
+  int completed;
+  int starts;
+  private long now = 1_000_000;
+  private long order;
+  private int works;
+
+  LeaseModel(long seed, int hostsInDomain, int upstreamsInDomain) {
+    random = new SplittableRandom(seed);
+    int number = 0;
+    for (String domain : List.of("north", "south", "east")) {
+      for (int i = 0; i < hostsInDomain; i++) {
+        number++;
+        ModelEntryHost host = new ModelEntryHost(this, "10.0.0." + number, domain);
+        hosts.put(host.name, host);
+      }
+      for (int i = 0; i < upstreamsInDomain; i++) {
+        double rate = random.nextBoolean() ? 1 : LeaseTerms.SLOWEST_CLOCK;
+        upstreams.add(new ModelUpstream(this, "u-" + domain + i, domain, rate));
+      }
+    }
+    hosts.values().forEach(ModelEntryHost::start);
+    upstreams.forEach(this::announceAgain);
+    advance(1_500);
+  }
+
+  long now() {
+    return now;
+  }
+
+  SplittableRandom random() {
+    return random;
+  }
+
+  long workMillis() {
+    return 20 + random.nextLong(LONGEST_WORK_MILLIS);
+  }
+
+  void after(long millis, Runnable action) {
+    order++;
+    queue.add(new Timed(now + Math.max(0, millis), order, action));
+  }
+
+  /** Runs everything that is due within the given time. */
+  void advance(long millis) {
+    long until = now + millis;
+    while (!queue.isEmpty() && queue.peek().at <= until) {
+      Timed next = queue.remove();
+      now = next.at;
+      next.action.run();
+    }
+    now = until;
+  }
+
+  /** Returns whether two domains can reach each other. */
+  boolean connected(String one, String other) {
+    return one.equals(other) || !(cutDomains.contains(one) || cutDomains.contains(other));
+  }
+
+  ModelEntryHost anyHost() {
+    List<ModelEntryHost> up = hosts.values().stream().filter(host -> host.up).toList();
+    return up.get(random.nextInt(up.size()));
+  }
+
+  /** A caller submits new work at some host. */
+  void submit(int tasks) {
+    works++;
+    WorkStep step = WorkStep.of(tasks, new TaskSize(TASK_CPU, 64, 0), 20 + random.nextLong(600));
+    WorkRequest request =
+        new WorkRequest(
+            "w" + works, "q", "desk", "x", List.of(step), 0, 3, 1.6, 60, PATIENCE_MILLIS);
+    submitAt(anyHost(), request);
+  }
+
+  /** The caller's connection broke: the work comes again later, at any host. */
+  void brokenConnection(WorkRequest request) {
+    broken.add(request.id());
+    after(RESEND_MILLIS, () -> submitAt(anyHost(), request));
+  }
+
+  void answered(WorkRequest request, WorkOutcome outcome) {
+    answers++;
+    trace("caller", "answered " + request.id() + " " + outcome);
+    switch (outcome) {
+      case WorkOutcome.Completed done -> {
+        completed++;
+        for (int index = 0; index < request.steps().getFirst().tasks(); index++) {
+          TaskId task = new TaskId(request.id(), 0, index);
+          check(finished.containsKey(task), request.id() + " is said to be done without " + task);
+        }
+      }
+      case WorkOutcome.NotRun refused -> {
+        if (!broken.contains(request.id())) {
+          check(!begun.contains(request.id()), request.id() + " is said not to have run");
+          notRun.add(request.id());
+        }
+      }
+      default -> {
+        // Nothing is promised about work that failed or was given up.
+      }
+    }
+  }
+
+  void began(RunId run, ModelUpstream upstream) {
+    starts++;
+    trace(upstream.id, "began " + run);
+    begun.add(run.task().work());
+    check(!notRun.contains(run.task().work()), run + " starts after a refusal");
+    ModelUpstream other = runningOn.put(run.task(), upstream);
+    check(other == null, run + " starts on " + upstream.id + " and runs on " + name(other));
+  }
+
+  void ended(RunId run, ModelUpstream upstream, RunEnd.Cause cause) {
+    trace(upstream.id, "ended " + run + " cause=" + cause);
+    runningOn.remove(run.task(), upstream);
+    if (cause == RunEnd.Cause.DONE) {
+      finished.merge(run.task(), 1, Integer::sum);
+    }
+  }
+
+  void kill(ModelEntryHost host) {
+    host.kill();
+  }
+
+  /** Ends all faults, and checks that nobody waits for ever. */
+  void heal() {
+    cutDomains.clear();
+    heldUp = 0;
+    answerLost = 0;
+    hosts.values().forEach(ModelEntryHost::recover);
+    upstreams.forEach(
+        upstream -> {
+          upstream.failsAll = false;
+          upstream.hangs = false;
+          if (!upstream.up) {
+            upstream.restart();
+          }
+        });
+    advance(20_000);
+    for (ModelEntryHost host : hosts.values()) {
+      check(host.waiting() == 0, host.name + " owes " + host.waiting() + " answers");
+    }
+    int before = completed;
+    for (int i = 0; i < 6; i++) {
+      submit(2);
+      advance(300);
+    }
+    advance(5_000);
+    check(completed - before == 6, "only " + (completed - before) + " of 6 are served after all");
+  }
+
+  /** Prints a line of the play if {@code -Dfuzz.trace=WORD} names a word of it, or the word all. */
+  void trace(String who, String line) {
+    String wanted = System.getProperty("fuzz.trace", "");
+    if (!wanted.isEmpty() && (wanted.equals("all") || line.contains(wanted))) {
+      System.out.println("at=" + now + " who=" + who + " " + line);
+    }
+  }
+
+  static void check(boolean condition, String complaint) {
+    if (!condition) {
+      throw new AssertionError(complaint);
+    }
+  }
+
+  private void submitAt(ModelEntryHost host, WorkRequest request) {
+    host.submit(request);
+  }
+
+  private void announceAgain(ModelUpstream upstream) {
+    if (upstream.up) {
+      upstream.sequence++;
+      var notice = upstream.notice();
+      for (ModelEntryHost host : hosts.values()) {
+        if (connected(upstream.domain, host.domain)) {
+          host.deliver(5 + random.nextLong(100), () -> host.announced(notice));
+        }
+      }
+    }
+    after(1_500, () -> announceAgain(upstream));
+  }
+
+  private static String name(ModelUpstream upstream) {
+    return upstream == null ? "none" : upstream.id;
+  }
+
+  private record Timed(long at, long order, Runnable action) implements Comparable<Timed> {
+
+    @Override
+    public int compareTo(Timed other) {
+      return at != other.at ? Long.compare(at, other.at) : Long.compare(order, other.order);
+    }
+  }
+}
--- /dev/null
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelEntryHost.java
@@ -0,0 +1,417 @@
+package org.burdockbay.core.lease;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.burdockbay.core.dispatch.DomainLoad;
+import org.burdockbay.core.fleet.UpstreamNotice;
+import org.burdockbay.core.intake.IntakeEffect;
+import org.burdockbay.core.intake.IntakeEvent;
+import org.burdockbay.core.intake.WorkIntake;
+import org.burdockbay.core.membership.HostStatus;
+import org.burdockbay.core.membership.Membership;
+import org.burdockbay.core.membership.MembershipEffect;
+import org.burdockbay.core.membership.MembershipTerms;
+import org.burdockbay.core.work.WorkRequest;
+
+/** One host of a {@link LeaseModel}: membership, intake and dispatch, wired as a process does. */
+final class ModelEntryHost {
+
+  private static final String GROUP = "entry";
+  private static final long LOST_MILLIS = 450;
+  private static final long HEARTBEAT_MILLIS = 150;
+  private static final long TICK_MILLIS = 25;
+
+  final String name;
+  final String domain;
+  private final LeaseModel model;
+  private final Map<Long, WorkRequest> callers = new HashMap<>();
+  private final Map<String, Long> incarnations = new HashMap<>();
+  private final List<Runnable> held = new ArrayList<>();
+  boolean up;
+  boolean frozen;
+  private long life;
+  private long incarnation;
+  private long lastTicket;
+  private long suspendedMillis;
+  private long frozenAt;
+  private boolean clockStops;
+  private Membership membership;
+  private WorkIntake intake;
+  private LeaseDispatcher dispatcher;
+
+  ModelEntryHost(LeaseModel model, String name, String domain) {
+    this.model = model;
+    this.name = name;
+    this.domain = domain;
+  }
+
+  void start() {
+    up = true;
+    frozen = false;
+    life++;
+    incarnation = model.now();
+    membership =
+        Membership.growing(
+            name, GROUP, MembershipTerms.ofAddress(name, LOST_MILLIS, true), clock());
+    model.hosts.keySet().forEach(host -> membership.admit(host, GROUP));
+    intake = new WorkIntake(name, LOST_MILLIS + LeaseTerms.DEFAULT.longestMillis());
+    dispatcher = new LeaseDispatcher(name, LeaseTerms.DEFAULT);
+    incarnations.clear();
+    long started = life;
+    model.after(model.random().nextLong(TICK_MILLIS), () -> tick(started));
+    model.after(model.random().nextLong(HEARTBEAT_MILLIS), () -> beat(started));
+  }
+
+  /** Ends the process; its callers see their connections break. */
+  void kill() {
+    up = false;
+    life++;
+    held.clear();
+    callers.values().forEach(model::brokenConnection);
+    callers.clear();
+  }
+
+  /**
+   * Stops the process.
+   *
+   * @param clockToo whether its clock doesn't count that time either, as in a suspended machine
+   */
+  void freeze(boolean clockToo) {
+    if (up && !frozen) {
+      frozen = true;
+      clockStops = clockToo;
+      frozenAt = model.now();
+    }
+  }
+
+  void thaw() {
+    if (!frozen) {
+      return;
+    }
+    frozen = false;
+    if (clockStops) {
+      suspendedMillis += model.now() - frozenAt;
+    }
+    List<Runnable> waiting = List.copyOf(held);
+    held.clear();
+    waiting.forEach(Runnable::run);
+  }
+
+  void recover() {
+    thaw();
+    if (!up) {
+      start();
+    }
+  }
+
+  int waiting() {
+    return callers.size();
+  }
+
+  boolean dispatches() {
+    return up && dispatcher.dispatches();
+  }
+
+  /** A planned stop: the role is handed over, and what waits here is answered first. */
+  void drain() {
+    run(membership.drain(clock()));
+  }
+
+  void submit(WorkRequest request) {
+    model.trace(name, "submitted " + request.id() + " up=" + up);
+    if (!up) {
+      model.brokenConnection(request);
+      return;
+    }
+    deliver(
+        1,
+        () -> {
+          lastTicket++;
+          callers.put(lastTicket, request);
+          intake(new IntakeEvent.Opened(lastTicket, request));
+        });
+  }
+
+  void announced(UpstreamNotice notice) {
+    dispatch(new LeaseEvent.Announced(notice));
+  }
+
+  /** Runs an action in this life of the process, once it isn't frozen. */
+  void deliver(long delay, Runnable action) {
+    long meant = life;
+    model.after(delay, () -> arrive(meant, action));
+  }
+
+  private void arrive(long meant, Runnable action) {
+    if (!up || meant != life) {
+      return;
+    }
+    if (frozen) {
+      held.add(() -> arrive(meant, action));
+    } else {
+      action.run();
+    }
+  }
+
+  private long clock() {
+    return model.now() - suspendedMillis;
+  }
+
+  private void tick(long meant) {
+    if (!up || meant != life) {
+      return;
+    }
+    if (!frozen) {
+      run(membership.tick(clock()));
+      dispatch(new LeaseEvent.Tick());
+      intake(new IntakeEvent.Tick());
+    }
+    model.after(TICK_MILLIS, () -> tick(meant));
+  }
+
+  private void beat(long meant) {
+    if (!up || meant != life) {
+      return;
+    }
+    if (!frozen) {
+      heartbeat();
+    }
+    model.after(HEARTBEAT_MILLIS, () -> beat(meant));
+  }
+
+  private void heartbeat() {
+    HostStatus status =
+        new HostStatus(
+            name,
+            GROUP,
+            incarnation,
+            0,
+            1,
+            membership.claimedEpoch(),
+            membership.highestEpoch(),
+            membership.draining(),
+            "",
+            new DomainLoad(0, 0));
+    for (ModelEntryHost other : model.hosts.values()) {
+      if (other != this) {
+        send(other, () -> other.heard(status));
+      }
+    }
+  }
+
+  private void heard(HostStatus status) {
+    Long before = incarnations.put(status.host(), status.incarnation());
+    if (before != null && before < status.incarnation()) {
+      dispatch(new LeaseEvent.EntryLost(status.host()));
+    }
+    run(membership.heartbeat(status, clock()));
+    dispatch(new LeaseEvent.EntryHeard(status.host()));
+    intake(new IntakeEvent.DispatcherHeard(status.host()));
+  }
+
+  private void send(ModelEntryHost other, Runnable action) {
+    if (other == this) {
+      deliver(0, action);
+    } else if (model.connected(domain, other.domain)) {
+      other.deliver(1 + model.random().nextLong(3), action);
+    }
+  }
+
+  private void run(List<MembershipEffect> effects) {
+    for (MembershipEffect effect : effects) {
+      switch (effect) {
+        case MembershipEffect.Claim claim -> {
+          dispatch(new LeaseEvent.RoleGained(claim.epoch()));
+          heartbeat();
+        }
+        case MembershipEffect.Yield yield -> {
+          dispatch(new LeaseEvent.RoleLost());
+          heartbeat();
+        }
+        case MembershipEffect.Routes routes -> {
+          Optional<IntakeEvent.Dispatcher> known =
+              routes
+                  .view()
+                  .dispatcher(GROUP)
+                  .map(found -> new IntakeEvent.Dispatcher(found.host(), found.epoch()));
+          intake(new IntakeEvent.DispatcherChanged(known));
+        }
+        case MembershipEffect.HostLost lost -> {
+          // The dispatcher finds out by itself.
+        }
+        case MembershipEffect.HostFound found -> {
+          // Nothing depends on it here.
+        }
+      }
+    }
+  }
+
+  private void intake(IntakeEvent event) {
+    if (event instanceof IntakeEvent.DispatcherChanged changed) {
+      model.trace(name, "dispatcher=" + changed.dispatcher());
+    }
+    for (IntakeEffect effect : intake.handle(event, clock())) {
+      switch (effect) {
+        case IntakeEffect.Submit submit -> {
+          ModelEntryHost target = model.hosts.get(submit.host());
+          send(
+              target,
+              () ->
+                  target.dispatch(
+                      new LeaseEvent.Submitted(
+                          name,
+                          submit.ticket(),
+                          submit.request(),
+                          submit.ageMillis(),
+                          submit.quietMillis())));
+        }
+        case IntakeEffect.Cancel cancel -> {
+          ModelEntryHost target = model.hosts.get(cancel.host());
+          send(target, () -> target.dispatch(new LeaseEvent.Cancelled(name, cancel.workId())));
+        }
+        case IntakeEffect.Answer answer -> {
+          WorkRequest request = callers.remove(answer.ticket());
+          if (request != null) {
+            model.answered(request, answer.outcome());
+          }
+        }
+        case IntakeEffect.Note note -> model.trace(name, note.event() + " " + note.fields());
+      }
+    }
+  }
+
+  private void dispatch(LeaseEvent event) {
+    for (LeaseEffect effect : dispatcher.handle(event, clock())) {
+      switch (effect) {
+        case LeaseEffect.Start start ->
+            call(
+                start.upstream(),
+                0,
+                upstream -> {
+                  OrderResult result = upstream.start(start);
+                  return new LeaseEvent.StartAnswered(
+                      start.upstream(), start.run(), result, clockOf(upstream, result));
+                },
+                new LeaseEvent.StartAnswered(
+                    start.upstream(), start.run(), OrderResult.NO_ANSWER, OptionalLong.empty()));
+        case LeaseEffect.Stop stop ->
+            call(
+                stop.upstream(),
+                0,
+                upstream -> {
+                  OrderResult result = upstream.stop(stop);
+                  return new LeaseEvent.StopAnswered(
+                      stop.upstream(), stop.run(), result, clockOf(upstream, result));
+                },
+                new LeaseEvent.StopAnswered(
+                    stop.upstream(), stop.run(), OrderResult.NO_ANSWER, OptionalLong.empty()));
+        case LeaseEffect.Renew renew -> renew(renew);
+        case LeaseEffect.Report report -> {
+          ModelEntryHost target = model.hosts.get(report.entryHost());
+          send(
+              target,
+              () -> target.intake(new IntakeEvent.Reported(report.workId(), report.outcome())));
+        }
+        case LeaseEffect.Outranked outranked ->
+            deliver(0, () -> run(membership.outranked(outranked.token(), clock())));
+        case LeaseEffect.Stalled stalled -> deliver(0, () -> run(membership.startOver(clock())));
+        case LeaseEffect.Note note -> model.trace(name, note.event() + " " + note.fields());
+      }
+    }
+  }
+
+  private static OptionalLong clockOf(ModelUpstream upstream, OrderResult result) {
+    return result == OrderResult.OTHER_LIFE
+        ? OptionalLong.empty()
+        : OptionalLong.of(upstream.clock());
+  }
+
+  private void call(
+      UpstreamNotice notice,
+      long waitMillis,
+      java.util.function.Function<ModelUpstream, LeaseEvent> order,
+      LeaseEvent unanswered) {
+    ModelUpstream upstream = upstream(notice);
+    Call call = new Call(unanswered, waitMillis);
+    if (!model.connected(domain, upstream.domain)) {
+      return;
+    }
+    if (model.random().nextDouble() < model.heldUp) {
+      model.after(
+          2_000 + model.random().nextLong(10_000),
+          () -> {
+            if (upstream.up) {
+              LeaseEvent unheard = order.apply(upstream);
+              LeaseModel.check(unheard != null, "an order has an outcome");
+            }
+          });
+      return;
+    }
+    model.after(
+        1 + model.random().nextLong(3),
+        () -> {
+          if (upstream.up) {
+            LeaseEvent answer = order.apply(upstream);
+            call.answer(answer, upstream);
+          }
+        });
+  }
+
+  private void renew(LeaseEffect.Renew renew) {
+    ModelUpstream upstream = upstream(renew.upstream());
+    Call call =
+        new Call(
+            new LeaseEvent.RenewalAnswered(
+                renew.upstream(),
+                renew.renewal(),
+                OrderResult.NO_ANSWER,
+                OptionalLong.empty(),
+                List.of(),
+                List.of()),
+            renew.waitMillis());
+    if (model.connected(domain, upstream.domain) && model.random().nextDouble() >= model.heldUp) {
+      model.after(
+          1 + model.random().nextLong(3),
+          () -> {
+            if (upstream.up) {
+              upstream.renew(renew, answer -> call.answer(answer, upstream));
+            }
+          });
+    }
+  }
+
+  private ModelUpstream upstream(UpstreamNotice notice) {
+    return model.upstreams.stream()
+        .filter(each -> each.id.equals(notice.id()))
+        .findFirst()
+        .orElseThrow();
+  }
+
+  /** A call to an upstream: answered once, by the upstream or by the timeout. */
+  private final class Call {
+
+    private boolean done;
+
+    Call(LeaseEvent unanswered, long waitMillis) {
+      deliver(LeaseTerms.DEFAULT.answerMillis() + waitMillis, () -> finish(unanswered));
+    }
+
+    void answer(LeaseEvent answer, ModelUpstream upstream) {
+      boolean lost = model.random().nextDouble() < model.answerLost;
+      if (!lost && model.connected(domain, upstream.domain)) {
+        deliver(1 + model.random().nextLong(3), () -> finish(answer));
+      }
+    }
+
+    private void finish(LeaseEvent event) {
+      if (!done) {
+        done = true;
+        dispatch(event);
+      }
+    }
+  }
+}
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
@@ -22,6 +22,7 @@
 import org.burdockbay.core.fleet.UpstreamNotice;
 import org.burdockbay.core.intake.IntakeEvent;
 import org.burdockbay.core.lease.LeaseEvent;
+import org.burdockbay.core.lease.LeaseTerms;
 import org.burdockbay.core.membership.HostCard;
 import org.burdockbay.core.membership.HostStatus;
 import org.burdockbay.core.membership.Membership;
@@ -49,13 +50,8 @@
  */
 public final class NodeController implements PeerListener, AutoCloseable {
 
-  /**
-   * Silence after which a host counts as lost, in milliseconds.
-   *
-   * <p>With {@link org.burdockbay.core.lease.LeaseTerms#DEFAULT} it bounds how long work of a lost
-   * entry host runs on; three heartbeats fit into it.
-   */
-  public static final long LOST_MILLIS = 450;
+  /** Silence after which a host counts as lost, in milliseconds; three heartbeats fit into it. */
+  private static final long LOST_MILLIS = LeaseTerms.ENTRY_LOST_MILLIS;
 
   private static final long HEARTBEAT_MILLIS = 150;
 
@@ -64,8 +60,13 @@
    * it, in milliseconds; two heartbeats and a margin.
    */
   private static final long UNHEARD_MILLIS = 350;
+
   private static final long MEMBERSHIP_MILLIS = 25;
   private static final long KNOWN_HOSTS_MILLIS = 2_000;
+
+  /** How far the time of day must leap ahead to show a suspension, in milliseconds. */
+  private static final long SUSPENDED_MILLIS = 250;
+
   private static final long RECONCILE_MILLIS = 500;
   private static final long FETCH_MILLIS = 250;
 
@@ -92,6 +93,7 @@
   private final AtomicLong lastTicket;
   private volatile boolean dispatcherKnown;
   private volatile boolean draining;
+  private long aheadBefore;
   private long membershipAt;
   private long heartbeatAt;
   private long knownHostsAt;
@@ -109,6 +111,7 @@
     this.clock = parts.clock();
     this.log = parts.log();
     final long now = clock.millis();
+    this.aheadBefore = System.currentTimeMillis() - now;
     this.lastTicket = new AtomicLong(parts.incarnation() << 20);
     this.catalog = new CatalogKeeper(parts.catalogReader(), log);
     this.membership =
@@ -118,7 +121,7 @@
             MembershipTerms.ofAddress(settings.host(), LOST_MILLIS, settings.mayDispatch()),
             now);
     this.directory = new HostDirectory(settings.card());
-    this.desk = new WorkDesk(parts, this::send, this::onControl, this::outranked);
+    this.desk = new WorkDesk(parts, this::send, this::onControl, this::outranked, this::startOver);
     this.fleet = new Fleet(desk::upstream, this::broadcast);
     Optional<AgreementStorage> storage = openStorage();
     this.storageIncarnation = storage.map(AgreementStorage::incarnation).orElse(0L);
@@ -342,6 +345,7 @@
       desk.dispatch(new LeaseEvent.EntryLost(status.host()));
     }
     run(membership.heartbeat(status, now));
+    desk.dispatch(new LeaseEvent.EntryHeard(status.host()));
     desk.intake(new IntakeEvent.DispatcherHeard(status.host()));
     if (status.configurationVersion() > catalog.current().version() && now >= fetchAt) {
       fetchAt = now + FETCH_MILLIS;
@@ -423,10 +427,8 @@
           heartbeat();
         }
         case MembershipEffect.Routes routes -> routed(routes.view());
-        case MembershipEffect.HostLost lost -> {
-          log.warn("host-lost", "lost=" + lost.host() + " silence=" + LOST_MILLIS);
-          desk.dispatch(new LeaseEvent.EntryLost(lost.host()));
-        }
+        case MembershipEffect.HostLost lost ->
+            log.warn("host-lost", "lost=" + lost.host() + " silence=" + LOST_MILLIS);
         case MembershipEffect.HostFound found -> log.info("host-found", "found=" + found.host());
       }
     }
@@ -443,13 +445,33 @@
     desk.intake(new IntakeEvent.DispatcherChanged(dispatcher));
   }
 
-  /** An upstream has seen a higher token than this host's, so another host dispatches there. */
+  /** Claims the role anew with a higher token, or leaves it to a host that is heard with one. */
   private void outranked(long token) {
-    run(membership.fenced(token + 1, clock.millis()));
+    run(membership.outranked(token, clock.millis()));
+  }
+
+  private void startOver() {
+    run(membership.startOver(clock.millis()));
+  }
+
+  /**
+   * Finds out that the machine was suspended.
+   *
+   * <p>The steady clock may not count that time, and the time of day does. A step of the time of
+   * day looks the same; it then costs a change of dispatcher and nothing else.
+   */
+  private void noticeSuspension(long now) {
+    long ahead = System.currentTimeMillis() - now;
+    if (ahead - aheadBefore > SUSPENDED_MILLIS) {
+      log.warn("clock-ahead", "millis=" + (ahead - aheadBefore));
+      desk.dispatch(new LeaseEvent.Stalled(ahead - aheadBefore));
+    }
+    aheadBefore = ahead;
   }
 
   private void tick() {
     long now = clock.millis();
+    noticeSuspension(now);
     agreement.ifPresent(AgreementDriver::tick);
     if (now >= membershipAt) {
       membershipAt = now + MEMBERSHIP_MILLIS;
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/WorkDesk.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/WorkDesk.java
@@ -24,9 +24,8 @@
 /** Runs intake and dispatch, and carries out their effects; used by the control thread only. */
 final class WorkDesk {
 
-  private final LeaseDispatcher dispatcher = new LeaseDispatcher(LeaseTerms.DEFAULT);
-  private final WorkIntake intake =
-      new WorkIntake(NodeController.LOST_MILLIS + LeaseTerms.DEFAULT.longestMillis());
+  private final LeaseDispatcher dispatcher;
+  private final WorkIntake intake;
   private final Map<Long, Consumer<WorkOutcome>> answers = new HashMap<>();
   private final Clock clock;
   private final EventLog log;
@@ -35,9 +34,19 @@
   private final PeerSender sender;
   private final Executor control;
   private final LongConsumer outranked;
-  private long token;
+  private final Runnable startOver;
 
-  WorkDesk(NodeParts parts, PeerSender sender, Executor control, LongConsumer outranked) {
+  WorkDesk(
+      NodeParts parts,
+      PeerSender sender,
+      Executor control,
+      LongConsumer outranked,
+      Runnable startOver) {
+    this.dispatcher = new LeaseDispatcher(parts.settings().host(), LeaseTerms.DEFAULT);
+    this.intake =
+        new WorkIntake(
+            parts.settings().host(),
+            LeaseTerms.ENTRY_LOST_MILLIS + LeaseTerms.DEFAULT.longestMillis());
     this.clock = parts.clock();
     this.log = parts.log();
     this.upstreams = parts.upstreams();
@@ -45,6 +54,7 @@
     this.sender = sender;
     this.control = control;
     this.outranked = outranked;
+    this.startOver = startOver;
   }
 
   void open(long ticket, WorkRequest request, Consumer<WorkOutcome> answer) {
@@ -91,9 +101,6 @@
   }
 
   void dispatch(LeaseEvent event) {
-    if (event instanceof LeaseEvent.RoleGained gained) {
-      token = gained.token();
-    }
     List<LeaseEffect> effects = dispatcher.handle(event, clock.millis());
     for (LeaseEffect effect : effects) {
       switch (effect) {
@@ -103,10 +110,8 @@
         case LeaseEffect.Report report ->
             sender.send(
                 report.entryHost(), new PeerMessage.ReportWork(report.workId(), report.outcome()));
-        case LeaseEffect.Outranked lost -> {
-          long current = token;
-          control.execute(() -> outranked.accept(current));
-        }
+        case LeaseEffect.Outranked lost -> control.execute(() -> outranked.accept(lost.token()));
+        case LeaseEffect.Stalled stalled -> control.execute(startOver);
         case LeaseEffect.Note note -> {
           metrics.event(note.event());
           log.info(note.event(), note.fields());
--- a/burdockbay-server/src/main/java/org/burdockbay/server/web/WebClient.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/web/WebClient.java
@@ -36,9 +36,9 @@
 /**
  * Calls other processes over connections that stay open.
  *
- * <p>All state belongs to one event loop. A connection carries one call at a time. A call that isn't
- * answered in time closes its connection: the connection may have gone silent for good, and an
- * answer that comes late must not be taken for the next call's.
+ * <p>All state belongs to one event loop. A connection carries one call at a time. A call that
+ * isn't answered in time closes its connection: the connection may have gone silent for good, and
+ * an answer that comes late must not be taken for the next call's.
  */
 public final class WebClient {
 
--- a/burdockbay-server/src/main/java/org/burdockbay/server/web/WebListener.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/web/WebListener.java
@@ -33,11 +33,7 @@
    * @throws ServerException if the address can't be used
    */
   public WebListener(
-      EventLoopGroup loops,
-      HostAddress address,
-      WebLimits limits,
-      WebHandler handler,
-      EventLog log)
+      EventLoopGroup loops, HostAddress address, WebLimits limits, WebHandler handler, EventLog log)
       throws ServerException {
     var bound =
         new ServerBootstrap()
--- a/burdockbay-server/src/main/java/org/burdockbay/server/web/WebReply.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/web/WebReply.java
@@ -11,8 +11,7 @@
  * @param body the body
  * @param headers further headers
  */
-public record WebReply(
-    int status, String contentType, String body, Map<String, String> headers) {
+public record WebReply(int status, String contentType, String body, Map<String, String> headers) {
 
   /** Copies the headers. */
   public WebReply {
