--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseDispatcher.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseDispatcher.java
@@ -386,7 +386,7 @@
         note("start-invalid", "run=" + run.id + " upstream=" + upstream.notice.id());
         failed(run);
       }
-      case OTHER_LIFE -> throw new IllegalStateException("handled before");
+      default -> throw new IllegalStateException("handled before: " + answered.result());
     }
   }
 
@@ -514,6 +514,7 @@
           run.confirmedAt = now;
         }
       }
+      default -> throw new IllegalStateException("unknown phase " + run.phase);
     }
   }
 
@@ -532,6 +533,7 @@
         note("run-cut-short", "run=" + run.id + " upstream=" + upstream.notice.id());
         runOver(run);
       }
+      default -> throw new IllegalStateException("unknown cause " + end.cause());
     }
   }
 
--- a/burdockbay-core/src/main/java/org/burdockbay/core/membership/Membership.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/membership/Membership.java
@@ -52,17 +52,6 @@
     this(self, domainByHost, terms(self, domainByHost), true, now);
   }
 
-  /**
-   * Creates the membership of a host that knows only itself; {@link #admit} adds the others.
-   *
-   * @param self the id of this host
-   * @param domain the hosts with the same value elect one dispatcher among them
-   * @param now the time of the start, in milliseconds
-   */
-  public static Membership growing(String self, String domain, MembershipTerms terms, long now) {
-    return new Membership(self, Map.of(self, domain), terms, false, now);
-  }
-
   private Membership(
       String self,
       Map<String, String> domainByHost,
@@ -81,6 +70,17 @@
     this.routes = RouteView.empty(domain);
   }
 
+  /**
+   * Creates the membership of a host that knows only itself; {@link #admit} adds the others.
+   *
+   * @param self the id of this host
+   * @param domain the hosts with the same value elect one dispatcher among them
+   * @param now the time of the start, in milliseconds
+   */
+  public static Membership growing(String self, String domain, MembershipTerms terms, long now) {
+    return new Membership(self, Map.of(self, domain), terms, false, now);
+  }
+
   private static MembershipTerms terms(String self, Map<String, String> domainByHost) {
     int index = new TreeSet<>(domainByHost.keySet()).headSet(self).size();
     return MembershipTerms.ofListedHost(index);
--- a/burdockbay-wire/src/main/java/org/burdockbay/wire/ControlCodec.java
+++ b/burdockbay-wire/src/main/java/org/burdockbay/wire/ControlCodec.java
@@ -104,10 +104,6 @@
     };
   }
 
-  private static Wire.CatalogDocument catalog(long version, String text) {
-    return Wire.CatalogDocument.newBuilder().setVersion(version).setText(text).build();
-  }
-
   static Wire.ControlReply encode(ControlReply reply) {
     Wire.ControlReply.Builder builder = Wire.ControlReply.newBuilder();
     switch (reply) {
@@ -196,6 +192,10 @@
     return builder.build();
   }
 
+  private static Wire.CatalogDocument catalog(long version, String text) {
+    return Wire.CatalogDocument.newBuilder().setVersion(version).setText(text).build();
+  }
+
   static ControlCommand decode(Wire.ControlCommand command) throws WireException {
     return switch (command.getCommandCase()) {
       case LEDGER -> new ControlCommand.ToLedger(decode(command.getLedger()));
--- a/burdockbay-wire/src/main/java/org/burdockbay/wire/FleetCodec.java
+++ b/burdockbay-wire/src/main/java/org/burdockbay/wire/FleetCodec.java
@@ -18,14 +18,6 @@
     return builder.build();
   }
 
-  static PeerMessage.UpstreamNews decode(Wire.UpstreamNews news) {
-    return new PeerMessage.UpstreamNews(
-        news.getAnnouncedList().stream()
-            .map(each -> new PeerMessage.UpstreamNews.Announced(decode(each), each.getAgeMs()))
-            .toList(),
-        news.getDepartedList().stream().map(FleetCodec::decode).toList());
-  }
-
   static Wire.HostCards encode(PeerMessage.KnownHosts known) {
     Wire.HostCards.Builder builder = Wire.HostCards.newBuilder();
     for (HostCard card : known.hosts()) {
@@ -39,16 +31,6 @@
     return builder.build();
   }
 
-  static PeerMessage.KnownHosts decode(Wire.HostCards cards) {
-    return new PeerMessage.KnownHosts(
-        cards.getHostsList().stream()
-            .map(
-                card ->
-                    new HostCard(
-                        card.getId(), card.getGroup(), card.getDomain(), card.getAddress()))
-            .toList());
-  }
-
   private static Wire.UpstreamNotice encode(UpstreamNotice notice, long ageMillis) {
     return Wire.UpstreamNotice.newBuilder()
         .setId(notice.id())
@@ -64,6 +46,24 @@
         .build();
   }
 
+  static PeerMessage.UpstreamNews decode(Wire.UpstreamNews news) {
+    return new PeerMessage.UpstreamNews(
+        news.getAnnouncedList().stream()
+            .map(each -> new PeerMessage.UpstreamNews.Announced(decode(each), each.getAgeMs()))
+            .toList(),
+        news.getDepartedList().stream().map(FleetCodec::decode).toList());
+  }
+
+  static PeerMessage.KnownHosts decode(Wire.HostCards cards) {
+    return new PeerMessage.KnownHosts(
+        cards.getHostsList().stream()
+            .map(
+                card ->
+                    new HostCard(
+                        card.getId(), card.getGroup(), card.getDomain(), card.getAddress()))
+            .toList());
+  }
+
   private static UpstreamNotice decode(Wire.UpstreamNotice notice) {
     return new UpstreamNotice(
         notice.getId(),
--- a/burdockbay-wire/src/main/java/org/burdockbay/wire/PeerCodec.java
+++ b/burdockbay-wire/src/main/java/org/burdockbay/wire/PeerCodec.java
@@ -132,12 +132,6 @@
     };
   }
 
-  private static PeerMessage.Heartbeat heartbeat(Wire.HostStatus status) {
-    long heardAgo = status.getHeardAgoMsPlusOne();
-    return new PeerMessage.Heartbeat(
-        decode(status), heardAgo == 0 ? OptionalLong.empty() : OptionalLong.of(heardAgo - 1));
-  }
-
   private static HostStatus decode(Wire.HostStatus status) {
     return new HostStatus(
         status.getHost(),
@@ -151,4 +145,10 @@
         status.getLeader(),
         new DomainLoad(status.getFreeSlots(), status.getWaitMs()));
   }
+
+  private static PeerMessage.Heartbeat heartbeat(Wire.HostStatus status) {
+    long heardAgo = status.getHeardAgoMsPlusOne();
+    return new PeerMessage.Heartbeat(
+        decode(status), heardAgo == 0 ? OptionalLong.empty() : OptionalLong.of(heardAgo - 1));
+  }
 }
--- a/burdockbay-wire/src/main/java/org/burdockbay/wire/WorkCodec.java
+++ b/burdockbay-wire/src/main/java/org/burdockbay/wire/WorkCodec.java
@@ -35,6 +35,41 @@
     return builder.build();
   }
 
+  static Wire.ReportWork encode(PeerMessage.ReportWork report) {
+    Wire.ReportWork.Builder builder = Wire.ReportWork.newBuilder().setId(report.workId());
+    switch (report.outcome()) {
+      case WorkOutcome.Completed completed -> builder.setCompleted(true);
+      case WorkOutcome.Failed failed -> builder.setFailed(failed.reason());
+      case WorkOutcome.NotRun notRun ->
+          builder.setNotRun(
+              Wire.ReportWork.NotRun.newBuilder()
+                  .setReason(notRun.reason())
+                  .setRetryAfterMs(notRun.retryAfterMillis()));
+      case WorkOutcome.GivenUp givenUp -> builder.setGivenUp(givenUp.reason());
+    }
+    return builder.build();
+  }
+
+  static Wire.TaskSize encode(TaskSize size) {
+    return Wire.TaskSize.newBuilder()
+        .setCpuMillicores(size.cpuMillicores())
+        .setMemoryMegabytes(size.memoryMegabytes())
+        .setAccelerators(size.accelerators())
+        .build();
+  }
+
+  private static Wire.WorkStep encode(WorkStep step) {
+    return Wire.WorkStep.newBuilder()
+        .setTasks(step.tasks())
+        .setSize(encode(step.size()))
+        .setEstimateMs(step.estimateMillis())
+        .addAllAfter(step.after())
+        .setRequiredLabel(step.requiredLabel().orElse(""))
+        .setNearRack(step.nearRack().orElse(""))
+        .setMostOnOneUpstream(step.mostOnOneUpstream())
+        .build();
+  }
+
   static PeerMessage.SubmitWork decode(Wire.SubmitWork submit) throws WireException {
     List<WorkStep> steps = new ArrayList<>();
     for (Wire.WorkStep step : submit.getStepsList()) {
@@ -56,21 +91,6 @@
         submit.getTicket(), request, submit.getAgeMs(), submit.getQuietMs());
   }
 
-  static Wire.ReportWork encode(PeerMessage.ReportWork report) {
-    Wire.ReportWork.Builder builder = Wire.ReportWork.newBuilder().setId(report.workId());
-    switch (report.outcome()) {
-      case WorkOutcome.Completed completed -> builder.setCompleted(true);
-      case WorkOutcome.Failed failed -> builder.setFailed(failed.reason());
-      case WorkOutcome.NotRun notRun ->
-          builder.setNotRun(
-              Wire.ReportWork.NotRun.newBuilder()
-                  .setReason(notRun.reason())
-                  .setRetryAfterMs(notRun.retryAfterMillis()));
-      case WorkOutcome.GivenUp givenUp -> builder.setGivenUp(givenUp.reason());
-    }
-    return builder.build();
-  }
-
   static PeerMessage.ReportWork decode(Wire.ReportWork report) throws WireException {
     WorkOutcome outcome =
         switch (report.getOutcomeCase()) {
@@ -85,30 +105,10 @@
     return new PeerMessage.ReportWork(report.getId(), outcome);
   }
 
-  static Wire.TaskSize encode(TaskSize size) {
-    return Wire.TaskSize.newBuilder()
-        .setCpuMillicores(size.cpuMillicores())
-        .setMemoryMegabytes(size.memoryMegabytes())
-        .setAccelerators(size.accelerators())
-        .build();
-  }
-
   static TaskSize decode(Wire.TaskSize size) {
     return new TaskSize(size.getCpuMillicores(), size.getMemoryMegabytes(), size.getAccelerators());
   }
 
-  private static Wire.WorkStep encode(WorkStep step) {
-    return Wire.WorkStep.newBuilder()
-        .setTasks(step.tasks())
-        .setSize(encode(step.size()))
-        .setEstimateMs(step.estimateMillis())
-        .addAllAfter(step.after())
-        .setRequiredLabel(step.requiredLabel().orElse(""))
-        .setNearRack(step.nearRack().orElse(""))
-        .setMostOnOneUpstream(step.mostOnOneUpstream())
-        .build();
-  }
-
   private static WorkStep decode(Wire.WorkStep step) throws WireException {
     if (step.getTasks() < 1) {
       throw new WireException("a step without tasks");
