--- /dev/null
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/catalog/CatalogTest.java
@@ -0,0 +1,46 @@
+package org.burdockbay.core.catalog;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import java.util.List;
+import java.util.Set;
+import org.testng.annotations.Test;
+
+/** Checks and lookups of a {@link Catalog}. */
+public class CatalogTest {
+
+  /** The longest prefix of the path wins, and host names have no case. */
+  @Test
+  public void findsTheLongestPrefix() throws Exception {
+    Catalog catalog =
+        Catalog.of(
+            1, List.of(queue("short", "/a/", 100), queue("long", "/a/b/", 100)), Set.of("desk"));
+    assertEquals(catalog.find("Shop.Example", "/a/b/x").orElseThrow().name(), "long");
+    assertEquals(catalog.find("shop.example", "/a/x").orElseThrow().name(), "short");
+    assertTrue(catalog.find("shop.example", "/c").isEmpty());
+    assertTrue(catalog.find("other.example", "/a/x").isEmpty());
+  }
+
+  /** An operator's slip must not put half of a document in force; the message names the queue. */
+  @Test
+  public void refusesWhatIsInvalid() {
+    refused("names unknown service", List.of(queue("q", "/a/", 100)), Set.of("other"));
+    refused("has timeout 0", List.of(queue("q", "/a/", 0)), Set.of("desk"));
+    refused(
+        "same host and prefix",
+        List.of(queue("q", "/a/", 100), queue("r", "/a/", 100)),
+        Set.of("desk"));
+  }
+
+  private static void refused(String complaint, List<QueueRule> queues, Set<String> services) {
+    CatalogException refusal =
+        expectThrows(CatalogException.class, () -> Catalog.of(1, queues, services));
+    assertTrue(refusal.getMessage().contains(complaint), refusal.getMessage());
+  }
+
+  private static QueueRule queue(String name, String prefix, long timeout) {
+    return new QueueRule(name, "shop.example", prefix, "desk", 0, 1, 1.5, 60, timeout, false);
+  }
+}
--- /dev/null
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/intake/WorkIntakeTest.java
@@ -0,0 +1,167 @@
+package org.burdockbay.core.intake;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.Optional;
+import org.burdockbay.core.work.TaskSize;
+import org.burdockbay.core.work.WorkOutcome;
+import org.burdockbay.core.work.WorkRequest;
+import org.burdockbay.core.work.WorkStep;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Plays single stories against a {@link WorkIntake}. */
+public class WorkIntakeTest {
+
+  private static final long RUNS_ON = 1_200;
+  private static final IntakeEvent.Dispatcher FIRST = new IntakeEvent.Dispatcher("a", 1);
+  private static final IntakeEvent.Dispatcher SECOND = new IntakeEvent.Dispatcher("b", 2);
+  private static final WorkRequest WORK =
+      new WorkRequest(
+          "w",
+          "q",
+          "desk",
+          "x",
+          List.of(WorkStep.of(1, new TaskSize(1, 1, 0), 100)),
+          0,
+          2,
+          1.6,
+          60,
+          2_500);
+
+  private WorkIntake intake;
+  private long now;
+
+  /** Creates an intake without a dispatcher. */
+  @BeforeMethod
+  public void setUp() {
+    intake = new WorkIntake("self", RUNS_ON);
+    now = 1_000;
+  }
+
+  /** Work that arrives before the election is over waits for it. */
+  @Test
+  public void submitsOnceDispatcherIsKnown() {
+    assertTrue(handle(new IntakeEvent.Opened(1, WORK)).isEmpty());
+    now += 300;
+    IntakeEffect.Submit submit = submits(change(FIRST)).getFirst();
+    assertEquals(submit.host(), "a");
+    assertEquals(submit.ageMillis(), 300);
+    assertEquals(submit.quietMillis(), 0);
+  }
+
+  /** Nobody dispatches for a second: the caller hears at once that nothing has run. */
+  @Test
+  public void refusesWithoutDispatcher() {
+    handle(new IntakeEvent.Opened(1, WORK));
+    now += 1_000;
+    IntakeEffect.Answer answer = answers(handle(new IntakeEvent.Tick())).getFirst();
+    assertTrue(answer.outcome() instanceof WorkOutcome.NotRun);
+  }
+
+  /**
+   * The dispatcher is lost and has runs of this host's work. Its successor is told to start nothing
+   * until they are over, counted from when the lost one was heard last.
+   */
+  @Test
+  public void tellsSuccessorsHowLongToWait() {
+    change(FIRST);
+    handle(new IntakeEvent.Opened(1, WORK));
+    now += 100;
+    handle(new IntakeEvent.DispatcherHeard("a"));
+    now += 500;
+    IntakeEffect.Submit moved = submits(change(SECOND)).getFirst();
+    assertEquals(moved.quietMillis(), RUNS_ON - 500);
+  }
+
+  /** A host that dispatched by itself hears itself until the moment at which it gives way. */
+  @Test
+  public void countsTheOwnDispatcherAsHeard() {
+    change(new IntakeEvent.Dispatcher("self", 1));
+    now += 5_000;
+    handle(new IntakeEvent.Opened(1, WORK));
+    now += 400;
+    assertEquals(submits(change(SECOND)).getFirst().quietMillis(), RUNS_ON);
+  }
+
+  /** A successor's refusal says nothing about what the earlier dispatcher has run. */
+  @Test
+  public void claimsNoNotRunAfterDispatchersChanged() {
+    change(FIRST);
+    handle(new IntakeEvent.Opened(1, WORK));
+    change(SECOND);
+    List<IntakeEffect> effects =
+        handle(new IntakeEvent.Reported("w", new WorkOutcome.NotRun("no room", 1_000)));
+    assertTrue(answers(effects).getFirst().outcome() instanceof WorkOutcome.GivenUp);
+  }
+
+  /**
+   * Two callers wait for the same work; each is answered once, and later reports change nothing.
+   */
+  @Test
+  public void answersEveryWaitingCallerOnce() {
+    change(FIRST);
+    handle(new IntakeEvent.Opened(1, WORK));
+    handle(new IntakeEvent.Opened(2, WORK));
+    IntakeEvent done = new IntakeEvent.Reported("w", new WorkOutcome.Completed());
+    assertEquals(answers(handle(done)).size(), 2);
+    assertTrue(handle(done).isEmpty());
+    assertEquals(intake.waiting(), 0);
+  }
+
+  /** The dispatcher hears that a caller has left only once nobody waits any more. */
+  @Test
+  public void cancelsWhenTheLastCallerLeaves() {
+    change(FIRST);
+    handle(new IntakeEvent.Opened(1, WORK));
+    handle(new IntakeEvent.Opened(2, WORK));
+    assertTrue(cancels(handle(new IntakeEvent.Left(1))).isEmpty());
+    assertEquals(cancels(handle(new IntakeEvent.Left(2))).size(), 1);
+  }
+
+  /** A message or its answer was lost: the work is submitted again, under the same ticket. */
+  @Test
+  public void submitsAgainWhatGetsNoOutcome() {
+    change(FIRST);
+    handle(new IntakeEvent.Opened(9, WORK));
+    now += 400;
+    assertEquals(submits(handle(new IntakeEvent.Tick())).getFirst().ticket(), 9);
+  }
+
+  /** No outcome comes before the caller leaves: it is told, and the dispatcher too. */
+  @Test
+  public void givesUpWhenTheCallersTimeIsOver() {
+    change(FIRST);
+    handle(new IntakeEvent.Opened(1, WORK));
+    now += 2_500;
+    List<IntakeEffect> effects = handle(new IntakeEvent.Tick());
+    assertTrue(answers(effects).getFirst().outcome() instanceof WorkOutcome.GivenUp);
+    assertEquals(cancels(effects).size(), 1);
+  }
+
+  private List<IntakeEffect> handle(IntakeEvent event) {
+    return intake.handle(event, now);
+  }
+
+  private List<IntakeEffect> change(IntakeEvent.Dispatcher dispatcher) {
+    return handle(new IntakeEvent.DispatcherChanged(Optional.of(dispatcher)));
+  }
+
+  private static List<IntakeEffect.Submit> submits(List<IntakeEffect> effects) {
+    return only(effects, IntakeEffect.Submit.class);
+  }
+
+  private static List<IntakeEffect.Answer> answers(List<IntakeEffect> effects) {
+    return only(effects, IntakeEffect.Answer.class);
+  }
+
+  private static List<IntakeEffect.Cancel> cancels(List<IntakeEffect> effects) {
+    return only(effects, IntakeEffect.Cancel.class);
+  }
+
+  private static <T> List<T> only(List<IntakeEffect> effects, Class<T> kind) {
+    return effects.stream().filter(kind::isInstance).map(kind::cast).toList();
+  }
+}
--- /dev/null
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseDispatcherTest.java
@@ -0,0 +1,354 @@
+package org.burdockbay.core.lease;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.burdockbay.core.fleet.UpstreamNotice;
+import org.burdockbay.core.work.RunId;
+import org.burdockbay.core.work.TaskId;
+import org.burdockbay.core.work.TaskSize;
+import org.burdockbay.core.work.WorkOutcome;
+import org.burdockbay.core.work.WorkRequest;
+import org.burdockbay.core.work.WorkStep;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Plays single stories against a {@link LeaseDispatcher}. */
+public class LeaseDispatcherTest {
+
+  private static final TaskSize HALF = new TaskSize(16_000, 64, 0);
+  private static final long TOKEN = 1_000;
+  private static final long CLOCK = 500_000;
+
+  private final Map<String, LeaseEffect.Renew> openRenewals = new HashMap<>();
+  private LeaseDispatcher dispatcher;
+  private long now;
+
+  /** Creates a dispatcher with the role and no upstream. */
+  @BeforeMethod
+  public void setUp() {
+    dispatcher = new LeaseDispatcher("self", LeaseTerms.DEFAULT);
+    openRenewals.clear();
+    now = 10_000;
+    handle(new LeaseEvent.RoleGained(TOKEN));
+  }
+
+  /** A caller's two tasks run on the one upstream with room, and the caller hears it once. */
+  @Test
+  public void answersOnceEveryTaskIsDone() {
+    UpstreamNotice upstream = join("u1");
+    List<LeaseEffect.Start> starts = starts(submit("w", 2, HALF));
+    assertEquals(starts.size(), 2);
+    assertTrue(reports(end(upstream, starts.get(0).run(), 1, RunEnd.Cause.DONE)).isEmpty());
+    List<LeaseEffect.Report> reports =
+        reports(end(upstream, starts.get(1).run(), 2, RunEnd.Cause.DONE));
+    assertEquals(reports.size(), 1);
+    assertEquals(reports.getFirst().outcome(), new WorkOutcome.Completed());
+  }
+
+  /** Three halves don't fit into one upstream: the third waits for the first to end. */
+  @Test
+  public void startsNoMoreThanFits() {
+    UpstreamNotice upstream = join("u1");
+    List<LeaseEffect.Start> starts = starts(submit("w", 3, HALF));
+    assertEquals(starts.size(), 2);
+    assertEquals(starts(end(upstream, starts.get(0).run(), 1, RunEnd.Cause.DONE)).size(), 1);
+  }
+
+  /**
+   * A start is never answered. The list that the upstream gives next has the run, so it isn't
+   * started a second time and its end counts.
+   */
+  @Test
+  public void learnsFromTheListThatAnUnansweredStartWasCarriedOut() {
+    UpstreamNotice upstream = join("u1");
+    RunId run = starts(submit("w", 1, HALF)).getFirst().run();
+    handle(
+        new LeaseEvent.StartAnswered(upstream, run, OrderResult.NO_ANSWER, OptionalLong.empty()));
+    List<LeaseEffect> effects = list(upstream, List.of(run), List.of());
+    assertTrue(stops(effects).isEmpty());
+    assertTrue(starts(effects).isEmpty());
+    assertEquals(reports(end(upstream, run, 1, RunEnd.Cause.DONE)).size(), 1);
+  }
+
+  /**
+   * A start is never answered and the list doesn't have the run. It may still be carried out
+   * seconds later, so it is stopped, and starts elsewhere only once the stop is confirmed.
+   */
+  @Test
+  public void stopsAnUnansweredStartBeforeItStartsElsewhere() {
+    UpstreamNotice first = join("u1");
+    RunId run = starts(submit("w", 1, HALF)).getFirst().run();
+    handle(new LeaseEvent.StartAnswered(first, run, OrderResult.NO_ANSWER, OptionalLong.empty()));
+    UpstreamNotice second = join("u2");
+    List<LeaseEffect> effects = list(first, List.of(), List.of());
+    assertEquals(stops(effects).getFirst().run(), run);
+    assertTrue(starts(effects).isEmpty());
+    assertTrue(starts(list(first, List.of(), List.of())).isEmpty(), "the stop isn't confirmed");
+    handle(new LeaseEvent.StopAnswered(first, run, OrderResult.DONE, OptionalLong.of(clock())));
+    now += 5;
+    List<LeaseEffect.Start> again = starts(list(first, List.of(), List.of()));
+    assertEquals(again.size(), 1);
+    assertTrue(again.getFirst().run().run() > run.run());
+    assertFalse(second.id().isEmpty());
+  }
+
+  /**
+   * An upstream falls silent while it runs a task. The task starts elsewhere only once the lease is
+   * over on the slowest clock that an upstream may have.
+   */
+  @Test
+  public void waitsForTheLeaseOfSilentUpstreams() {
+    final UpstreamNotice first = join("u1");
+    RunId run = starts(submit("w", 1, HALF)).getFirst().run();
+    final long startedAt = now;
+    handle(new LeaseEvent.StartAnswered(first, run, OrderResult.DONE, OptionalLong.of(clock())));
+    join("u2");
+    silence(first);
+    List<LeaseEffect> effects = new ArrayList<>();
+    while (starts(effects).isEmpty()) {
+      now += 10;
+      effects.addAll(handle(new LeaseEvent.Tick()));
+      effects.addAll(handle(new LeaseEvent.EntryHeard("entry")));
+      assertTrue(now < startedAt + 3_000, "never starts again");
+    }
+    assertTrue(now - startedAt > LeaseTerms.DEFAULT.longestMillis(), "after " + (now - startedAt));
+  }
+
+  /** A task that fails starts on another upstream, and the job fails after its last attempt. */
+  @Test
+  public void failsWorkAfterItsLastAttempt() {
+    join("u1");
+    join("u2");
+    LeaseEffect.Start first = starts(submit("w", 1, HALF)).getFirst();
+    LeaseEffect.Start second =
+        starts(end(first.upstream(), first.run(), 1, RunEnd.Cause.FAILED)).getFirst();
+    assertFalse(second.upstream().id().equals(first.upstream().id()));
+    List<LeaseEffect.Report> reports =
+        reports(end(second.upstream(), second.run(), 1, RunEnd.Cause.FAILED));
+    assertTrue(reports.getFirst().outcome() instanceof WorkOutcome.Failed);
+  }
+
+  /** A leaving upstream gets nothing new, and what it runs is finished. */
+  @Test
+  public void startsNothingOnLeavingUpstreams() {
+    UpstreamNotice upstream = join("u1");
+    RunId run = starts(submit("w", 1, HALF)).getFirst().run();
+    handle(new LeaseEvent.Announced(notice("u1", 2, true)));
+    assertTrue(starts(submit("x", 1, HALF)).isEmpty());
+    assertEquals(reports(end(upstream, run, 1, RunEnd.Cause.DONE)).size(), 1);
+  }
+
+  /**
+   * A dispatcher takes over while an upstream runs a task of a job whose entry host submits it
+   * again. The run goes on and isn't started a second time.
+   */
+  @Test
+  public void adoptsRunsThatAnEarlierDispatcherStarted() {
+    UpstreamNotice notice = notice("u1", 1, false);
+    handle(new LeaseEvent.Announced(notice));
+    WorkRequest request = request("w", 1, HALF);
+    handle(new LeaseEvent.Submitted("entry", 1, request, 300, 1_000));
+    RunId run = new RunId(new TaskId("w", 0, 0), 3);
+    assertTrue(starts(list(notice, List.of(run), List.of())).isEmpty());
+    assertEquals(reports(end(notice, run, 1, RunEnd.Cause.DONE)).size(), 1);
+  }
+
+  /** A run that no entry host claims is stopped, and the lease isn't renewed until it is. */
+  @Test
+  public void stopsRunsThatNobodyClaims() {
+    UpstreamNotice notice = notice("u1", 1, false);
+    handle(new LeaseEvent.Announced(notice));
+    RunId run = new RunId(new TaskId("gone", 0, 0), 1);
+    List<LeaseEffect> effects = list(notice, List.of(run), List.of());
+    assertEquals(renewals(effects).getFirst().deadlineMillis(), 0);
+    now += TakenOverRuns.CLAIM_MILLIS + 1;
+    assertEquals(stops(handle(new LeaseEvent.Tick())).getFirst().run(), run);
+  }
+
+  /**
+   * An entry host's repetition of its work crosses the refusal on the way. Starting the work then
+   * would make the refusal, which promised that nothing runs, untrue.
+   */
+  @Test
+  public void startsNothingForRepetitionsOfRefusedWork() {
+    WorkRequest request = request("w", 1, HALF);
+    handle(new LeaseEvent.Submitted("entry", 7, request, 0, 0));
+    List<LeaseEffect.Report> reports = List.of();
+    while (reports.isEmpty()) {
+      now += 100;
+      handle(new LeaseEvent.EntryHeard("entry"));
+      reports = reports(handle(new LeaseEvent.Tick()));
+    }
+    assertTrue(reports.getFirst().outcome() instanceof WorkOutcome.NotRun);
+    join("u1");
+    List<LeaseEffect> effects = handle(new LeaseEvent.Submitted("entry", 7, request, 1_000, 0));
+    assertTrue(starts(effects).isEmpty());
+    assertEquals(reports(effects).size(), 1);
+  }
+
+  /** The caller leaves: what runs for it is stopped at once. */
+  @Test
+  public void stopsTheWorkOfCallersThatLeave() {
+    join("u1");
+    RunId run = starts(submit("w", 1, HALF)).getFirst().run();
+    assertEquals(stops(handle(new LeaseEvent.Cancelled("entry", "w"))).getFirst().run(), run);
+  }
+
+  /**
+   * An entry host falls silent: its work is dropped after 450 ms, as its callers come elsewhere.
+   */
+  @Test
+  public void dropsTheWorkOfSilentEntryHosts() {
+    join("u1");
+    starts(submit("w", 1, HALF));
+    now += 200;
+    assertTrue(stops(handle(new LeaseEvent.Tick())).isEmpty());
+    now += 200;
+    handle(new LeaseEvent.Tick());
+    now += LeaseTerms.ENTRY_LOST_MILLIS - 400 + 1;
+    assertEquals(stops(handle(new LeaseEvent.Tick())).size(), 1);
+  }
+
+  /** A process that stood still has lost the role, whatever it believes. */
+  @Test
+  public void givesTheRoleUpAfterStalls() {
+    join("u1");
+    now += 300;
+    List<LeaseEffect> effects = submit("w", 1, HALF);
+    assertTrue(starts(effects).isEmpty());
+    assertTrue(effects.stream().anyMatch(LeaseEffect.Stalled.class::isInstance));
+    assertFalse(dispatcher.dispatches());
+  }
+
+  /** An upstream that has seen a higher token is left alone for a while, then outbid. */
+  @Test
+  public void outbidsHigherTokensOnlyAfterSeveralRefusals() {
+    UpstreamNotice notice = notice("u1", 1, false);
+    List<LeaseEffect> effects = handle(new LeaseEvent.Announced(notice));
+    int refusals = 0;
+    while (effects.stream().noneMatch(LeaseEffect.Outranked.class::isInstance)) {
+      List<LeaseEffect.Renew> renewals = renewals(effects);
+      effects = new ArrayList<>();
+      for (LeaseEffect.Renew renew : renewals) {
+        refusals++;
+        effects.addAll(answer(renew, OrderResult.FENCED, List.of(), List.of()));
+      }
+      now += 100;
+      effects.addAll(handle(new LeaseEvent.Tick()));
+      assertTrue(refusals < 10, "never outbid");
+    }
+    assertEquals(refusals, 4);
+  }
+
+  private List<LeaseEffect> handle(LeaseEvent event) {
+    return dispatcher.handle(event, now);
+  }
+
+  private long clock() {
+    return CLOCK + now;
+  }
+
+  private static UpstreamNotice notice(String id, long sequence, boolean leaving) {
+    return new UpstreamNotice(
+        id,
+        1,
+        sequence,
+        "desk",
+        id + ":1",
+        "north",
+        leaving,
+        new TaskSize(32_000, 64_000, 0),
+        Set.of());
+  }
+
+  /** Announces an upstream and answers its first renewal. */
+  private UpstreamNotice join(String id) {
+    UpstreamNotice notice = notice(id, 1, false);
+    List<LeaseEffect> effects = handle(new LeaseEvent.Announced(notice));
+    lastRenewal(effects, notice);
+    list(notice, List.of(), List.of());
+    return notice;
+  }
+
+  private void lastRenewal(List<LeaseEffect> effects, UpstreamNotice notice) {
+    for (LeaseEffect.Renew renew : renewals(effects)) {
+      openRenewals.put(renew.upstream().id(), renew);
+    }
+    assertTrue(openRenewals.containsKey(notice.id()), "no renewal is open at " + notice.id());
+  }
+
+  /** Answers the open renewal of an upstream with lists. */
+  private List<LeaseEffect> list(UpstreamNotice upstream, List<RunId> running, List<RunEnd> ended) {
+    LeaseEffect.Renew open =
+        Optional.ofNullable(openRenewals.get(upstream.id()))
+            .orElseGet(() -> firstRenewal(upstream));
+    List<LeaseEffect> effects = answer(open, OrderResult.DONE, running, ended);
+    renewals(effects).forEach(renew -> openRenewals.put(renew.upstream().id(), renew));
+    return effects;
+  }
+
+  /** Returns the renewal that followed the announcement, which is the first one of all. */
+  private LeaseEffect.Renew firstRenewal(UpstreamNotice upstream) {
+    return new LeaseEffect.Renew(upstream, 1, TOKEN, 0, 0, 0);
+  }
+
+  private List<LeaseEffect> end(
+      UpstreamNotice upstream, RunId run, long number, RunEnd.Cause cause) {
+    return list(upstream, List.of(), List.of(new RunEnd(number, run, cause)));
+  }
+
+  private void silence(UpstreamNotice upstream) {
+    for (int times = 0; times < 2; times++) {
+      LeaseEffect.Renew open = openRenewals.get(upstream.id());
+      List<LeaseEffect> effects =
+          new ArrayList<>(answer(open, OrderResult.NO_ANSWER, List.of(), List.of()));
+      effects.addAll(handle(new LeaseEvent.Tick()));
+      renewals(effects).forEach(renew -> openRenewals.put(renew.upstream().id(), renew));
+    }
+  }
+
+  private List<LeaseEffect> answer(
+      LeaseEffect.Renew renew, OrderResult result, List<RunId> running, List<RunEnd> ended) {
+    return handle(
+        new LeaseEvent.RenewalAnswered(
+            renew.upstream(), renew.renewal(), result, OptionalLong.of(clock()), running, ended));
+  }
+
+  private static WorkRequest request(String id, int tasks, TaskSize size) {
+    return new WorkRequest(
+        id, "q", "desk", "x", List.of(WorkStep.of(tasks, size, 100)), 0, 2, 1.6, 60, 2_500);
+  }
+
+  private List<LeaseEffect> submit(String id, int tasks, TaskSize size) {
+    return handle(new LeaseEvent.Submitted("entry", 1, request(id, tasks, size), 0, 0));
+  }
+
+  private static List<LeaseEffect.Start> starts(List<LeaseEffect> effects) {
+    return only(effects, LeaseEffect.Start.class);
+  }
+
+  private static List<LeaseEffect.Stop> stops(List<LeaseEffect> effects) {
+    return only(effects, LeaseEffect.Stop.class);
+  }
+
+  private static List<LeaseEffect.Renew> renewals(List<LeaseEffect> effects) {
+    return only(effects, LeaseEffect.Renew.class);
+  }
+
+  private static List<LeaseEffect.Report> reports(List<LeaseEffect> effects) {
+    return only(effects, LeaseEffect.Report.class);
+  }
+
+  private static <T> List<T> only(List<LeaseEffect> effects, Class<T> kind) {
+    return effects.stream().filter(kind::isInstance).map(kind::cast).toList();
+  }
+}
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseFuzzTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseFuzzTest.java
@@ -31,6 +31,22 @@
     }
   }
 
+  /**
+   * Seeds that once showed a fault, each with its cause.
+   *
+   * <p>20261204: a host that dispatched itself never counted as heard, so its work moved to a
+   * successor that started at once. 20261206: each refused token was outbid at once, without end.
+   * 20261210: work dropped with its lost entry host was refused as "not run" once the host was
+   * back. 20261221: a frozen dispatcher took old messages for fresh. 255: runs that nobody had
+   * claimed were kept alive, and work of a host that was never heard was never dropped.
+   */
+  @Test
+  public void keepsHoldingForSeedsThatOnceFailed() {
+    for (long seed : new long[] {20261204, 20261206, 20261210, 20261221, 255}) {
+      play(seed);
+    }
+  }
+
   /** Prints the figures of the run. */
   @AfterClass
   public void printFigures() {
