--- a/burdockbay-app/src/main/java/org/burdockbay/app/command/ServeCommand.java
+++ b/burdockbay-app/src/main/java/org/burdockbay/app/command/ServeCommand.java
@@ -1,6 +1,7 @@
 package org.burdockbay.app.command;
 
 import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
 import org.burdockbay.app.Command;
 import org.burdockbay.app.ExitCode;
 import org.burdockbay.core.error.BurdockbayException;
@@ -23,20 +24,25 @@
   @Override
   public ExitCode run() throws BurdockbayException {
     Host host = DaggerHostComponent.factory().create(HostSettings.read(settings)).host();
-    Thread main = Thread.currentThread();
-    // SIGTERM begins the planned stop; the hook holds the process until it is done.
+    // SIGTERM begins the planned stop; the hook holds the process until it is done. It must not wait
+    // for the main thread: where the stop fails, that thread exits, and exiting waits for all hooks.
+    CountDownLatch stopped = new CountDownLatch(1);
     Runtime.getRuntime()
         .addShutdownHook(
             new Thread(
                 () -> {
                   host.stop();
                   try {
-                    main.join();
+                    stopped.await();
                   } catch (InterruptedException e) {
                     Thread.currentThread().interrupt();
                   }
                 }));
-    host.serve();
+    try {
+      host.serve();
+    } finally {
+      stopped.countDown();
+    }
     Runtime.getRuntime().halt(ExitCode.OK.code());
     return ExitCode.OK;
   }
--- a/burdockbay-app/src/test/java/org/burdockbay/app/ProcessFailureTest.java
+++ b/burdockbay-app/src/test/java/org/burdockbay/app/ProcessFailureTest.java
@@ -79,7 +79,7 @@
     cluster.await("tasks run", () -> cluster.startedTasks() >= before + JOBS * TASKS_A_JOB);
     cluster.signal(dispatcher, "TERM");
     expectAll(answers);
-    assertEquals(cluster.process(dispatcher).waitFor(), 0);
+    assertEquals(cluster.awaitExit(dispatcher), 0);
     assertEquals(cluster.startedTasks(), before + JOBS * TASKS_A_JOB);
     cluster.start(dispatcher);
     awaitReady(dispatcher);
--- a/burdockbay-app/src/test/java/org/burdockbay/app/TestCluster.java
+++ b/burdockbay-app/src/test/java/org/burdockbay/app/TestCluster.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -86,6 +87,22 @@
     return processes.get(host);
   }
 
+  /** Waits for a host to end by itself; the failure shows what its threads are doing. */
+  int awaitExit(String host) throws Exception {
+    Process process = processes.get(host);
+    if (!process.waitFor(PATIENCE_MILLIS, TimeUnit.MILLISECONDS)) {
+      Process stacks =
+          new ProcessBuilder(
+                  Path.of(System.getProperty("java.home"), "bin", "jstack").toString(),
+                  Long.toString(process.pid()))
+              .redirectErrorStream(true)
+              .start();
+      String text = new String(stacks.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+      throw new AssertionError(host + " doesn't end after SIGTERM:\n" + text);
+    }
+    return process.exitValue();
+  }
+
   /** Kills a host as a power loss does. */
   void kill(String host) throws InterruptedException {
     processes.get(host).destroyForcibly().waitFor();
--- /dev/null
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/DispatchContext.java
@@ -0,0 +1,50 @@
+package org.burdockbay.core.lease;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** What the parts of a dispatcher share while an event is handled: time, token and effects. */
+final class DispatchContext {
+
+  private List<LeaseEffect> effects = new ArrayList<>();
+  private long now;
+  private long token;
+
+  /** Returns the time in milliseconds. */
+  long now() {
+    return now;
+  }
+
+  /** Lets time pass; it never goes back. */
+  void advance(long time) {
+    now = Math.max(now, time);
+  }
+
+  /** Returns the fencing token of the role; 0 without it. */
+  long token() {
+    return token;
+  }
+
+  void hold(long newToken) {
+    token = newToken;
+  }
+
+  boolean dispatches() {
+    return token != 0;
+  }
+
+  void emit(LeaseEffect effect) {
+    effects.add(effect);
+  }
+
+  /** Notes a decision for the log; {@code fields} are key=value pairs. */
+  void note(String event, String fields) {
+    emit(new LeaseEffect.Note(event, fields));
+  }
+
+  List<LeaseEffect> takeEffects() {
+    List<LeaseEffect> taken = effects;
+    effects = new ArrayList<>();
+    return taken;
+  }
+}
--- /dev/null
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseBook.java
@@ -0,0 +1,370 @@
+package org.burdockbay.core.lease;
+
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.burdockbay.core.fleet.UpstreamNotice;
+import org.burdockbay.core.work.RunId;
+import org.burdockbay.core.work.WorkOutcome;
+import org.jspecify.annotations.Nullable;
+
+/** The upstreams, the leases that are kept there, and what they tell of their runs. */
+final class LeaseBook {
+
+  /**
+   * An upstream that has seen a higher token is asked again after this, in milliseconds: longer
+   * than a lease, so that a dispatcher that is gone doesn't hold it any more.
+   */
+  private static final long FENCED_MILLIS = 1_200;
+
+  /** After so many refusals in a row this host asks for a higher token; takes about 4 s. */
+  private static final int MOST_FENCED = 4;
+
+  private final DispatchContext context;
+  private final LeaseTerms terms;
+  private final RunBook runs;
+  private final WorkBook works;
+  private final Map<String, UpstreamLease> upstreams = new LinkedHashMap<>();
+  private long lastRenewal;
+
+  LeaseBook(DispatchContext context, LeaseTerms terms, RunBook runs, WorkBook works) {
+    this.context = context;
+    this.terms = terms;
+    this.runs = runs;
+    this.works = works;
+  }
+
+  Collection<UpstreamLease> all() {
+    return upstreams.values();
+  }
+
+  /** Returns the upstreams on which tasks may start now. */
+  List<UpstreamLease> open() {
+    return upstreams.values().stream()
+        .filter(upstream -> upstream.usable(context.now()) && runs.mayExtend(upstream))
+        .toList();
+  }
+
+  /** Takes every upstream over under a new token. */
+  void takeOver() {
+    upstreams.values().forEach(upstream -> renew(upstream, false));
+  }
+
+  /** Forgets the leases, and keeps the upstreams. */
+  void giveUp() {
+    upstreams.replaceAll((id, upstream) -> new UpstreamLease(upstream.notice));
+  }
+
+  void announced(UpstreamNotice notice) {
+    UpstreamLease known = upstreams.get(notice.id());
+    if (known != null && known.notice.sameLife(notice)) {
+      if (known.notice.leaving() != notice.leaving()) {
+        context.note("upstream-leaving", "upstream=" + notice.id() + " runs=" + known.runs.size());
+      }
+      known.notice = notice;
+      return;
+    }
+    if (known != null) {
+      if (known.notice.bornMillis() > notice.bornMillis()) {
+        return;
+      }
+      lifeOver(known, "reborn");
+    }
+    UpstreamLease upstream = new UpstreamLease(notice);
+    upstreams.put(notice.id(), upstream);
+    context.note("upstream-found", "upstream=" + notice.id() + " address=" + notice.address());
+    if (context.dispatches()) {
+      renew(upstream, false);
+    }
+  }
+
+  void departed(UpstreamNotice notice) {
+    UpstreamLease known = upstreams.get(notice.id());
+    if (known == null || !known.notice.sameLife(notice)) {
+      return;
+    }
+    // What it ran may go on until the lease is over, although it said that it has left.
+    known.notice = leaving(known.notice);
+    if (known.runs.isEmpty()) {
+      upstreams.remove(notice.id());
+      context.note("upstream-left", "upstream=" + notice.id());
+    } else {
+      known.unanswered = Math.max(1, known.unanswered);
+    }
+  }
+
+  private static UpstreamNotice leaving(UpstreamNotice notice) {
+    return new UpstreamNotice(
+        notice.id(),
+        notice.bornMillis(),
+        notice.sequence(),
+        notice.service(),
+        notice.address(),
+        notice.domain(),
+        true,
+        notice.capacity(),
+        notice.labels());
+  }
+
+  void startAnswered(LeaseEvent.StartAnswered answered) {
+    UpstreamLease upstream = same(answered.upstream());
+    if (upstream == null) {
+      return;
+    }
+    upstream.clockRead(answered.clockMillis(), context.now());
+    LeasedRun run = upstream.runs.get(answered.run());
+    if (answered.result() == OrderResult.OTHER_LIFE) {
+      lifeOver(upstream, "other-life");
+      return;
+    }
+    if (run == null) {
+      return;
+    }
+    switch (answered.result()) {
+      case DONE -> {
+        run.confirmedAt = context.now();
+        if (run.phase != LeasedRun.Phase.STOPPING) {
+          run.phase = LeasedRun.Phase.RUNNING;
+        }
+      }
+      case NO_ANSWER -> {
+        if (run.phase == LeasedRun.Phase.STARTING) {
+          run.phase = LeasedRun.Phase.UNSURE;
+          context.note("start-unanswered", "run=" + run.id + " upstream=" + upstream.notice.id());
+        }
+      }
+      case FENCED -> {
+        runs.runOver(run);
+        outranked(upstream);
+      }
+      case NO_ROOM, UNWELL, LATE -> runs.notStarted(run, answered.result());
+      case OLD -> {
+        if (run.phase != LeasedRun.Phase.UNSURE) {
+          runs.notStarted(run, answered.result());
+        }
+      }
+      case INVALID -> {
+        context.note("start-invalid", "run=" + run.id + " upstream=" + upstream.notice.id());
+        failed(run);
+      }
+      default -> throw new IllegalStateException("handled before: " + answered.result());
+    }
+  }
+
+  void stopAnswered(LeaseEvent.StopAnswered answered) {
+    UpstreamLease upstream = same(answered.upstream());
+    if (upstream == null) {
+      return;
+    }
+    upstream.clockRead(answered.clockMillis(), context.now());
+    if (answered.result() == OrderResult.OTHER_LIFE) {
+      lifeOver(upstream, "other-life");
+      return;
+    }
+    LeasedRun run = upstream.runs.get(answered.run());
+    if (run == null) {
+      return;
+    }
+    switch (answered.result()) {
+      case DONE -> run.confirmedAt = context.now();
+      case FENCED -> outranked(upstream);
+      default -> run.stopSentAt = 0;
+    }
+  }
+
+  void renewalAnswered(LeaseEvent.RenewalAnswered answered) {
+    UpstreamLease upstream = same(answered.upstream());
+    if (upstream == null || upstream.renewal != answered.renewal()) {
+      return;
+    }
+    upstream.renewalOpen = false;
+    upstream.clockRead(answered.clockMillis(), context.now());
+    switch (answered.result()) {
+      case DONE -> listed(upstream, answered);
+      case FENCED -> outranked(upstream);
+      case OTHER_LIFE -> lifeOver(upstream, "other-life");
+      default -> {
+        upstream.unanswered++;
+        upstream.renewAt =
+            context.now() + (upstream.unanswered > 1 ? UpstreamLease.PAUSE_MILLIS : 0);
+        if (upstream.unanswered <= 2) {
+          context.note(
+              "renewal-unanswered",
+              "upstream=" + upstream.notice.id() + " times=" + upstream.unanswered);
+        }
+      }
+    }
+  }
+
+  private void listed(UpstreamLease upstream, LeaseEvent.RenewalAnswered answered) {
+    if (upstream.unanswered > 2) {
+      context.note("upstream-back", "upstream=" + upstream.notice.id());
+    }
+    upstream.owned = true;
+    upstream.fencedTimes = 0;
+    upstream.unanswered = 0;
+    for (RunEnd end : answered.ended()) {
+      if (end.number() > upstream.acknowledged) {
+        upstream.acknowledged = end.number();
+        ended(upstream, end);
+      }
+    }
+    Set<RunId> running = new HashSet<>(answered.running());
+    for (LeasedRun run : List.copyOf(upstream.runs.values())) {
+      runs.compare(run, running.contains(run.id));
+    }
+    for (RunId id : running) {
+      if (!upstream.runs.containsKey(id)) {
+        found(id, upstream);
+      }
+    }
+    // At once: until the next call waits there, no end of a run is heard of.
+    renew(upstream, true);
+  }
+
+  /**
+   * Gives a run of an earlier dispatcher to the work that it belongs to, context.now() or once it
+   * comes.
+   */
+  private void found(RunId id, UpstreamLease upstream) {
+    TaskState task = works.task(id.task());
+    if (task != null && task.waits() && !runs.open(id.task())) {
+      runs.adopt(task, upstream, id);
+    } else {
+      runs.keepRunning(id, upstream);
+    }
+  }
+
+  private void ended(UpstreamLease upstream, RunEnd end) {
+    LeasedRun run = upstream.runs.get(end.run());
+    if (run == null) {
+      if (end.cause() == RunEnd.Cause.DONE) {
+        works.foundFinished(end.run().task());
+      }
+      return;
+    }
+    switch (end.cause()) {
+      case DONE -> done(run);
+      case FAILED -> failed(run);
+      case CUT_SHORT -> {
+        context.note("run-cut-short", "run=" + run.id + " upstream=" + upstream.notice.id());
+        runs.runOver(run);
+      }
+      default -> throw new IllegalStateException("unknown cause " + end.cause());
+    }
+  }
+
+  private void done(LeasedRun run) {
+    run.upstream.failureStreak = 0;
+    TaskState task = run.task;
+    runs.runOver(run);
+    if (task != null) {
+      works.finish(task);
+    }
+  }
+
+  private void failed(LeasedRun run) {
+    TaskState task = run.task;
+    runs.runOver(run);
+    run.upstream.pause(context.now());
+    if (task == null) {
+      return;
+    }
+    task.failures++;
+    task.avoidedUpstream = run.upstream.notice.id();
+    context.note(
+        "run-failed",
+        "run=" + run.id + " upstream=" + task.avoidedUpstream + " failures=" + task.failures);
+    if (task.failures >= task.work.request.maxAttempts()) {
+      works.answer(
+          task.work, new WorkOutcome.Failed("task " + task.id + " failed " + task.failures));
+    }
+  }
+
+  /** The upstream's process is gone, and what it ran with it. */
+  private void lifeOver(UpstreamLease upstream, String reason) {
+    context.note(
+        "upstream-over",
+        "upstream=" + upstream.notice.id() + " reason=" + reason + " runs=" + upstream.runs.size());
+    runs.forget(upstream);
+    upstreams.remove(upstream.notice.id(), upstream);
+  }
+
+  /**
+   * Leaves an upstream to the host that holds the higher context.token().
+   *
+   * <p>That host is usually a dispatcher on the other side of a partition, and one of the two gives
+   * the role up once they hear each other. Where the upstream goes on refusing, the higher
+   * context.token() may belong to a host that is gone, and only a still higher one helps.
+   */
+  private void outranked(UpstreamLease upstream) {
+    upstream.owned = false;
+    upstream.fencedTimes++;
+    upstream.renewAt = context.now() + FENCED_MILLIS;
+    context.note(
+        "outranked",
+        "upstream="
+            + upstream.notice.id()
+            + " context.token()="
+            + context.token()
+            + " times="
+            + upstream.fencedTimes);
+    if (upstream.fencedTimes >= MOST_FENCED) {
+      upstream.fencedTimes = 0;
+      context.emit(new LeaseEffect.Outranked(context.token()));
+    }
+  }
+
+  void tick() {
+    for (UpstreamLease upstream : List.copyOf(upstreams.values())) {
+      if (!upstream.renewalOpen && context.now() >= upstream.renewAt) {
+        renew(upstream, true);
+      }
+      boolean silent = upstream.unanswered > 0 && context.now() > upstream.coveredUntil;
+      if (silent && !upstream.runs.isEmpty()) {
+        context.note(
+            "lease-over", "upstream=" + upstream.notice.id() + " runs=" + upstream.runs.size());
+        runs.allOver(upstream);
+      }
+      if (upstream.notice.leaving() && upstream.runs.isEmpty() && upstream.unanswered > 4) {
+        upstreams.remove(upstream.notice.id());
+        context.note("upstream-left", "upstream=" + upstream.notice.id());
+      }
+    }
+  }
+
+  /**
+   * Renews the lease of an upstream.
+   *
+   * <p>Once a renewal wasn't answered twice, the lease isn't made longer: an upstream that receives
+   * and can't answer would otherwise never end its runs, and they couldn't start elsewhere.
+   */
+  private void renew(UpstreamLease upstream, boolean wait) {
+    boolean extend = upstream.unanswered < 2 && runs.mayExtend(upstream);
+    long deadline = extend && upstream.owned ? upstream.deadline(terms, context.now()) : 0;
+    if (deadline != 0) {
+      upstream.covered(terms, context.now());
+    }
+    lastRenewal++;
+    upstream.renewal = lastRenewal;
+    upstream.renewalOpen = true;
+    upstream.renewalSentAt = context.now();
+    boolean longPoll = wait && upstream.owned && upstream.unanswered == 0;
+    context.emit(
+        new LeaseEffect.Renew(
+            upstream.notice,
+            upstream.renewal,
+            context.token(),
+            upstream.acknowledged,
+            deadline,
+            longPoll ? terms.pollMillis() : 0));
+  }
+
+  private @Nullable UpstreamLease same(UpstreamNotice notice) {
+    UpstreamLease known = upstreams.get(notice.id());
+    return known != null && known.notice.sameLife(notice) ? known : null;
+  }
+}
--- /dev/null
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/RunBook.java
@@ -0,0 +1,194 @@
+package org.burdockbay.core.lease;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.burdockbay.core.work.RunId;
+import org.burdockbay.core.work.TaskId;
+
+/**
+ * The runs that were told to start and aren't known to be over, by task.
+ *
+ * <p>A task has at most one of them. It starts again only once that one is over.
+ */
+final class RunBook {
+
+  private final DispatchContext context;
+  private final LeaseTerms terms;
+  private final Map<TaskId, LeasedRun> openRuns = new HashMap<>();
+  private final TakenOverRuns takenOver = new TakenOverRuns();
+
+  RunBook(DispatchContext context, LeaseTerms terms) {
+    this.context = context;
+    this.terms = terms;
+  }
+
+  /** Returns whether a run of the task may be under way. */
+  boolean open(TaskId task) {
+    return openRuns.containsKey(task);
+  }
+
+  void clear() {
+    openRuns.clear();
+    takenOver.clear();
+  }
+
+  void start(TaskState task, UpstreamLease upstream) {
+    task.lastRun++;
+    RunId id = new RunId(task.id, task.lastRun);
+    LeasedRun run = new LeasedRun(id, upstream, task, context.now());
+    task.run = run;
+    task.work.offered = true;
+    upstream.add(run);
+    upstream.covered(terms, context.now());
+    openRuns.put(task.id, run);
+    context.emit(
+        new LeaseEffect.Start(
+            upstream.notice,
+            id,
+            task.work.request.payload(),
+            context.token(),
+            upstream.deadline(terms, context.now())));
+    context.note(
+        "run-started",
+        "run="
+            + id
+            + " upstream="
+            + upstream.notice.id()
+            + " age="
+            + (context.now() - task.work.arrivedAt)
+            + " free="
+            + upstream.free().cpuMillicores());
+  }
+
+  /** Gives the work the runs that an earlier dispatcher started and that were found running. */
+  void adoptAll(WorkState work) {
+    for (List<TaskState> tasks : work.steps) {
+      for (TaskState task : tasks) {
+        if (takenOver.takeFinished(task.id)) {
+          work.finished(task);
+          continue;
+        }
+        takenOver
+            .takeRunning(task.id)
+            .ifPresent(found -> adopt(task, found.upstream(), found.run()));
+      }
+    }
+  }
+
+  void adopt(TaskState task, UpstreamLease upstream, RunId id) {
+    LeasedRun run = new LeasedRun(id, upstream, task, context.now());
+    run.phase = LeasedRun.Phase.RUNNING;
+    run.confirmedAt = context.now();
+    task.run = run;
+    task.lastRun = id.run();
+    task.work.offered = true;
+    upstream.add(run);
+    openRuns.put(task.id, run);
+    context.note("run-adopted", "run=" + id + " upstream=" + upstream.notice.id());
+  }
+
+  /** Keeps a run or result of an earlier dispatcher for the work that it belongs to. */
+  void keepRunning(RunId id, UpstreamLease upstream) {
+    takenOver.foundRunning(id, upstream, context.now());
+  }
+
+  /** Keeps a result of an earlier dispatcher for the work that it belongs to. */
+  void keepFinished(TaskId task) {
+    takenOver.foundFinished(task, context.now());
+  }
+
+  /** Compares a run with the list of an upstream's runs. */
+  void compare(LeasedRun run, boolean there) {
+    boolean listedSince = run.confirmedAt != 0 && run.confirmedAt <= run.upstream.renewalSentAt;
+    switch (run.phase) {
+      case UNSURE -> {
+        if (there) {
+          run.phase = LeasedRun.Phase.RUNNING;
+          run.confirmedAt = context.now();
+        } else {
+          stop(run);
+        }
+      }
+      case RUNNING, STOPPING -> {
+        if (!there && listedSince) {
+          runOver(run);
+        } else if (run.phase == LeasedRun.Phase.STOPPING && run.stopSentAt == 0) {
+          stop(run);
+        }
+      }
+      case STARTING -> {
+        if (there) {
+          run.phase = LeasedRun.Phase.RUNNING;
+          run.confirmedAt = context.now();
+        }
+      }
+      default -> throw new IllegalStateException("unknown phase " + run.phase);
+    }
+  }
+
+  void notStarted(LeasedRun run, OrderResult result) {
+    context.note(
+        "start-refused",
+        "run=" + run.id + " upstream=" + run.upstream.notice.id() + " result=" + result);
+    runOver(run);
+    if (result != OrderResult.OLD) {
+      run.upstream.pause(context.now());
+    }
+  }
+
+  void stop(LeasedRun run) {
+    run.phase = LeasedRun.Phase.STOPPING;
+    run.confirmedAt = 0;
+    run.stopSentAt = context.now();
+    context.emit(new LeaseEffect.Stop(run.upstream.notice, run.id, context.token()));
+  }
+
+  /** Takes note that a run is over, whatever became of it; its task may start again. */
+  void runOver(LeasedRun run) {
+    run.upstream.remove(run);
+    openRuns.remove(run.id.task(), run);
+    TaskState task = run.task;
+    if (task != null) {
+      task.run = null;
+      run.task = null;
+    }
+  }
+
+  /** Takes note that everything that ran on an upstream is over. */
+  void allOver(UpstreamLease upstream) {
+    List.copyOf(upstream.runs.values()).forEach(this::runOver);
+  }
+
+  /** Takes note that an upstream's life is over, with all that ran there. */
+  void forget(UpstreamLease upstream) {
+    allOver(upstream);
+    takenOver.forget(upstream);
+  }
+
+  void tick() {
+    takenOver.expire(context.now()).forEach(this::stopUnclaimed);
+  }
+
+  private void stopUnclaimed(TakenOverRuns.Found found) {
+    context.note(
+        "run-unclaimed", "run=" + found.run() + " upstream=" + found.upstream().notice.id());
+    LeasedRun run = new LeasedRun(found.run(), found.upstream(), context.now());
+    found.upstream().add(run);
+    openRuns.putIfAbsent(found.run().task(), run);
+    stop(run);
+  }
+
+  /**
+   * Returns whether the lease of an upstream may be made longer.
+   *
+   * <p>A lease covers everything that runs on the upstream. A run that is to stop, or that nobody
+   * has claimed, may start elsewhere under another dispatcher as soon as the lease that it had is
+   * over; a longer one would let the two overlap.
+   */
+  boolean mayExtend(UpstreamLease upstream) {
+    return !takenOver.anyOn(upstream)
+        && upstream.runs.values().stream()
+            .noneMatch(run -> run.phase == LeasedRun.Phase.STOPPING && run.confirmedAt == 0);
+  }
+}
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseDispatcherTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseDispatcherTest.java
@@ -88,7 +88,7 @@
     UpstreamNotice first = join("u1");
     RunId run = starts(submit("w", 1, HALF)).getFirst().run();
     handle(new LeaseEvent.StartAnswered(first, run, OrderResult.NO_ANSWER, OptionalLong.empty()));
-    UpstreamNotice second = join("u2");
+    final UpstreamNotice second = join("u2");
     List<LeaseEffect> effects = list(first, List.of(), List.of());
     assertEquals(stops(effects).getFirst().run(), run);
     assertTrue(starts(effects).isEmpty());
