--- a/burdockbay-server/src/main/java/org/burdockbay/server/web/WebListener.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/web/WebListener.java
@@ -68,13 +68,14 @@
   }
 
   /**
-   * Closes idle connections, and each other one with its next answer.
+   * Takes no more connections, closes the idle ones, and each other one with its next answer.
    *
-   * <p>Open connections stay with this process until it ends, so callers have to be sent to other
-   * hosts before that.
+   * <p>Open connections stay with this process until it ends, and a balancer that has too few hosts
+   * left goes on sending it new ones. A request that is read just before the end would be cut off.
    */
   public void drain() {
     draining = true;
+    server.close().awaitUninterruptibly();
     connections.forEach(
         channel -> channel.eventLoop().execute(() -> WebConnection.closeIfIdle(channel)));
   }
