A restarted host claims the dispatcher role only after it has heard the others

Ruled out: lost heartbeats, fenced upstreams (a consequence).

Change: a host that finds the others by itself waits for 900 ms after the first heartbeat that it hears, or 2.7 s if it hears none. Its test fails with the waits taken out (one run). Log fields of outranked lines read 'token=' again.

--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseBook.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseBook.java
@@ -308,7 +308,7 @@
         "outranked",
         "upstream="
             + upstream.notice.id()
-            + " context.token()="
+            + " token="
             + context.token()
             + " times="
             + upstream.fencedTimes);
--- a/burdockbay-core/src/main/java/org/burdockbay/core/membership/Membership.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/membership/Membership.java
@@ -28,12 +28,24 @@
   /** By how many rounds an unknown higher claim is outbid: clocks may differ by some seconds. */
   private static final long OUTRANK_ROUNDS = 10;
 
+  /**
+   * A host that finds the others by itself claims nothing before it has heard them for so many
+   * times the silence that counts as a loss. Counted from the start of the process it would claim
+   * before its first connection is up: a restart takes longer than that, and a claim of a host that
+   * knows no upstream replaces a dispatcher that serves.
+   */
+  private static final long SETTLE_LOSSES = 2;
+
+  /** A host that hears nobody at all waits longer, for its connections to come up. */
+  private static final long ALONE_LOSSES = 6;
+
   private final String self;
   private final String domain;
   private final Map<String, String> domainByHost;
   private final MembershipTerms terms;
   private final boolean fixedHosts;
   private long startedAt;
+  private OptionalLong firstHeardAt = OptionalLong.empty();
   private final TreeMap<String, Heard> heard = new TreeMap<>();
   private long claimedEpoch;
   private long highestEpoch;
@@ -113,6 +125,9 @@
       // Most heartbeats tell nothing new; deciding anew took a third of an idle host's time.
       return effects;
     }
+    if (firstHeardAt.isEmpty()) {
+      firstHeardAt = OptionalLong.of(now);
+    }
     if (before == null) {
       effects.add(new MembershipEffect.HostFound(status.host()));
     }
@@ -185,6 +200,7 @@
    */
   public List<MembershipEffect> startOver(long now) {
     startedAt = now;
+    firstHeardAt = OptionalLong.empty();
     List<MembershipEffect> effects = new ArrayList<>();
     if (claimedEpoch != 0) {
       claimedEpoch = 0;
@@ -278,7 +294,12 @@
   private boolean heardLongEnough(long now) {
     long domainHosts = domainByHost.values().stream().filter(domain::equals).count();
     long live = heard.values().stream().filter(h -> h.status.domain().equals(domain)).count() + 1;
-    return now - startedAt > terms.lostMillis() || (fixedHosts && live == domainHosts);
+    if (fixedHosts) {
+      return now - startedAt > terms.lostMillis() || live == domainHosts;
+    }
+    return firstHeardAt.isPresent()
+        ? now - firstHeardAt.getAsLong() > SETTLE_LOSSES * terms.lostMillis()
+        : now - startedAt > ALONE_LOSSES * terms.lostMillis();
   }
 
   /** Returns an epoch above all that were seen; the host's number makes it unlike any other's. */
--- a/burdockbay-core/src/test/java/org/burdockbay/core/membership/MembershipTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/membership/MembershipTest.java
@@ -131,4 +131,28 @@
       effects.addAll(membership.tick(now));
     }
   }
+
+  /**
+   * Callers would see half a minute of refusals. A host restarts; its start alone takes longer than
+   * the silence that counts as a loss. Before its first connection is up it takes itself for the
+   * only host, claims the role with a newer epoch, and replaces a dispatcher that serves.
+   */
+  @Test
+  public void claimsNothingBeforeTheOthersCouldBeHeard() {
+    MembershipTerms terms = MembershipTerms.ofAddress("10.0.0.1", 450, true);
+    Membership restarted = Membership.growing("10.0.0.1", "entry", terms, 0);
+    restarted.admit("10.0.0.2", "entry");
+    assertTrue(claims(restarted.tick(1_000)).isEmpty(), "hears nobody yet");
+    HostStatus quiet =
+        new HostStatus("10.0.0.2", "entry", 1, 0, 1, 0, 0, false, "", new DomainLoad(0, 0));
+    assertTrue(claims(restarted.heartbeat(quiet, 1_100)).isEmpty());
+    restarted.heartbeat(quiet, 1_500);
+    assertTrue(claims(restarted.tick(1_900)).isEmpty(), "heard for less than 900 ms");
+    restarted.heartbeat(quiet, 1_950);
+    assertEquals(claims(restarted.tick(2_001)).size(), 1);
+  }
+
+  private static List<MembershipEffect> claims(List<MembershipEffect> effects) {
+    return effects.stream().filter(MembershipEffect.Claim.class::isInstance).toList();
+  }
 }
