--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/RunBook.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/RunBook.java
@@ -50,7 +50,7 @@
             context.token(),
             upstream.deadline(terms, context.now())));
     context.note(
-        "run-started",
+        "run-begun",
         "run="
             + id
             + " upstream="
