A host that stopped as planned ends with 0 again

Cause: since the hook waits for the stop itself and no longer for the main thread, the runtime's own end overtook the program's and reported the signal (143). A run of ProcessFailureTest showed it: its planned stop failed, and every later wait took 60 s, so that the run looked like a hang and was killed at 150 s.

Change: the program ends itself before the hook is released; the hook is released where the stop fails.

--- a/burdockbay-app/src/main/java/org/burdockbay/app/command/ServeCommand.java
+++ b/burdockbay-app/src/main/java/org/burdockbay/app/command/ServeCommand.java
@@ -42,10 +42,11 @@
                 }));
     try {
       host.serve();
+      // Ends the process before the hook can: the runtime's own end would report the signal.
+      Runtime.getRuntime().halt(ExitCode.OK.code());
     } finally {
       stopped.countDown();
     }
-    Runtime.getRuntime().halt(ExitCode.OK.code());
     return ExitCode.OK;
   }
 }
