Dead accessors out, a comment wrapped again

Cause: WorkIntake.hasDispatcher and Membership.heardAt were added and never called; the formatter had broken a comment of ServeCommand into odd lines. Behaviour is unchanged.

Run: formatter and linter of core, MembershipTest, WorkIntakeTest, LeaseDispatcherTest (31 passed).

--- a/burdockbay-app/src/main/java/org/burdockbay/app/command/ServeCommand.java
+++ b/burdockbay-app/src/main/java/org/burdockbay/app/command/ServeCommand.java
@@ -25,9 +25,8 @@
   public ExitCode run() throws BurdockbayException {
     Host host = DaggerHostComponent.factory().create(HostSettings.read(settings)).host();
     // SIGTERM begins the planned stop; the hook holds the process until it is done. It must not
-    // wait
-    // for the main thread: where the stop fails, that thread exits, and exiting waits for all
-    // hooks.
+    // wait for the main thread: where the stop fails, that thread exits, and exiting waits for
+    // all hooks.
     CountDownLatch stopped = new CountDownLatch(1);
     Runtime.getRuntime()
         .addShutdownHook(
--- a/burdockbay-core/src/main/java/org/burdockbay/core/intake/WorkIntake.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/intake/WorkIntake.java
@@ -70,11 +70,6 @@
     return byTicket.size();
   }
 
-  /** Returns whether a dispatcher is known. */
-  public boolean hasDispatcher() {
-    return dispatcher.isPresent();
-  }
-
   private void opened(IntakeEvent.Opened opened) {
     Pending pending = new Pending(opened.ticket(), opened.request(), now);
     byTicket.put(opened.ticket(), pending);
--- a/burdockbay-core/src/main/java/org/burdockbay/core/membership/Membership.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/membership/Membership.java
@@ -103,12 +103,6 @@
     domainByHost.put(host, hostDomain);
   }
 
-  /** Returns when a host was heard last, in milliseconds; empty if it is lost or unknown. */
-  public OptionalLong heardAt(String host) {
-    Heard last = heard.get(host);
-    return last == null ? OptionalLong.empty() : OptionalLong.of(last.at);
-  }
-
   /** Takes a heartbeat of another host. */
   public List<MembershipEffect> heartbeat(HostStatus status, long now) {
     List<MembershipEffect> effects = new ArrayList<>();
