Upstreams stay known while nobody hears their announcements

Cause: upstreams announce themselves to hosts with a disk only, and were forgotten after 6 s of silence. Ruled out: loss of the upstreams (their renewals were answered), a partition. Change: silence of ten minutes; the dispatcher's own renewals tell who is alive. FleetTest fails on the 6 s.

--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/Fleet.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/Fleet.java
@@ -20,8 +20,16 @@
   /** Time for which news are gathered into one message, in milliseconds. */
   private static final long GATHER_MILLIS = 100;
 
-  /** Silence after which an upstream is dropped, in milliseconds: four announcements. */
-  private static final long SILENCE_MILLIS = 6_000;
+  /**
+   * Silence after which an upstream is forgotten, in milliseconds.
+   *
+   * <p>Upstreams announce themselves to hosts with a disk only. When all of those are down, an
+   * upstream is silent here and serves as before, and the dispatcher's own calls tell whether it is
+   * alive. Forgotten after 6 s, a fleet of 33 upstreams was gone 7 s after the hosts with a disk
+   * had lost power, with every caller of the next seconds. Ten minutes are longer than a restart of
+   * all of them takes.
+   */
+  static final long SILENCE_MILLIS = 600_000;
 
   private final UpstreamRegistry registry = new UpstreamRegistry(SILENCE_MILLIS);
   private final Consumer<LeaseEvent> dispatcher;
--- /dev/null
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/node/FleetTest.java
@@ -0,0 +1,50 @@
+package org.burdockbay.server.node;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.burdockbay.core.fleet.UpstreamNotice;
+import org.burdockbay.core.lease.LeaseEvent;
+import org.burdockbay.core.work.TaskSize;
+import org.testng.annotations.Test;
+
+/** What a {@link Fleet} passes on to the dispatcher. */
+public class FleetTest {
+
+  private static final long MINUTE = 60_000;
+
+  private final List<LeaseEvent> events = new ArrayList<>();
+  private final Fleet fleet = new Fleet(events::add, news -> {});
+
+  /**
+   * All hosts with a disk lose power, and with them everybody whom upstreams announce themselves
+   * to. The upstreams still run tasks. Were they dropped for their silence, callers would be turned
+   * away until the hosts with a disk are back.
+   */
+  @Test
+  public void keepsUpstreamsWhileNobodyHearsTheirAnnouncements() {
+    fleet.announcedHere(notice(), 0);
+    for (long now = 0; now < 5 * MINUTE; now += 100) {
+      fleet.tick(now);
+    }
+    assertEquals(events, List.of(new LeaseEvent.Announced(notice())));
+  }
+
+  /** An upstream that is gone for good without a word is forgotten at last. */
+  @Test
+  public void forgetsUpstreamsThatAreSilentForLong() {
+    events.clear();
+    Fleet other = new Fleet(events::add, news -> {});
+    other.announcedHere(notice(), 0);
+    other.tick(Fleet.SILENCE_MILLIS + MINUTE);
+    assertTrue(events.getLast() instanceof LeaseEvent.Departed);
+  }
+
+  private static UpstreamNotice notice() {
+    return new UpstreamNotice(
+        "u1", 1, 1, "desk", "u1:1", "north", false, new TaskSize(32_000, 64_000, 0), Set.of());
+  }
+}
