Placing once for all waiting events; refusal at once of what can't start in time

Cause: after each event the dispatcher sorted all waiting work and looked at every upstream for every waiting task. Work that could no longer be prompt waited until its caller left. Ruled out: partitions (the host that lost the role was in the middle of the others). Change: one round of placements when no event waits; a task larger than the largest room is turned away by one comparison; work that can't start in time behind what goes first is refused at once unless all of it finds room; the queue's priority orders what can still be prompt; dead upstreams are asked less and less often.

--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/AdmissionRule.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/AdmissionRule.java
@@ -11,15 +11,42 @@
   /** When a refused caller may come back, in milliseconds: a few times the usual run time. */
   static final long RETRY_MILLIS = 1_000;
 
-  /** Returns the work in the order in which its tasks are placed. */
+  /** The share of all room that one piece of work can count on, beside the others. */
+  private static final double ROOM_SHARE_OF_ONE = 0.25;
+
+  /**
+   * Returns the work in the order in which its tasks are placed.
+   *
+   * <p>What can still be answered promptly goes first, then the queue's priority counts, then the
+   * latest start. Under 1.3 times as much as fits, priority before the latest start raises the mean
+   * share of prompt answers over three kinds of jobs from 0.655 to 0.735, since the kinds with
+   * little slack no longer wait behind those with much.
+   */
   List<WorkState> order(Collection<WorkState> works, long now) {
     List<WorkState> ordered = new ArrayList<>(works);
     ordered.sort(
         Comparator.comparing((WorkState work) -> now > work.latestStart() && !work.offered)
+            .thenComparingInt((WorkState work) -> work.request.priority())
             .thenComparingLong(WorkState::latestStart));
     return ordered;
   }
 
+  /**
+   * Returns whether work that hasn't started can't be answered promptly any more, unless all of it
+   * finds room now.
+   *
+   * <p>Work that is wide against the room can't start as a whole even on idle upstreams. It is
+   * given the time that its tasks take in waves on a part of the room.
+   *
+   * @param ahead the work that goes first
+   */
+  boolean late(WorkState work, long now, Backlog ahead) {
+    double own = ahead.millisFor(work);
+    double waves = Math.max(0, own / ROOM_SHARE_OF_ONE - work.chainMillis());
+    double latestStart = work.latestStart() + work.request.stretch() * waves;
+    return now + ahead.waitMillis() + own > latestStart;
+  }
+
   /** Returns whether waiting work can't be answered before its caller leaves. */
   boolean hopeless(WorkState work, long now) {
     return now + work.chainMillis() > work.expiresAt();
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseBook.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseBook.java
@@ -48,6 +48,12 @@
         .toList();
   }
 
+  /** Returns whether each upstream that may be alive has answered under the present token. */
+  boolean allHeard() {
+    return upstreams.values().stream()
+        .noneMatch(upstream -> !upstream.owned && upstream.unanswered == 0);
+  }
+
   /** Takes every upstream over under a new token. */
   void takeOver() {
     upstreams.values().forEach(upstream -> renew(upstream, false));
@@ -188,8 +194,7 @@
       case OTHER_LIFE -> lifeOver(upstream, "other-life");
       default -> {
         upstream.unanswered++;
-        upstream.renewAt =
-            context.now() + (upstream.unanswered > 1 ? UpstreamLease.PAUSE_MILLIS : 0);
+        upstream.renewAt = context.now() + upstream.silencePause();
         if (upstream.unanswered <= 2) {
           context.note(
               "renewal-unanswered",
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseDispatcher.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseDispatcher.java
@@ -27,6 +27,9 @@
   private final WorkBook works;
   private final LeaseBook leases;
 
+  /** Whether something has happened since the last round of placements. */
+  private boolean unplaced;
+
   /**
    * Creates a dispatcher without the role.
    *
@@ -38,17 +41,29 @@
     this.leases = new LeaseBook(context, terms, runs, works);
   }
 
-  /** Handles an event and returns what is to be done. */
+  /** Handles an event and returns what is to be done; {@link #place} starts what can start. */
   public List<LeaseEffect> handle(LeaseEvent event, long time) {
-    long gap = time - context.now();
-    if (context.dispatches() && gap > STALL_MILLIS) {
-      stalled(gap);
-    }
-    context.advance(time);
+    observe(time);
     route(event);
     return context.takeEffects();
   }
 
+  /**
+   * Starts the tasks that can start now; call it once all events that wait have been handled.
+   *
+   * <p>A round looks at all waiting work. One for each event costs most when the most events come:
+   * at 1.3 times the room of 33 upstreams a host of 0.75 cores fell behind, its heartbeats came
+   * late, and others took its role.
+   */
+  public List<LeaseEffect> place(long time) {
+    observe(time);
+    if (context.dispatches() && unplaced) {
+      unplaced = false;
+      schedule();
+    }
+    return context.takeEffects();
+  }
+
   /** Returns whether this host has the role. */
   public boolean dispatches() {
     return context.dispatches();
@@ -59,6 +74,14 @@
     return works.unanswered().size();
   }
 
+  private void observe(long time) {
+    long gap = time - context.now();
+    if (context.dispatches() && gap > STALL_MILLIS) {
+      stalled(gap);
+    }
+    context.advance(time);
+  }
+
   private void route(LeaseEvent event) {
     switch (event) {
       case LeaseEvent.RoleGained gained -> roleGained(gained.token());
@@ -73,7 +96,7 @@
       default -> {
         if (context.dispatches()) {
           dispatch(event);
-          schedule();
+          unplaced = true;
         }
       }
     }
@@ -138,30 +161,45 @@
       return;
     }
     List<UpstreamLease> open = leases.open();
+    PlacementPolicy placement = new PlacementPolicy(open, context.now());
+    Backlog backlog = new Backlog(open);
+    boolean allHeard = leases.allHeard();
     for (WorkState work : admission.order(works.unanswered(), context.now())) {
-      if (context.now() >= work.quietUntil) {
-        place(work, open);
+      if (context.now() < work.quietUntil) {
+        continue;
+      }
+      if (allHeard && !work.offered && late(work, backlog, placement)) {
+        works.refuse(work, "no room in time", AdmissionRule.RETRY_MILLIS);
+      } else {
+        place(work, placement);
+        backlog.add(work);
       }
     }
   }
 
-  private void place(WorkState work, List<UpstreamLease> open) {
+  /** Returns whether work can't have all its tasks started in time behind what goes first. */
+  private boolean late(WorkState work, Backlog backlog, PlacementPolicy placement) {
+    return admission.late(work, context.now(), backlog) && !placement.fitsWhole(work);
+  }
+
+  private void place(WorkState work, PlacementPolicy placement) {
     for (int step = 0; step < work.steps.size(); step++) {
       if (work.ready(step)) {
-        place(work.steps.get(step), open);
+        place(work.steps.get(step), placement);
       }
     }
   }
 
   /** Starts what fits; the tasks of a step are alike, so none fits after one that doesn't. */
-  private void place(Iterable<TaskState> tasks, List<UpstreamLease> open) {
+  private void place(Iterable<TaskState> tasks, PlacementPolicy placement) {
     for (TaskState task : tasks) {
       if (task.waits() && !runs.open(task.id)) {
-        var chosen = PlacementPolicy.choose(open, task, context.now());
+        var chosen = placement.choose(task);
         if (chosen.isEmpty()) {
           return;
         }
         runs.start(task, chosen.get());
+        placement.roomChanged();
       }
     }
   }
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/PlacementPolicy.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/PlacementPolicy.java
@@ -1,6 +1,7 @@
 package org.burdockbay.core.lease;
 
 import java.util.Collection;
+import java.util.List;
 import java.util.Optional;
 import org.burdockbay.core.work.TaskSize;
 import org.burdockbay.core.work.WorkStep;
@@ -14,14 +15,68 @@
  */
 final class PlacementPolicy {
 
-  private PlacementPolicy() {}
+  private final List<UpstreamLease> open;
+  private final long now;
 
-  static Optional<UpstreamLease> choose(
-      Collection<UpstreamLease> upstreams, TaskState task, long now) {
+  /**
+   * The most room that any upstream has in each respect. Under overload nearly every task is turned
+   * away by this alone, instead of by a look at each upstream.
+   */
+  private TaskSize mostRoom = TaskSize.ZERO;
+
+  /**
+   * Creates the policy for one round of placements.
+   *
+   * @param open the upstreams on which tasks may start now
+   * @param now the time in milliseconds
+   */
+  PlacementPolicy(List<UpstreamLease> open, long now) {
+    this.open = open;
+    this.now = now;
+    roomChanged();
+  }
+
+  /** Takes note that a task was started on one of the upstreams. */
+  void roomChanged() {
+    mostRoom = TaskSize.ZERO;
+    for (UpstreamLease upstream : open) {
+      mostRoom = mostRoom.max(upstream.free());
+    }
+  }
+
+  /** Returns whether all tasks of the steps that are ready could start now. */
+  boolean fitsWhole(WorkState work) {
+    for (int step = 0; step < work.steps.size(); step++) {
+      if (work.ready(step) && !fitsWhole(work.steps.get(step))) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  private boolean fitsWhole(List<TaskState> tasks) {
+    TaskState first = tasks.getFirst();
+    if (!first.step.size().fitsInto(mostRoom)) {
+      return false;
+    }
+    int left = tasks.size();
+    for (UpstreamLease upstream : open) {
+      if (serves(upstream, first)) {
+        left -= Math.min(left, first.step.size().timesInto(upstream.free()));
+      }
+    }
+    return left == 0;
+  }
+
+  /** Returns the upstream that is to run the task; empty if none can now. */
+  Optional<UpstreamLease> choose(TaskState task) {
+    if (!task.step.size().fitsInto(mostRoom)) {
+      return Optional.empty();
+    }
     UpstreamLease best = null;
     long bestScore = Long.MAX_VALUE;
-    for (UpstreamLease upstream : upstreams) {
-      if (!eligible(upstream, task, now)) {
+    for (UpstreamLease upstream : open) {
+      if (!eligible(upstream, task)) {
         continue;
       }
       long score = score(upstream, task);
@@ -41,7 +96,7 @@
                 serves(upstream, task) && task.step.size().fitsInto(upstream.notice.capacity()));
   }
 
-  private static boolean eligible(UpstreamLease upstream, TaskState task, long now) {
+  private boolean eligible(UpstreamLease upstream, TaskState task) {
     return upstream.usable(now)
         && serves(upstream, task)
         && task.step.size().fitsInto(upstream.free())
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/UpstreamLease.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/UpstreamLease.java
@@ -16,6 +16,8 @@
   /** A run of failures doubles the pause up to this, in milliseconds. */
   static final long LONGEST_PAUSE_MILLIS = 3_000;
 
+  private static final int MOST_DOUBLINGS = 3;
+
   final Map<RunId, LeasedRun> runs = new HashMap<>();
   UpstreamNotice notice;
 
@@ -97,6 +99,16 @@
     }
   }
 
+  /**
+   * Returns the pause before the next renewal after one that wasn't answered, in milliseconds.
+   *
+   * <p>The first repetition follows at once, as one answer may be lost. Each later pause is twice
+   * as long, so that a dead upstream costs a call every 1.6 s for as long as it is remembered.
+   */
+  long silencePause() {
+    return unanswered < 2 ? 0 : PAUSE_MILLIS << Math.min(unanswered - 2, MOST_DOUBLINGS);
+  }
+
   /** Keeps starts away for a while that doubles with each failure in a row. */
   void pause(long now) {
     failureStreak++;
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/WorkBook.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/WorkBook.java
@@ -169,7 +169,7 @@
     drop(work);
   }
 
-  private void refuse(WorkState work, String reason, long retryAfterMillis) {
+  void refuse(WorkState work, String reason, long retryAfterMillis) {
     context.note(
         "work-refused",
         "work="
--- a/burdockbay-core/src/main/java/org/burdockbay/core/work/TaskSize.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/work/TaskSize.java
@@ -19,6 +19,18 @@
         && accelerators <= room.accelerators;
   }
 
+  /** Returns how many of this size fit into the given room together. */
+  public int timesInto(TaskSize room) {
+    int times = Integer.MAX_VALUE;
+    times = Math.min(times, times(cpuMillicores, room.cpuMillicores));
+    times = Math.min(times, times(memoryMegabytes, room.memoryMegabytes));
+    return Math.min(times, times(accelerators, room.accelerators));
+  }
+
+  private static int times(int each, int room) {
+    return each == 0 ? Integer.MAX_VALUE : Math.max(0, room / each);
+  }
+
   /** Returns the sum. */
   public TaskSize plus(TaskSize other) {
     return new TaskSize(
@@ -34,4 +46,12 @@
         memoryMegabytes - other.memoryMegabytes,
         accelerators - other.accelerators);
   }
+
+  /** Returns the larger of both in each respect. */
+  public TaskSize max(TaskSize other) {
+    return new TaskSize(
+        Math.max(cpuMillicores, other.cpuMillicores),
+        Math.max(memoryMegabytes, other.memoryMegabytes),
+        Math.max(accelerators, other.accelerators));
+  }
 }
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseDispatcherTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseDispatcherTest.java
@@ -185,8 +185,10 @@
     List<LeaseEffect.Report> reports = List.of();
     while (reports.isEmpty()) {
       now += 100;
-      handle(new LeaseEvent.EntryHeard("entry"));
-      reports = reports(handle(new LeaseEvent.Tick()));
+      assertTrue(now < 20_000, "never refused");
+      List<LeaseEffect> effects = new ArrayList<>(handle(new LeaseEvent.EntryHeard("entry")));
+      effects.addAll(handle(new LeaseEvent.Tick()));
+      reports = reports(effects);
     }
     assertTrue(reports.getFirst().outcome() instanceof WorkOutcome.NotRun);
     join("u1");
@@ -250,7 +252,9 @@
   }
 
   private List<LeaseEffect> handle(LeaseEvent event) {
-    return dispatcher.handle(event, now);
+    List<LeaseEffect> effects = new ArrayList<>(dispatcher.handle(event, now));
+    effects.addAll(dispatcher.place(now));
+    return effects;
   }
 
   private long clock() {
--- /dev/null
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LoadPlay.java
@@ -0,0 +1,324 @@
+package org.burdockbay.core.lease;
+
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.burdockbay.core.fleet.UpstreamNotice;
+import org.burdockbay.core.work.RunId;
+import org.burdockbay.core.work.TaskSize;
+import org.burdockbay.core.work.WorkOutcome;
+import org.burdockbay.core.work.WorkRequest;
+import org.burdockbay.core.work.WorkStep;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * A dispatcher, sound upstreams of unequal size, and callers with three kinds of jobs, in simulated
+ * time. Tells what the callers got.
+ */
+final class LoadPlay {
+
+  /** Tasks of 14 of 32 or 48 cores: two or three fit into an upstream. */
+  private static final int TASK_CPU = 14_000;
+
+  private static final int UPSTREAMS = 33;
+  private static final long PATIENCE_MILLIS = 2_500;
+  private static final long TARGET_MILLIS = 60;
+  private static final double STRETCH = 1.6;
+
+  /** How far a caller's estimate may be off, either way. */
+  private static final double ESTIMATE_ERROR = 0.4;
+
+  private final SplittableRandom random;
+  private final LeaseDispatcher dispatcher = new LeaseDispatcher("self", LeaseTerms.DEFAULT);
+  private final PriorityQueue<Timed> queue = new PriorityQueue<>();
+  private final Map<String, Upstream> upstreams = new LinkedHashMap<>();
+  private final Map<String, Job> jobs = new HashMap<>();
+  private final Map<Kind, Figures> figures = new EnumMap<>(Kind.class);
+  private long now = 100_000;
+  private long order;
+  private double load = 1;
+
+  LoadPlay(long seed) {
+    random = new SplittableRandom(seed);
+    for (Kind kind : Kind.values()) {
+      figures.put(kind, new Figures());
+    }
+    carryOut(dispatcher.handle(new LeaseEvent.RoleGained(1), now));
+    for (int i = 0; i < UPSTREAMS; i++) {
+      Upstream upstream = new Upstream("u" + i, i % 3 == 2 ? 48_000 : 32_000);
+      upstreams.put(upstream.notice.id(), upstream);
+      carryOut(dispatcher.handle(new LeaseEvent.Announced(upstream.notice), now));
+    }
+    after(25, this::tick);
+    advance(1_000);
+    for (Kind kind : Kind.values()) {
+      after(1, () -> arrive(kind));
+    }
+  }
+
+  /** Plays a while at a multiple of the usual traffic, which takes 0.72 of all room. */
+  void play(double traffic, long millis) {
+    load = traffic;
+    advance(millis);
+  }
+
+  Figures figures(Kind kind) {
+    return figures.get(kind);
+  }
+
+  /** Returns the share of all jobs, weighted so that each kind counts alike, answered in time. */
+  double inTime() {
+    double sum = 0;
+    for (Figures each : figures.values()) {
+      sum += (double) each.inTime / each.jobs;
+    }
+    return sum / figures.size();
+  }
+
+  /** Prints what each kind of job got. */
+  String report() {
+    StringBuilder text = new StringBuilder();
+    figures.forEach((kind, each) -> text.append(kind).append(' ').append(each).append('\n'));
+    return text.append("in-time=").append(inTime()).toString();
+  }
+
+  private void advance(long millis) {
+    long until = now + millis;
+    while (!queue.isEmpty() && queue.peek().at <= until) {
+      now = queue.peek().at;
+      while (!queue.isEmpty() && queue.peek().at == now) {
+        queue.remove().action.run();
+      }
+      carryOut(dispatcher.place(now));
+    }
+    now = until;
+  }
+
+  private void after(long millis, Runnable action) {
+    order++;
+    queue.add(new Timed(now + millis, order, action));
+  }
+
+  private void tick() {
+    carryOut(dispatcher.handle(new LeaseEvent.EntryHeard("entry"), now));
+    carryOut(dispatcher.handle(new LeaseEvent.Tick(), now));
+    after(25, this::tick);
+  }
+
+  private void arrive(Kind kind) {
+    Job job = new Job(kind, now, Math.max(5, Math.round(kind.runMillis * spread(0.4))));
+    String id = "w" + order;
+    jobs.put(id, job);
+    figures.get(kind).jobs++;
+    int tasks = Math.clamp(Math.round(kind.tasks * spread(0.4)), 1, kind.tasks * 4);
+    TaskSize size = new TaskSize((int) Math.min(20_000, Math.round(TASK_CPU * spread(0.2))), 64, 0);
+    double off = 1 + ESTIMATE_ERROR * (random.nextDouble() * 2 - 1);
+    WorkStep step = WorkStep.of(tasks, size, Math.round(job.runMillis * off));
+    WorkRequest request =
+        new WorkRequest(
+            id,
+            kind.name(),
+            "desk",
+            "x",
+            List.of(step),
+            kind.priority,
+            4,
+            STRETCH,
+            TARGET_MILLIS,
+            PATIENCE_MILLIS);
+    carryOut(dispatcher.handle(new LeaseEvent.Submitted("entry", order, request, 0, 0), now));
+    double gap = -Math.log(1 - random.nextDouble()) * 1_000 / (kind.perSecond * load);
+    after(Math.max(1, Math.round(gap)), () -> arrive(kind));
+  }
+
+  /** Returns a factor around 1 with the given spread. */
+  private double spread(double spread) {
+    double normal = 0;
+    for (int i = 0; i < 12; i++) {
+      normal += random.nextDouble();
+    }
+    return Math.exp((normal - 6) * spread - spread * spread / 2);
+  }
+
+  private void carryOut(List<LeaseEffect> effects) {
+    for (LeaseEffect effect : effects) {
+      switch (effect) {
+        case LeaseEffect.Start start -> {
+          Upstream upstream = upstreams.get(start.upstream().id());
+          after(1, () -> upstream.start(start));
+        }
+        case LeaseEffect.Renew renew -> {
+          Upstream upstream = upstreams.get(renew.upstream().id());
+          after(1, () -> upstream.renew(renew));
+        }
+        case LeaseEffect.Stop stop -> {
+          Upstream upstream = upstreams.get(stop.upstream().id());
+          after(1, () -> upstream.stop(stop));
+        }
+        case LeaseEffect.Report report -> answered(report);
+        default -> {
+          // Notes, and changes of the role, which doesn't change here.
+        }
+      }
+    }
+  }
+
+  private void answered(LeaseEffect.Report report) {
+    Job job = jobs.remove(report.workId());
+    if (job == null) {
+      return;
+    }
+    Figures each = figures.get(job.kind);
+    long age = now - job.arrivedAt;
+    double aim = TARGET_MILLIS + STRETCH * job.runMillis;
+    if (report.outcome() instanceof WorkOutcome.Completed) {
+      if (age <= aim) {
+        each.inTime++;
+      } else {
+        each.late++;
+      }
+    } else {
+      each.refused++;
+      each.longestRefusal = Math.max(each.longestRefusal, age);
+    }
+  }
+
+  /** The kinds of jobs, with what a second brings of each. */
+  enum Kind {
+    CHECK(24.1, 8, 60, 0),
+    CONFIRMATION(4.37, 4, 900, 2),
+    LOOKUP(70, 2, 200, 1);
+
+    private final double perSecond;
+    private final int tasks;
+    private final long runMillis;
+    private final int priority;
+
+    Kind(double perSecond, int tasks, long runMillis, int priority) {
+      this.perSecond = perSecond;
+      this.tasks = tasks;
+      this.runMillis = runMillis;
+      this.priority = priority;
+    }
+  }
+
+  /** What the callers of one kind got. */
+  static final class Figures {
+
+    int jobs;
+    int inTime;
+    int late;
+    int refused;
+
+    /** The longest time after which a caller heard that it isn't served, in milliseconds. */
+    long longestRefusal;
+
+    @Override
+    public String toString() {
+      return "jobs=%d in-time=%.3f late=%.3f refused=%.3f longest-refusal=%d"
+          .formatted(
+              jobs,
+              (double) inTime / jobs,
+              (double) late / jobs,
+              (double) refused / jobs,
+              longestRefusal);
+    }
+  }
+
+  private record Job(Kind kind, long arrivedAt, long runMillis) {}
+
+  private record Timed(long at, long order, Runnable action) implements Comparable<Timed> {
+
+    @Override
+    public int compareTo(Timed other) {
+      return at != other.at ? Long.compare(at, other.at) : Long.compare(order, other.order);
+    }
+  }
+
+  /** A sound upstream. */
+  private final class Upstream {
+
+    private final UpstreamNotice notice;
+    private final Set<RunId> running = new LinkedHashSet<>();
+    private final List<RunEnd> ended = new ArrayList<>();
+    private LeaseEffect.@Nullable Renew waiting;
+    private long lastEnd;
+
+    Upstream(String id, int cpu) {
+      notice =
+          new UpstreamNotice(
+              id, 1, 1, "desk", id + ":1", "north", false, new TaskSize(cpu, 65_536, 0), Set.of());
+    }
+
+    void start(LeaseEffect.Start start) {
+      running.add(start.run());
+      Job job = jobs.get(start.run().task().work());
+      long millis = job == null ? 1 : Math.max(1, Math.round(job.runMillis * spread(0.15)));
+      after(millis, () -> end(start.run(), RunEnd.Cause.DONE));
+      carryOut(
+          dispatcher.handle(
+              new LeaseEvent.StartAnswered(
+                  notice, start.run(), OrderResult.DONE, OptionalLong.of(now)),
+              now));
+    }
+
+    void stop(LeaseEffect.Stop stop) {
+      end(stop.run(), RunEnd.Cause.CUT_SHORT);
+      carryOut(
+          dispatcher.handle(
+              new LeaseEvent.StopAnswered(
+                  notice, stop.run(), OrderResult.DONE, OptionalLong.of(now)),
+              now));
+    }
+
+    void renew(LeaseEffect.Renew renew) {
+      ended.removeIf(end -> end.number() <= renew.acknowledged());
+      waiting = renew;
+      if (!ended.isEmpty() || renew.waitMillis() == 0) {
+        answer(renew);
+      } else {
+        after(renew.waitMillis(), () -> answer(renew));
+      }
+    }
+
+    private void end(RunId run, RunEnd.Cause cause) {
+      if (running.remove(run)) {
+        lastEnd++;
+        ended.add(new RunEnd(lastEnd, run, cause));
+        if (waiting != null) {
+          answer(waiting);
+        }
+      }
+    }
+
+    private void answer(LeaseEffect.Renew renew) {
+      if (renew.equals(waiting)) {
+        waiting = null;
+        List<RunId> list = List.copyOf(running);
+        List<RunEnd> ends = List.copyOf(ended);
+        long clock = now;
+        after(
+            1,
+            () ->
+                carryOut(
+                    dispatcher.handle(
+                        new LeaseEvent.RenewalAnswered(
+                            notice,
+                            renew.renewal(),
+                            OrderResult.DONE,
+                            OptionalLong.of(clock),
+                            list,
+                            ends),
+                        now)));
+      }
+    }
+  }
+}
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelEntryHost.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelEntryHost.java
@@ -285,7 +285,9 @@
   }
 
   private void dispatch(LeaseEvent event) {
-    for (LeaseEffect effect : dispatcher.handle(event, clock())) {
+    List<LeaseEffect> effects = new ArrayList<>(dispatcher.handle(event, clock()));
+    effects.addAll(dispatcher.place(clock()));
+    for (LeaseEffect effect : effects) {
       switch (effect) {
         case LeaseEffect.Start start ->
             call(
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
@@ -122,7 +122,7 @@
             now);
     this.directory = new HostDirectory(settings.card());
     this.desk = new WorkDesk(parts, this::send, this::onControl, this::outranked, this::startOver);
-    this.fleet = new Fleet(desk::upstream, this::broadcast);
+    this.fleet = new Fleet(desk::dispatch, this::broadcast);
     Optional<AgreementStorage> storage = openStorage();
     this.storageIncarnation = storage.map(AgreementStorage::incarnation).orElse(0L);
     this.agreement = storage.map(this::driver);
@@ -497,6 +497,7 @@
   }
 
   private void flush() {
+    desk.place();
     agreement.ifPresent(AgreementDriver::flush);
   }
 
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/WorkDesk.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/WorkDesk.java
@@ -75,10 +75,6 @@
     return intake.waiting() + dispatcher.unanswered();
   }
 
-  void upstream(LeaseEvent event) {
-    dispatch(event);
-  }
-
   void tick() {
     dispatch(new LeaseEvent.Tick());
     intake(new IntakeEvent.Tick());
@@ -101,7 +97,15 @@
   }
 
   void dispatch(LeaseEvent event) {
-    List<LeaseEffect> effects = dispatcher.handle(event, clock.millis());
+    carryOut(dispatcher.handle(event, clock.millis()));
+  }
+
+  /** Starts what can start; called when no event waits. */
+  void place() {
+    carryOut(dispatcher.place(clock.millis()));
+  }
+
+  private void carryOut(List<LeaseEffect> effects) {
     for (LeaseEffect effect : effects) {
       switch (effect) {
         case LeaseEffect.Start start -> upstreams.start(start, this::answered);
