Hosts with a disk remember the epoch of the dispatcher role

Cause: epochs follow the time and run ahead of it where partitions make dispatchers claim by turns, or where the time of day is ahead. Upstreams keep the highest they have seen; after all processes are killed nobody else knew it, and a new dispatcher was refused for 4.8 s and more. Change: hosts with a disk write the highest epoch they hear of to their data folder, in the background, and tell it after a restart; hosts that find each other take epochs from those that never dispatch too. FleetTest no longer shares its list between tests (it failed by the order of its tests). The test fails without the change of Membership.heartbeat.

--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseBook.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseBook.java
@@ -302,8 +302,8 @@
    * Leaves an upstream to the host that holds the higher context.token().
    *
    * <p>That host is usually a dispatcher on the other side of a partition, and one of the two gives
-   * the role up once they hear each other. Where the upstream goes on refusing, the higher
-   * token may belong to a host that is gone, and only a still higher one helps.
+   * the role up once they hear each other. Where the upstream goes on refusing, the higher token
+   * may belong to a host that is gone, and only a still higher one helps.
    */
   private void outranked(UpstreamLease upstream) {
     if (upstream.fencedTimes > 0 && context.now() < upstream.renewAt) {
--- a/burdockbay-core/src/main/java/org/burdockbay/core/membership/Membership.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/membership/Membership.java
@@ -98,6 +98,11 @@
     return MembershipTerms.ofListedHost(index);
   }
 
+  /** Takes an epoch into account that an earlier life of this host has seen. */
+  public void recall(long epoch) {
+    observeEpoch(epoch);
+  }
+
   /** Takes a host into account from now on. */
   public void admit(String host, String hostDomain) {
     domainByHost.put(host, hostDomain);
@@ -125,7 +130,9 @@
     if (before == null) {
       effects.add(new MembershipEffect.HostFound(status.host()));
     }
-    if (status.domain().equals(domain)) {
+    if (status.domain().equals(domain) || !fixedHosts) {
+      // Hosts that find each other have one dispatcher, and also those that never dispatch tell
+      // of its epoch: they have disks, and remember it when all others were killed.
       observeEpoch(Math.max(status.highestEpoch(), status.dispatcherEpoch()));
     }
     effects.addAll(elect(now));
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseDispatcherTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseDispatcherTest.java
@@ -268,8 +268,7 @@
               new LeaseEvent.StartAnswered(
                   upstream, start.run(), OrderResult.FENCED, OptionalLong.empty())));
     }
-    effects.addAll(
-        answer(openRenewals.get("u1"), OrderResult.FENCED, List.of(), List.of()));
+    effects.addAll(answer(openRenewals.get("u1"), OrderResult.FENCED, List.of(), List.of()));
     for (LeaseEffect.Start start : starts) {
       effects.addAll(
           handle(
--- a/burdockbay-core/src/test/java/org/burdockbay/core/membership/MembershipTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/membership/MembershipTest.java
@@ -39,6 +39,42 @@
     assertEquals(membership.claimedEpoch(), 0);
   }
 
+  /**
+   * All processes are killed. The upstreams still refuse tokens below the last one, and the new
+   * dispatcher knows no other from before: only a host with a disk, which never dispatches itself,
+   * remembers the epoch and tells it.
+   */
+  @Test
+  public void claimsAboveWhatHostsThatNeverDispatchRemember() {
+    Membership keeper =
+        Membership.growing(
+            "10.0.0.9", "control", MembershipTerms.ofAddress("10.0.0.9", 450, false), now);
+    keeper.recall(1L << 52);
+    assertEquals(keeper.highestEpoch(), 1L << 52);
+    Membership starting =
+        Membership.growing(
+            "10.0.0.1", "entry", MembershipTerms.ofAddress("10.0.0.1", 450, true), now);
+    starting.admit("10.0.0.9", "control");
+    for (int i = 0; i < 20; i++) {
+      now += 100;
+      starting.heartbeat(
+          new HostStatus(
+              "10.0.0.9",
+              "control",
+              1,
+              1,
+              1,
+              0,
+              keeper.highestEpoch(),
+              false,
+              "",
+              new DomainLoad(0, 0)),
+          now);
+      starting.tick(now);
+    }
+    assertTrue(starting.claimedEpoch() > 1L << 52, "claimed " + starting.claimedEpoch());
+  }
+
   /** The dispatcher goes silent: the next in line claims with a higher epoch, and not before. */
   @Test
   public void claimsWithHigherEpochsOnceTheDispatcherIsLost() {
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
@@ -40,6 +40,7 @@
 import org.burdockbay.server.logging.EventLog;
 import org.burdockbay.server.settings.HostAddress;
 import org.burdockbay.server.settings.PeerSettings;
+import org.burdockbay.server.storage.EpochFile;
 import org.burdockbay.server.transport.PeerListener;
 
 /**
@@ -87,6 +88,7 @@
   private final WorkDesk desk;
   private final ProposalClient proposals;
   private final VoterKeeper voters;
+  private final EpochKeeper epochs;
   private final Optional<AgreementDriver> agreement;
   private final long storageIncarnation;
   private final Map<String, Long> incarnations = new HashMap<>();
@@ -126,6 +128,8 @@
     Optional<AgreementStorage> storage = openStorage();
     this.storageIncarnation = storage.map(AgreementStorage::incarnation).orElse(0L);
     this.agreement = storage.map(this::driver);
+    this.epochs = new EpochKeeper(settings.dataFolder().map(EpochFile::new), log);
+    membership.recall(epochs.recall());
     this.proposals = new ProposalClient(clock, agreement, this::leader, this::send);
     this.voters = new VoterKeeper(VOTERS, this::replaceable, log);
   }
@@ -476,6 +480,7 @@
     if (now >= membershipAt) {
       membershipAt = now + MEMBERSHIP_MILLIS;
       run(membership.tick(now));
+      epochs.remember(membership.highestEpoch());
     }
     desk.tick();
     fleet.tick(now);
--- a/burdockbay-server/src/test/java/org/burdockbay/server/node/FleetTest.java
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/node/FleetTest.java
@@ -9,6 +9,7 @@
 import org.burdockbay.core.fleet.UpstreamNotice;
 import org.burdockbay.core.lease.LeaseEvent;
 import org.burdockbay.core.work.TaskSize;
+import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 /** What a {@link Fleet} passes on to the dispatcher. */
@@ -16,8 +17,15 @@
 
   private static final long MINUTE = 60_000;
 
-  private final List<LeaseEvent> events = new ArrayList<>();
-  private final Fleet fleet = new Fleet(events::add, news -> {});
+  private List<LeaseEvent> events;
+  private Fleet fleet;
+
+  /** Makes a fleet that knows no upstream. */
+  @BeforeMethod
+  public void makeFleet() {
+    events = new ArrayList<>();
+    fleet = new Fleet(events::add, news -> {});
+  }
 
   /**
    * All hosts with a disk lose power, and with them everybody whom upstreams announce themselves
@@ -36,10 +44,8 @@
   /** An upstream that is gone for good without a word is forgotten at last. */
   @Test
   public void forgetsUpstreamsThatAreSilentForLong() {
-    events.clear();
-    Fleet other = new Fleet(events::add, news -> {});
-    other.announcedHere(notice(), 0);
-    other.tick(Fleet.SILENCE_MILLIS + MINUTE);
+    fleet.announcedHere(notice(), 0);
+    fleet.tick(Fleet.SILENCE_MILLIS + MINUTE);
     assertTrue(events.getLast() instanceof LeaseEvent.Departed);
   }
 
