Work that has just arrived is taken with a margin; usable share of upstreams measured

Cause: work was taken by the predicted wait alone. The share of the processors that tasks can fill was taken from even sizes; with sizes that vary less fits. Ruled out: refusal by a stricter prediction for all work (the margin for all lowers prompt answers). Change: the wait of work that has just arrived counts 2.5 times; usable share 0.7 instead of 0.875.

--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/AdmissionRule.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/AdmissionRule.java
@@ -14,6 +14,9 @@
   /** The share of all room that one piece of work can count on, beside the others. */
   private static final double ROOM_SHARE_OF_ONE = 0.25;
 
+  private static final double EARLY_SHARE = 0.25;
+  private static final double EARLY_MARGIN = 2.5;
+
   /**
    * Returns the work in the order in which its tasks are placed.
    *
@@ -44,7 +47,9 @@
     double own = ahead.millisFor(work);
     double waves = Math.max(0, own / ROOM_SHARE_OF_ONE - work.chainMillis());
     double latestStart = work.latestStart() + work.request.stretch() * waves;
-    return now + ahead.waitMillis() + own > latestStart;
+    double wait = ahead.waitMillis() + own;
+    boolean early = now - work.arrivedAt <= EARLY_SHARE * (work.promptUntil() - work.arrivedAt);
+    return now + (early ? EARLY_MARGIN * wait : wait) > latestStart;
   }
 
   /** Returns whether waiting work can't be answered before its caller leaves. */
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/Backlog.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/Backlog.java
@@ -6,10 +6,11 @@
 final class Backlog {
 
   /**
-   * The share of the upstreams' processors that tasks fill at most: two of 14 cores fit into 32,
-   * three into 48, and 0.875 of both is in use then.
+   * The share of the upstreams' processors that tasks use while others wait. Two or three tasks
+   * fill an upstream, so a part of each stays unused. Under traffic that fills all room, 0.7 serves
+   * 0.90 in time, 0.8 0.89 and 0.875 0.86.
    */
-  private static final double USABLE_SHARE = 0.875;
+  private static final double USABLE_SHARE = 0.7;
 
   private final double cpuMillicores;
   private double waitingWork;
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseDispatcher.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseDispatcher.java
@@ -171,7 +171,7 @@
       if (allHeard && !work.offered && late(work, backlog, placement)) {
         works.refuse(work, "no room in time", AdmissionRule.RETRY_MILLIS);
       } else {
-        place(work, placement);
+        placeWork(work, placement);
         backlog.add(work);
       }
     }
@@ -182,16 +182,16 @@
     return admission.late(work, context.now(), backlog) && !placement.fitsWhole(work);
   }
 
-  private void place(WorkState work, PlacementPolicy placement) {
+  private void placeWork(WorkState work, PlacementPolicy placement) {
     for (int step = 0; step < work.steps.size(); step++) {
       if (work.ready(step)) {
-        place(work.steps.get(step), placement);
+        placeTasks(work.steps.get(step), placement);
       }
     }
   }
 
   /** Starts what fits; the tasks of a step are alike, so none fits after one that doesn't. */
-  private void place(Iterable<TaskState> tasks, PlacementPolicy placement) {
+  private void placeTasks(Iterable<TaskState> tasks, PlacementPolicy placement) {
     for (TaskState task : tasks) {
       if (task.waits() && !runs.open(task.id)) {
         var chosen = placement.choose(task);
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/HeavyLoadTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/HeavyLoadTest.java
@@ -2,6 +2,8 @@
 
 import static org.testng.Assert.assertTrue;
 
+import java.util.HashMap;
+import java.util.Map;
 import org.testng.annotations.Test;
 
 /**
@@ -14,6 +16,7 @@
 
   private static final int SEEDS = 3;
   private static final long PLAY_MILLIS = 30_000;
+  private static final Map<Double, Outcome> OUTCOMES = new HashMap<>();
 
   /** Usual traffic takes 0.72 of the room: nearly everybody is served in time. */
   @Test
@@ -24,19 +27,19 @@
 
   /**
    * Callers bring as much as fits, and queues grow. What can't start in time takes the room of what
-   * could, so that more and more is late. Before: 0.826 in time; with refusals 0.87.
+   * could, so that more and more is late. Before: 0.826 in time; with refusals 0.90.
    */
   @Test
   public void servesMostInTimeWhenAllRoomIsTaken() {
     Outcome outcome = play(1.45);
-    assertTrue(outcome.inTime > 0.85, outcome.toString());
+    assertTrue(outcome.inTime > 0.88, outcome.toString());
   }
 
-  /** Callers bring 1.3 times what fits. Before: 0.490 in time; with refusals and order 0.735. */
+  /** Callers bring 1.3 times what fits. Before: 0.490 in time; with refusals and order 0.772. */
   @Test
   public void servesWhatFitsInTimeUnderOverload() {
     Outcome outcome = play(1.8);
-    assertTrue(outcome.inTime > 0.70, outcome.toString());
+    assertTrue(outcome.inTime > 0.75, outcome.toString());
   }
 
   /**
@@ -49,18 +52,36 @@
     assertTrue(outcome.longestRefusalOfChecks < 150, outcome.toString());
   }
 
+  /**
+   * A caller that will be refused hears so within a quarter of the time that a prompt answer may
+   * take. Refused by the predicted wait alone, 0.090 of all jobs under overload heard it later, as
+   * more urgent work kept coming; with a margin for work that has just arrived 0.013.
+   */
+  @Test
+  public void refusesFewAfterLongWaits() {
+    Outcome outcome = play(1.8);
+    assertTrue(outcome.lateRefusals < 0.03, outcome.toString());
+  }
+
+  /** Plays one multiple of the usual traffic once, however many tests look at it. */
   private static Outcome play(double traffic) {
+    return OUTCOMES.computeIfAbsent(traffic, HeavyLoadTest::playSeeds);
+  }
+
+  private static Outcome playSeeds(double traffic) {
     double inTime = 0;
+    double lateRefusals = 0;
     long longest = 0;
     for (long seed = 1; seed <= SEEDS; seed++) {
       LoadPlay play = new LoadPlay(seed);
       play.play(traffic, PLAY_MILLIS);
       inTime += play.inTime() / SEEDS;
+      lateRefusals += play.lateRefusals() / SEEDS;
       longest = Math.max(longest, play.figures(LoadPlay.Kind.CHECK).longestRefusal);
       System.out.println("traffic=" + traffic + " seed=" + seed + '\n' + play.report());
     }
-    return new Outcome(inTime, longest);
+    return new Outcome(inTime, lateRefusals, longest);
   }
 
-  private record Outcome(double inTime, long longestRefusalOfChecks) {}
+  private record Outcome(double inTime, double lateRefusals, long longestRefusalOfChecks) {}
 }
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LoadPlay.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LoadPlay.java
@@ -83,6 +83,15 @@
     return sum / figures.size();
   }
 
+  /** Returns the share of all jobs, weighted alike, that were refused after a long wait. */
+  double lateRefusals() {
+    double sum = 0;
+    for (Figures each : figures.values()) {
+      sum += (double) each.lateRefusals / each.jobs;
+    }
+    return sum / figures.size();
+  }
+
   /** Prints what each kind of job got. */
   String report() {
     StringBuilder text = new StringBuilder();
@@ -188,6 +197,7 @@
     } else {
       each.refused++;
       each.longestRefusal = Math.max(each.longestRefusal, age);
+      each.lateRefusals += age > aim / 4 ? 1 : 0;
     }
   }
 
@@ -218,17 +228,21 @@
     int late;
     int refused;
 
+    /** Refusals that came later than a quarter of the time that a prompt answer may take. */
+    int lateRefusals;
+
     /** The longest time after which a caller heard that it isn't served, in milliseconds. */
     long longestRefusal;
 
     @Override
     public String toString() {
-      return "jobs=%d in-time=%.3f late=%.3f refused=%.3f longest-refusal=%d"
+      return "jobs=%d in-time=%.3f late=%.3f refused=%.3f late-refusals=%.3f longest-refusal=%d"
           .formatted(
               jobs,
               (double) inTime / jobs,
               (double) late / jobs,
               (double) refused / jobs,
+              (double) lateRefusals / jobs,
               longestRefusal);
     }
   }
