Process tests: a host that ends by itself shows its log at once, and no test sees another's hosts

Cause: after a failed test its host stayed down or frozen, and each later wait took 60 s, which looked like the listed hang.

--- a/burdockbay-app/src/test/java/org/burdockbay/app/ProcessFailureTest.java
+++ b/burdockbay-app/src/test/java/org/burdockbay/app/ProcessFailureTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.testng.annotations.AfterClass;
+import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeClass;
 import org.testng.annotations.Test;
 
@@ -30,6 +31,12 @@
     }
   }
 
+  /** Brings every host back, also after a test that failed half way. */
+  @AfterMethod(alwaysRun = true)
+  public void startAllHosts() throws Exception {
+    cluster.startAll();
+  }
+
   /**
    * The host that dispatches a domain loses power while bookings run. The callers wait at the other
    * host of the domain; each must get its whole answer, and no booking may be made twice.
--- a/burdockbay-app/src/test/java/org/burdockbay/app/TestCluster.java
+++ b/burdockbay-app/src/test/java/org/burdockbay/app/TestCluster.java
@@ -11,9 +11,11 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
@@ -37,12 +39,15 @@
   private static final String CALLER = "caller-credential";
   private static final MediaType JSON = MediaType.get("application/json");
   private static final long PATIENCE_MILLIS = 60_000;
+  private static final int LOG_LINES = 30;
 
   final List<StandInRunner> runners = new ArrayList<>();
   private final Map<String, String> domains = new LinkedHashMap<>();
   private final Map<String, Integer> peerPorts = new HashMap<>();
   private final Map<String, Integer> httpPorts = new HashMap<>();
   private final Map<String, Process> processes = new HashMap<>();
+  private final Map<Process, Path> logs = new HashMap<>();
+  private final Set<String> meantToRun = new HashSet<>();
   private final ObjectMapper json = new ObjectMapper();
   private final OkHttpClient client =
       new OkHttpClient.Builder()
@@ -81,6 +86,18 @@
 
   void start(String host) throws IOException {
     processes.put(host, program("serve", "--settings", folder.resolve(host + ".ini").toString()));
+    meantToRun.add(host);
+  }
+
+  /** Lets frozen hosts go on and starts those that have ended, so that no test sees another's. */
+  void startAll() throws Exception {
+    for (String host : domains.keySet()) {
+      if (processes.get(host).isAlive()) {
+        signal(host, "CONT");
+      } else {
+        start(host);
+      }
+    }
   }
 
   Process process(String host) {
@@ -89,6 +106,7 @@
 
   /** Waits for a host to end by itself; the failure shows what its threads are doing. */
   int awaitExit(String host) throws Exception {
+    meantToRun.remove(host);
     Process process = processes.get(host);
     if (!process.waitFor(PATIENCE_MILLIS, TimeUnit.MILLISECONDS)) {
       Process stacks =
@@ -105,11 +123,15 @@
 
   /** Kills a host as a power loss does. */
   void kill(String host) throws InterruptedException {
+    meantToRun.remove(host);
     processes.get(host).destroyForcibly().waitFor();
   }
 
   /** Sends a signal to a host. */
   void signal(String host, String name) throws Exception {
+    if (name.equals("TERM")) {
+      meantToRun.remove(host);
+    }
     new ProcessBuilder("kill", "-" + name, Long.toString(processes.get(host).pid()))
         .start()
         .waitFor();
@@ -158,9 +180,20 @@
     return runners.stream().mapToInt(StandInRunner::startedTasks).sum();
   }
 
+  /**
+   * Waits until something holds. Fails at once, with the end of its log, if a host that should run
+   * has ended: it will never hold then, and waits of a minute each would look like a hang.
+   */
   void await(String what, Callable<Boolean> condition) throws Exception {
     long until = System.currentTimeMillis() + PATIENCE_MILLIS;
     while (!condition.call()) {
+      for (String host : meantToRun) {
+        if (!processes.get(host).isAlive()) {
+          throw new AssertionError(
+              "%s has ended with %d while waiting for: %s%n%s"
+                  .formatted(host, processes.get(host).exitValue(), what, endOfLog(host)));
+        }
+      }
       if (System.currentTimeMillis() > until) {
         throw new AssertionError("timed out: " + what);
       }
@@ -263,7 +296,15 @@
     command.add(Main.class.getName());
     command.addAll(List.of(arguments));
     File log = folder.resolve(arguments[0] + "-" + System.nanoTime() + ".log").toFile();
-    return new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(log).start();
+    Process process =
+        new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(log).start();
+    logs.put(process, log.toPath());
+    return process;
+  }
+
+  private String endOfLog(String host) throws IOException {
+    List<String> lines = Files.readAllLines(logs.get(processes.get(host)));
+    return String.join("\n", lines.subList(Math.max(0, lines.size() - LOG_LINES), lines.size()));
   }
 
   private Request.Builder request(String host, String path, String token) {
