Orders that aren't answered are sent again under the same run number

A start is idempotent by its run number, so a copy after 40 ms is safe and usually answered within 3 ms. Ruled out: fewer timeouts by a longer answer time (the job is late then as well). Change: starts and stops are sent again after 40 ms, four times at most; a renewal counts as missed 40 ms after its wait; a lease is extended while a list is younger than 450 ms.

--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseBook.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseBook.java
@@ -26,6 +26,15 @@
    */
   private static final int MOST_FENCED = 3;
 
+  /**
+   * Silence of an upstream after which its lease isn't extended any more, in milliseconds: a poll
+   * and its answer, so that one of them may be lost.
+   */
+  private static final long EXTEND_MILLIS = 450;
+
+  /** So many renewals in a row get a short time for their answer, as single calls are lost. */
+  static final int SOON_REPEATED = 2;
+
   private final DispatchContext context;
   private final LeaseTerms terms;
   private final RunBook runs;
@@ -132,6 +141,7 @@
     if (run == null) {
       return;
     }
+    run.startsOpen--;
     switch (answered.result()) {
       case DONE -> {
         run.confirmed = context.nextOrder();
@@ -139,20 +149,17 @@
           run.phase = LeasedRun.Phase.RUNNING;
         }
       }
-      case NO_ANSWER -> {
-        if (run.phase == LeasedRun.Phase.STARTING) {
-          run.phase = LeasedRun.Phase.UNSURE;
-          context.note("start-unanswered", "run=" + run.id + " upstream=" + upstream.notice.id());
-        }
-      }
+      case NO_ANSWER -> runs.startUnanswered(run);
       case FENCED -> {
-        runs.runOver(run);
+        if (run.startsSent == 1) {
+          runs.runOver(run);
+        }
         outranked(upstream);
       }
-      case NO_ROOM, UNWELL, LATE -> runs.notStarted(run, answered.result());
+      case NO_ROOM, UNWELL, LATE -> runs.refused(run, answered.result());
       case OLD -> {
         if (run.phase != LeasedRun.Phase.UNSURE) {
-          runs.notStarted(run, answered.result());
+          runs.refused(run, answered.result());
         }
       }
       case INVALID -> {
@@ -180,7 +187,11 @@
     switch (answered.result()) {
       case DONE -> run.confirmed = context.nextOrder();
       case FENCED -> outranked(upstream);
-      default -> run.stopSentAt = 0;
+      default -> {
+        if (run.confirmed == 0) {
+          run.stopSentAt = 0;
+        }
+      }
     }
   }
 
@@ -212,6 +223,7 @@
       context.note("upstream-back", "upstream=" + upstream.notice.id());
     }
     upstream.owned = true;
+    upstream.listedAt = context.now();
     upstream.fencedTimes = 0;
     upstream.unanswered = 0;
     for (RunEnd end : answered.ended()) {
@@ -348,11 +360,13 @@
   /**
    * Renews the lease of an upstream.
    *
-   * <p>Once a renewal wasn't answered twice, the lease isn't made longer: an upstream that receives
-   * and can't answer would otherwise never end its runs, and they couldn't start elsewhere.
+   * <p>Once no renewal was answered for {@link #EXTEND_MILLIS}, the lease isn't made longer: an
+   * upstream that receives and can't answer would otherwise never end its runs, and they couldn't
+   * start elsewhere.
    */
   private void renew(UpstreamLease upstream, boolean wait) {
-    boolean extend = upstream.unanswered < 2 && runs.mayExtend(upstream);
+    boolean heard = context.now() - upstream.listedAt <= EXTEND_MILLIS;
+    boolean extend = heard && runs.mayExtend(upstream);
     long deadline = extend && upstream.owned ? upstream.deadline(terms, context.now()) : 0;
     if (deadline != 0) {
       upstream.covered(terms, context.now());
@@ -369,7 +383,8 @@
             context.token(),
             upstream.acknowledged,
             deadline,
-            longPoll ? terms.pollMillis() : 0));
+            longPoll ? terms.pollMillis() : 0,
+            upstream.unanswered < SOON_REPEATED ? terms.resendMillis() : terms.answerMillis()));
   }
 
   private @Nullable UpstreamLease same(UpstreamNotice notice) {
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseEffect.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseEffect.java
@@ -25,6 +25,7 @@
    * @param acknowledged the last end that is dealt with
    * @param deadlineMillis end of the lease on the upstream's clock; 0 to leave it as it is
    * @param waitMillis how long the upstream may wait for an end before it answers
+   * @param answerMillis silence beyond the wait after which the renewal counts as missed
    */
   record Renew(
       UpstreamNotice upstream,
@@ -32,7 +33,8 @@
       long token,
       long acknowledged,
       long deadlineMillis,
-      long waitMillis)
+      long waitMillis,
+      long answerMillis)
       implements LeaseEffect {}
 
   /** Tells an entry host the outcome of its work. */
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseTerms.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseTerms.java
@@ -5,9 +5,11 @@
  *
  * @param leaseMillis how long a renewed lease lasts on the upstream's clock
  * @param pollMillis how long a renewal waits at the upstream for an end
- * @param answerMillis silence after which a call to an upstream counts as unanswered
+ * @param resendMillis silence after which an order is sent again, and a renewal beyond its wait
+ *     counts as missed
+ * @param answerMillis silence after which an order counts as unanswered
  */
-public record LeaseTerms(long leaseMillis, long pollMillis, long answerMillis) {
+public record LeaseTerms(long leaseMillis, long pollMillis, long resendMillis, long answerMillis) {
 
   /** Silence after which an entry host's work is dropped, in milliseconds: three heartbeats. */
   public static final long ENTRY_LOST_MILLIS = 450;
@@ -26,9 +28,11 @@
    *
    * <p>A run whose entry host is lost ends at the latest 450 ms (silence) + 700 / 0.98 ms (lease) +
    * 60 ms after the caller's connection broke, 1,224 ms in all, and so before its second run can
-   * begin elsewhere. Four polls fit into a lease, so that one lost call lets no lease run out.
+   * begin elsewhere. Three polls fit into a lease, with the time to miss one, so that one lost call
+   * lets no lease run out. An order is answered within a few round trips between domains; one that
+   * isn't after 40 ms is lost or held up, and half of a short task's slack is left.
    */
-  public static final LeaseTerms DEFAULT = new LeaseTerms(700, 150, 300);
+  public static final LeaseTerms DEFAULT = new LeaseTerms(700, 150, 40, 300);
 
   /** Returns the longest time that a lease renewed now may last in true time. */
   public long longestMillis() {
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeasedRun.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeasedRun.java
@@ -23,6 +23,15 @@
   final UpstreamLease upstream;
   final TaskSize size;
   final long sentAt;
+
+  /** When the start was sent last, in milliseconds. */
+  long startSentAt;
+
+  int startsSent = 1;
+
+  /** Starts that were neither answered nor given up. */
+  int startsOpen = 1;
+
   Phase phase = Phase.STARTING;
 
   /** The task that gets the result; null once nobody wants it any more. */
@@ -34,15 +43,18 @@
    */
   long confirmed;
 
-  /** When the stop was sent last, in milliseconds; 0 before. */
+  /** When the stop was sent last, in milliseconds; 0 before and once no answer is expected. */
   long stopSentAt;
 
+  int stopsSent;
+
   LeasedRun(RunId id, UpstreamLease upstream, TaskState task, long sentAt) {
     this.id = id;
     this.upstream = upstream;
     this.task = task;
     this.size = task.step.size();
     this.sentAt = sentAt;
+    this.startSentAt = sentAt;
   }
 
   /** Creates a run of an earlier dispatcher that nobody has claimed; its size isn't known. */
@@ -51,5 +63,6 @@
     this.upstream = upstream;
     this.size = TaskSize.ZERO;
     this.sentAt = foundAt;
+    this.startSentAt = foundAt;
   }
 }
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/RunBook.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/RunBook.java
@@ -13,6 +13,9 @@
  */
 final class RunBook {
 
+  /** An order is sent so often at most before lists decide; each copy may be lost by itself. */
+  private static final int MOST_COPIES = 4;
+
   private final DispatchContext context;
   private final LeaseTerms terms;
   private final Map<TaskId, LeasedRun> openRuns = new HashMap<>();
@@ -40,15 +43,8 @@
     task.run = run;
     task.work.offered = true;
     upstream.add(run);
-    upstream.covered(terms, context.now());
     openRuns.put(task.id, run);
-    context.emit(
-        new LeaseEffect.Start(
-            upstream.notice,
-            id,
-            task.work.request.payload(),
-            context.token(),
-            upstream.deadline(terms, context.now())));
+    sendStart(run, task);
     context.note(
         "run-begun",
         "run="
@@ -61,6 +57,18 @@
             + upstream.free().cpuMillicores());
   }
 
+  private void sendStart(LeasedRun run, TaskState task) {
+    UpstreamLease upstream = run.upstream;
+    upstream.covered(terms, context.now());
+    context.emit(
+        new LeaseEffect.Start(
+            upstream.notice,
+            run.id,
+            task.work.request.payload(),
+            context.token(),
+            upstream.deadline(terms, context.now())));
+  }
+
   /** Gives the work the runs that an earlier dispatcher started and that were found running. */
   void adoptAll(WorkState work) {
     for (List<TaskState> tasks : work.steps) {
@@ -149,20 +157,56 @@
     runOver(run);
   }
 
-  void notStarted(LeasedRun run, OrderResult result) {
+  /**
+   * Takes note that a start was refused.
+   *
+   * <p>A start that was sent several times may be refused since an earlier copy ran and ended, and
+   * a copy that is held up may be carried out later. The run then counts as over only once a stop
+   * was confirmed, after which the upstream refuses every copy.
+   */
+  void refused(LeasedRun run, OrderResult result) {
     context.note(
         "start-refused",
-        "run=" + run.id + " upstream=" + run.upstream.notice.id() + " result=" + result);
-    runOver(run);
+        "run="
+            + run.id
+            + " upstream="
+            + run.upstream.notice.id()
+            + " result="
+            + result
+            + " sent="
+            + run.startsSent);
     if (result != OrderResult.OLD) {
       run.upstream.pause(context.now());
     }
+    if (run.startsSent == 1) {
+      runOver(run);
+    } else if (run.phase == LeasedRun.Phase.STARTING) {
+      stop(run);
+    }
+  }
+
+  /** Takes note that a copy of a start gets no answer. */
+  void startUnanswered(LeasedRun run) {
+    if (run.startsOpen == 0 && run.phase == LeasedRun.Phase.STARTING) {
+      unsure(run);
+    }
+  }
+
+  private void unsure(LeasedRun run) {
+    run.phase = LeasedRun.Phase.UNSURE;
+    context.note("start-unanswered", "run=" + run.id + " upstream=" + run.upstream.notice.id());
   }
 
   void stop(LeasedRun run) {
     run.phase = LeasedRun.Phase.STOPPING;
     run.confirmed = 0;
+    run.stopsSent = 0;
+    sendStop(run);
+  }
+
+  private void sendStop(LeasedRun run) {
     run.stopSentAt = context.now();
+    run.stopsSent++;
     context.emit(new LeaseEffect.Stop(run.upstream.notice, run.id, context.token()));
   }
 
@@ -189,9 +233,56 @@
   }
 
   void tick() {
+    openRuns.values().forEach(this::sendAgain);
     takenOver.expire(context.now()).forEach(this::stopUnclaimed);
   }
 
+  /**
+   * Sends an order again that wasn't answered.
+   *
+   * <p>An order or its answer may be lost or held up for seconds, while the next call works. The
+   * copies carry the same run, so the upstream carries out one of them at most.
+   */
+  private void sendAgain(LeasedRun run) {
+    switch (run.phase) {
+      case STARTING -> startAgain(run);
+      case STOPPING -> {
+        boolean silent = context.now() - run.stopSentAt >= terms.resendMillis();
+        boolean open = run.confirmed == 0 && run.stopSentAt != 0;
+        if (open && silent && run.stopsSent < MOST_COPIES) {
+          sendStop(run);
+        }
+      }
+      default -> {
+        // Nothing is on its way.
+      }
+    }
+  }
+
+  private void startAgain(LeasedRun run) {
+    TaskState task = run.task;
+    if (context.now() - run.sentAt >= terms.answerMillis()) {
+      unsure(run);
+    } else if (task != null
+        && run.startsSent < MOST_COPIES
+        && context.now() - run.startSentAt >= terms.resendMillis()) {
+      run.startSentAt = context.now();
+      run.startsSent++;
+      run.startsOpen++;
+      sendStart(run, task);
+      context.note(
+          "start-resent",
+          "run="
+              + run.id
+              + " upstream="
+              + run.upstream.notice.id()
+              + " times="
+              + run.startsSent
+              + " silence="
+              + (context.now() - run.sentAt));
+    }
+  }
+
   private void stopUnclaimed(TakenOverRuns.Found found) {
     context.note(
         "run-unclaimed", "run=" + found.run() + " upstream=" + found.upstream().notice.id());
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/UpstreamLease.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/UpstreamLease.java
@@ -36,6 +36,10 @@
   long renewalSent;
 
   long renewAt;
+
+  /** When it last answered a renewal under the present token, in milliseconds. */
+  long listedAt;
+
   long acknowledged;
   int unanswered;
 
@@ -105,11 +109,13 @@
   /**
    * Returns the pause before the next renewal after one that wasn't answered, in milliseconds.
    *
-   * <p>The first repetition follows at once, as one answer may be lost. Each later pause is twice
-   * as long, so that a dead upstream costs a call every 1.6 s for as long as it is remembered.
+   * <p>The first repetitions follow at once, as single answers may be lost. Each later pause is
+   * twice as long, so that a dead upstream costs a call every 1.6 s for as long as it is
+   * remembered.
    */
   long silencePause() {
-    return unanswered < 2 ? 0 : PAUSE_MILLIS << Math.min(unanswered - 2, MOST_DOUBLINGS);
+    int lost = unanswered - LeaseBook.SOON_REPEATED;
+    return lost <= 0 ? 0 : PAUSE_MILLIS << Math.min(lost - 1, MOST_DOUBLINGS);
   }
 
   /** Keeps starts away for a while that doubles with each failure in a row. */
