Restarted hosts elect and claim sooner, and tell their newest catalog once

Change: a member that has heard of no leader campaigns after 150 to 300 ms, twice as long with each try; a host that has heard all that it was told of claims after 250 ms without news instead of 900 ms; connections are tried again after 25 ms, doubling, and at once when the other end connects; agreed catalogs are used once a batch. Ruled out: the short election time for every try. RaftFuzzTest found that members then split the votes for ever (no progress after all faults ended), so it doubles. Tests: MembershipTest.claimsSoonOnceEveryKnownHostWasHeard; the older story of a restarted host now has a second host that isn't heard, with the same bounds.

--- a/burdockbay-core/src/main/java/org/burdockbay/core/agreement/RaftNode.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/agreement/RaftNode.java
@@ -57,6 +57,13 @@
 
   private long electionAt;
   private long leaderHeardAt = Long.MIN_VALUE / 2;
+
+  /** Whether there was a leader, perhaps this member, since it started. */
+  private boolean leaderKnown;
+
+  /** How often it has campaigned, or put that off, since it started and before any leader. */
+  private int firstCampaigns;
+
   private long leaderSince;
   private long leaderBaseTime;
   private long transferUntil;
@@ -380,6 +387,7 @@
 
   private void becomeLeader() {
     changeRole(RaftRole.LEADER, Optional.of(self));
+    leaderKnown = true;
     leaderSince = now;
     leaderBaseTime = log.lastTime();
     transferUntil = 0;
@@ -415,6 +423,7 @@
       return false;
     }
     leaderHeardAt = now;
+    leaderKnown = true;
     becomeFollower(message.term(), Optional.of(message.from()));
     return true;
   }
@@ -559,8 +568,21 @@
     hardStateChanged = true;
   }
 
+  /**
+   * Sets when this member campaigns if it hears of no leader.
+   *
+   * <p>A member that has just started asks soon: where all were killed, nothing is configured until
+   * one leads. Where a leader is alive the others refuse the pre-vote, and nothing is lost by it.
+   * The time doubles with each try: if it is too short for messages and syncs, members that
+   * campaign side by side would split the votes for ever.
+   */
   private void resetElection() {
-    electionAt = now + timing.electionMillis() + random.nextLong(timing.electionMillis());
+    long shortest = timing.electionMillis();
+    if (!leaderKnown) {
+      shortest = Math.min(shortest, timing.firstElectionMillis() << Math.min(firstCampaigns, 8));
+      firstCampaigns++;
+    }
+    electionAt = now + shortest + random.nextLong(shortest);
   }
 
   private void persist() {
--- a/burdockbay-core/src/main/java/org/burdockbay/core/membership/Membership.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/membership/Membership.java
@@ -29,13 +29,21 @@
   private static final long OUTRANK_ROUNDS = 10;
 
   /**
-   * A host that finds the others by itself claims nothing before it has heard them for so many
-   * times the silence that counts as a loss. Counted from the start of the process it would claim
-   * before its first connection is up: a restart takes longer than that, and a claim of a host that
-   * knows no upstream replaces a dispatcher that serves.
+   * A host that finds the others by itself, and hasn't heard all that it was told of, claims
+   * nothing before it has heard some for so many times the silence that counts as a loss. Counted
+   * from the start of the process it would claim before its first connection is up: a restart takes
+   * longer than that, and a claim of a host that knows no upstream replaces a dispatcher that
+   * serves.
    */
   private static final long SETTLE_LOSSES = 2;
 
+  /**
+   * Time without news of further hosts, in milliseconds, after which a host that has heard every
+   * host that it was told of may claim sooner: a host that is up connects again within 200 ms, and
+   * what it knows is passed on at once.
+   */
+  private static final long NO_NEWS_MILLIS = 250;
+
   /** A host that hears nobody at all waits longer, for its connections to come up. */
   private static final long ALONE_LOSSES = 6;
 
@@ -46,6 +54,11 @@
   private final boolean fixedHosts;
   private long startedAt;
   private OptionalLong firstHeardAt = OptionalLong.empty();
+
+  /** The hosts that were heard since the start. */
+  private final Set<String> found = new HashSet<>();
+
+  private long newsAt;
   private final TreeMap<String, Heard> heard = new TreeMap<>();
   private long claimedEpoch;
   private long highestEpoch;
@@ -79,6 +92,7 @@
     this.terms = terms;
     this.fixedHosts = fixedHosts;
     this.startedAt = now;
+    this.newsAt = now;
     this.routes = RouteView.empty(domain);
   }
 
@@ -104,8 +118,10 @@
   }
 
   /** Takes a host into account from now on. */
-  public void admit(String host, String hostDomain) {
-    domainByHost.put(host, hostDomain);
+  public void admit(String host, String hostDomain, long now) {
+    if (domainByHost.put(host, hostDomain) == null) {
+      newsAt = now;
+    }
   }
 
   /** Takes a heartbeat of another host. */
@@ -120,6 +136,9 @@
       return effects;
     }
     heard.put(status.host(), new Heard(status, now));
+    if (found.add(status.host())) {
+      newsAt = now;
+    }
     if (before != null && before.status.equals(status) && decided()) {
       // Most heartbeats tell nothing new; deciding anew took a third of an idle host's time.
       return effects;
@@ -202,6 +221,7 @@
   public List<MembershipEffect> startOver(long now) {
     startedAt = now;
     firstHeardAt = OptionalLong.empty();
+    found.clear();
     List<MembershipEffect> effects = new ArrayList<>();
     if (claimedEpoch != 0) {
       claimedEpoch = 0;
@@ -298,9 +318,15 @@
     if (fixedHosts) {
       return now - startedAt > terms.lostMillis() || live == domainHosts;
     }
-    return firstHeardAt.isPresent()
-        ? now - firstHeardAt.getAsLong() > SETTLE_LOSSES * terms.lostMillis()
-        : now - startedAt > ALONE_LOSSES * terms.lostMillis();
+    if (firstHeardAt.isEmpty()) {
+      return now - startedAt > ALONE_LOSSES * terms.lostMillis();
+    }
+    boolean complete = heardAllKnown() && now - newsAt > NO_NEWS_MILLIS;
+    return complete || now - firstHeardAt.getAsLong() > SETTLE_LOSSES * terms.lostMillis();
+  }
+
+  private boolean heardAllKnown() {
+    return found.size() == domainByHost.size() - 1;
   }
 
   /** Returns an epoch above all that were seen; the host's number makes it unlike any other's. */
--- a/burdockbay-core/src/test/java/org/burdockbay/core/agreement/RaftModel.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/agreement/RaftModel.java
@@ -15,7 +15,7 @@
  */
 final class RaftModel {
 
-  static final RaftTiming TIMING = new RaftTiming(10, 60, 40);
+  static final RaftTiming TIMING = new RaftTiming(10, 60, 15, 40);
 
   final List<Member> members = new ArrayList<>();
   final List<RaftMessage> bag = new ArrayList<>();
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelEntryHost.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelEntryHost.java
@@ -61,7 +61,7 @@
     membership =
         Membership.growing(
             name, GROUP, MembershipTerms.ofAddress(name, LOST_MILLIS, true), clock());
-    model.hosts.keySet().forEach(host -> membership.admit(host, GROUP));
+    model.hosts.keySet().forEach(host -> membership.admit(host, GROUP, clock()));
     intake = new WorkIntake(name, LOST_MILLIS + LeaseTerms.DEFAULT.longestMillis());
     dispatcher = new LeaseDispatcher(name, LeaseTerms.DEFAULT);
     incarnations.clear();
--- a/burdockbay-core/src/test/java/org/burdockbay/core/membership/MembershipTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/membership/MembershipTest.java
@@ -54,7 +54,7 @@
     Membership starting =
         Membership.growing(
             "10.0.0.1", "entry", MembershipTerms.ofAddress("10.0.0.1", 450, true), now);
-    starting.admit("10.0.0.9", "control");
+    starting.admit("10.0.0.9", "control", 0);
     for (int i = 0; i < 20; i++) {
       now += 100;
       starting.heartbeat(
@@ -177,10 +177,10 @@
   public void claimsNothingBeforeTheOthersCouldBeHeard() {
     MembershipTerms terms = MembershipTerms.ofAddress("10.0.0.1", 450, true);
     Membership restarted = Membership.growing("10.0.0.1", "entry", terms, 0);
-    restarted.admit("10.0.0.2", "entry");
+    restarted.admit("10.0.0.2", "entry", 0);
+    restarted.admit("10.0.0.3", "entry", 0);
     assertTrue(claims(restarted.tick(1_000)).isEmpty(), "hears nobody yet");
-    HostStatus quiet =
-        new HostStatus("10.0.0.2", "entry", 1, 0, 1, 0, 0, false, "", new DomainLoad(0, 0));
+    HostStatus quiet = idle("10.0.0.2");
     assertTrue(claims(restarted.heartbeat(quiet, 1_100)).isEmpty());
     restarted.heartbeat(quiet, 1_500);
     assertTrue(claims(restarted.tick(1_900)).isEmpty(), "heard for less than 900 ms");
@@ -188,6 +188,30 @@
     assertEquals(claims(restarted.tick(2_001)).size(), 1);
   }
 
+  /**
+   * All hosts were killed and are up again. Each hears all that it is told of within moments, so
+   * none needs to wait for one that might still serve; until one claims, callers wait or are
+   * refused. A host that it is told of late is waited for, as it may be the one that serves.
+   */
+  @Test
+  public void claimsSoonOnceEveryKnownHostWasHeard() {
+    MembershipTerms terms = MembershipTerms.ofAddress("10.0.0.1", 450, true);
+    Membership restarted = Membership.growing("10.0.0.1", "entry", terms, 0);
+    restarted.admit("10.0.0.2", "entry", 50);
+    assertTrue(claims(restarted.heartbeat(idle("10.0.0.2"), 100)).isEmpty());
+    restarted.admit("10.0.0.3", "entry", 200);
+    restarted.heartbeat(idle("10.0.0.2"), 400);
+    assertTrue(claims(restarted.tick(460)).isEmpty(), "10.0.0.3 wasn't heard yet");
+    assertTrue(claims(restarted.heartbeat(idle("10.0.0.3"), 470)).isEmpty());
+    restarted.heartbeat(idle("10.0.0.2"), 600);
+    assertTrue(claims(restarted.tick(720)).isEmpty(), "others may become known yet");
+    assertEquals(claims(restarted.tick(721)).size(), 1);
+  }
+
+  private static HostStatus idle(String host) {
+    return new HostStatus(host, "entry", 1, 0, 1, 0, 0, false, "", new DomainLoad(0, 0));
+  }
+
   private static List<MembershipEffect> claims(List<MembershipEffect> effects) {
     return effects.stream().filter(MembershipEffect.Claim.class::isInstance).toList();
   }
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
@@ -17,7 +17,6 @@
 import org.burdockbay.core.control.ControlCommand;
 import org.burdockbay.core.control.ControlImage;
 import org.burdockbay.core.control.ControlReply;
-import org.burdockbay.core.control.ControlState;
 import org.burdockbay.core.dispatch.DomainLoad;
 import org.burdockbay.core.fleet.UpstreamNotice;
 import org.burdockbay.core.intake.IntakeEvent;
@@ -95,6 +94,7 @@
   private final AtomicLong lastTicket;
   private volatile boolean dispatcherKnown;
   private volatile boolean draining;
+  private Optional<ControlImage.CatalogDocument> agreedCatalog = Optional.empty();
   private long aheadBefore;
   private long membershipAt;
   private long heartbeatAt;
@@ -261,7 +261,7 @@
         settings.host(),
         parts.incarnation(),
         (host, message) -> send(host, new PeerMessage.Agreement(GroupId.CONTROL, message)),
-        this::agreed,
+        state -> agreedCatalog = Optional.of(state.catalog()),
         log,
         clock);
   }
@@ -279,11 +279,20 @@
                 }));
   }
 
-  private void agreed(ControlState state) {
-    ControlImage.CatalogDocument document = state.catalog();
-    if (catalog.offer(document.version(), document.text(), "log")) {
-      heartbeat();
-    }
+  /**
+   * Takes the newest agreed catalog in use.
+   *
+   * <p>Once for each batch: a restarted host applies all that its log holds at one go, and telling
+   * everybody of each version on the way would hold up the newest.
+   */
+  private void useAgreedCatalog() {
+    agreedCatalog.ifPresent(
+        document -> {
+          if (catalog.offer(document.version(), document.text(), "log")) {
+            heartbeat();
+          }
+        });
+    agreedCatalog = Optional.empty();
   }
 
   private CompletableFuture<ControlReply> propose(ControlCommand command) {
@@ -405,7 +414,7 @@
     }
     boolean connected = directory.others().contains(card.id());
     if (directory.add(card, now)) {
-      membership.admit(card.id(), card.group());
+      membership.admit(card.id(), card.group(), now);
       log.info("host-learnt", "host=" + card.id() + " group=" + card.group());
       if (!connected) {
         connect(card);
@@ -502,6 +511,7 @@
   }
 
   private void flush() {
+    useAgreedCatalog();
     desk.place();
     agreement.ifPresent(AgreementDriver::flush);
   }
--- a/burdockbay-server/src/main/java/org/burdockbay/server/transport/InboundHandler.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/transport/InboundHandler.java
@@ -3,6 +3,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.burdockbay.server.logging.EventLog;
 import org.burdockbay.wire.PeerCodec;
 import org.burdockbay.wire.WireException;
@@ -14,16 +15,27 @@
 
   private final Handshake handshake;
   private final PeerListener listener;
+  private final Consumer<String> connected;
   private final TransportCounters counters;
   private final EventLog log;
   private Wire.@Nullable Hello own;
   private Wire.@Nullable Hello other;
   private boolean authenticated;
 
+  /**
+   * Creates the handler of one connection.
+   *
+   * @param connected is told the id of the host once it has proved itself
+   */
   InboundHandler(
-      Handshake handshake, PeerListener listener, TransportCounters counters, EventLog log) {
+      Handshake handshake,
+      PeerListener listener,
+      Consumer<String> connected,
+      TransportCounters counters,
+      EventLog log) {
     this.handshake = handshake;
     this.listener = listener;
+    this.connected = connected;
     this.counters = counters;
     this.log = log;
   }
@@ -70,6 +82,7 @@
     authenticated = true;
     context.writeAndFlush(
         Wire.Envelope.newBuilder().setProof(handshake.proof(mine, theirs)).build());
+    connected.accept(theirs.getHost());
     listener.reset(theirs.getHost());
   }
 
--- a/burdockbay-server/src/main/java/org/burdockbay/server/transport/OutboundConnection.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/transport/OutboundConnection.java
@@ -8,6 +8,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import org.burdockbay.core.clock.Clock;
 import org.burdockbay.server.settings.PeerSettings;
@@ -23,7 +24,10 @@
  */
 final class OutboundConnection {
 
-  private static final long RECONNECT_MILLIS = 200;
+  /** The pause before the first new attempt, in milliseconds; each failure doubles it. */
+  private static final long SHORTEST_PAUSE_MILLIS = 25;
+
+  private static final long LONGEST_PAUSE_MILLIS = 200;
   private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
   private static final int MOST_BYTES_WAITING = 64 * 1024 * 1024;
 
@@ -37,6 +41,8 @@
   private volatile @Nullable Channel ready;
   private volatile long readyAt;
   private volatile boolean closed;
+  private volatile @Nullable ScheduledFuture<?> retry;
+  private volatile long pauseMillis = SHORTEST_PAUSE_MILLIS;
 
   OutboundConnection(
       TransportSettings settings,
@@ -77,6 +83,14 @@
             });
   }
 
+  /** Connects at once if it waits to try again, since the other host has shown to be up. */
+  void hurry() {
+    ScheduledFuture<?> waiting = retry;
+    if (waiting != null && waiting.cancel(false)) {
+      connect();
+    }
+  }
+
   /** Sends a message, or drops it where there is no connection; senders repeat what matters. */
   void send(Wire.Envelope envelope) {
     Channel channel = ready;
@@ -116,10 +130,9 @@
   private void reconnectLater(ChannelFuture attempt) {
     ready = null;
     if (!closed && !attempt.channel().eventLoop().isShuttingDown()) {
-      attempt
-          .channel()
-          .eventLoop()
-          .schedule(this::connect, RECONNECT_MILLIS, TimeUnit.MILLISECONDS);
+      retry =
+          attempt.channel().eventLoop().schedule(this::connect, pauseMillis, TimeUnit.MILLISECONDS);
+      pauseMillis = Math.min(pauseMillis * 2, LONGEST_PAUSE_MILLIS);
     }
   }
 
@@ -162,6 +175,7 @@
         case PROOF -> {
           if (handshake.proven(envelope.getProof(), other, own)) {
             readyAt = clock.millis();
+            pauseMillis = SHORTEST_PAUSE_MILLIS;
             ready = context.channel();
             listener.reset(peer.id());
           } else {
--- a/burdockbay-server/src/main/java/org/burdockbay/server/transport/PeerTransport.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/transport/PeerTransport.java
@@ -64,7 +64,8 @@
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childHandler(
-                new PeerPipeline(() -> new InboundHandler(handshake, peerListener, counters, log)));
+                new PeerPipeline(
+                    () -> new InboundHandler(handshake, peerListener, this::isUp, counters, log)));
     var bound = bootstrap.bind(settings.address().socket()).awaitUninterruptibly();
     if (!bound.isSuccess()) {
       throw new ServerException(
@@ -74,6 +75,19 @@
     server = bound.channel();
   }
 
+  /**
+   * Takes note that a host has connected here.
+   *
+   * <p>A restarted host is silent until the others have connected to it; they try again after a
+   * pause, which this cuts short.
+   */
+  private void isUp(String host) {
+    OutboundConnection connection = outbound.get(host);
+    if (connection != null) {
+      connection.hurry();
+    }
+  }
+
   /** Connects to a host, and again whenever the connection is lost. */
   public void connect(PeerSettings peer) {
     PeerListener told = listener;
