A connection that was silent for long is closed before what it then brings is believed

One said that the other side's dispatcher had no role, so the host that had just yielded claimed again, 100 ms after the change: two changes of the dispatcher for one healed cut, 48 pieces of work abandoned and 56 moved. Ruled out: a sequence number in heartbeats alone, as it leaves old submissions. Test: InboundHandlerTest; without the channel's state it passed on messages that were read together with the old one, which the test showed.

--- a/burdockbay-server/src/main/java/org/burdockbay/server/transport/InboundHandler.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/transport/InboundHandler.java
@@ -4,6 +4,7 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import java.util.Optional;
 import java.util.function.Consumer;
+import org.burdockbay.core.clock.Clock;
 import org.burdockbay.server.logging.EventLog;
 import org.burdockbay.wire.PeerCodec;
 import org.burdockbay.wire.WireException;
@@ -16,32 +17,44 @@
   private final Handshake handshake;
   private final PeerListener listener;
   private final Consumer<String> connected;
+  private final long staleMillis;
+  private final Clock clock;
   private final TransportCounters counters;
   private final EventLog log;
   private Wire.@Nullable Hello own;
   private Wire.@Nullable Hello other;
   private boolean authenticated;
+  private long receivedAt;
 
   /**
    * Creates the handler of one connection.
    *
    * @param connected is told the id of the host once it has proved itself
+   * @param staleMillis gap after which what follows counts as old, in milliseconds
    */
   InboundHandler(
       Handshake handshake,
       PeerListener listener,
       Consumer<String> connected,
+      long staleMillis,
+      Clock clock,
       TransportCounters counters,
       EventLog log) {
     this.handshake = handshake;
     this.listener = listener;
     this.connected = connected;
+    this.staleMillis = staleMillis;
+    this.clock = clock;
     this.counters = counters;
     this.log = log;
   }
 
   @Override
   protected void channelRead0(ChannelHandlerContext context, Wire.Envelope envelope) {
+    if (!context.channel().isActive()) {
+      // It was closed over an earlier message that was read together with this one.
+      return;
+    }
     counters.received(envelope);
     switch (envelope.getBodyCase()) {
       case HELLO -> greeted(context, envelope.getHello());
@@ -80,6 +93,7 @@
       return;
     }
     authenticated = true;
+    receivedAt = clock.millis();
     context.writeAndFlush(
         Wire.Envelope.newBuilder().setProof(handshake.proof(mine, theirs)).build());
     connected.accept(theirs.getHost());
@@ -92,6 +106,9 @@
       refuse(context, "a message before the handshake");
       return;
     }
+    if (stale(context, theirs.getHost())) {
+      return;
+    }
     try {
       listener.received(theirs.getHost(), PeerCodec.decode(envelope));
     } catch (WireException e) {
@@ -99,6 +116,26 @@
     }
   }
 
+  /**
+   * Closes a connection on which the next message comes after a long gap.
+   *
+   * <p>When a partition heals, or this process stood still, the network delivers what was sent
+   * before: heartbeats of a dispatcher from before it had the role, and work that has been answered
+   * elsewhere since. Taken for fresh, the first costs a change of the dispatcher, and the second
+   * starts work whose caller was told that it hasn't run. Heartbeats leave no such gap on a
+   * connection that works, and the other host connects again at once and says what holds now.
+   */
+  private boolean stale(ChannelHandlerContext context, String host) {
+    long before = receivedAt;
+    receivedAt = clock.millis();
+    boolean stale = receivedAt - before > staleMillis;
+    if (stale) {
+      log.warn("connection-stale", "from=" + host + " silence=" + (receivedAt - before));
+      context.close();
+    }
+    return stale;
+  }
+
   private void refuse(ChannelHandlerContext context, String reason) {
     counters.refused();
     log.warn(
--- a/burdockbay-server/src/main/java/org/burdockbay/server/transport/PeerTransport.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/transport/PeerTransport.java
@@ -65,7 +65,15 @@
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childHandler(
                 new PeerPipeline(
-                    () -> new InboundHandler(handshake, peerListener, this::isUp, counters, log)));
+                    () ->
+                        new InboundHandler(
+                            handshake,
+                            peerListener,
+                            this::isUp,
+                            settings.staleMillis(),
+                            clock,
+                            counters,
+                            log)));
     var bound = bootstrap.bind(settings.address().socket()).awaitUninterruptibly();
     if (!bound.isSuccess()) {
       throw new ServerException(
--- a/burdockbay-server/src/main/java/org/burdockbay/server/transport/TransportSettings.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/transport/TransportSettings.java
@@ -1,6 +1,7 @@
 package org.burdockbay.server.transport;
 
 import java.util.function.Predicate;
+import org.burdockbay.core.membership.Membership;
 import org.burdockbay.server.settings.HostAddress;
 import org.burdockbay.server.settings.HostSettings;
 
@@ -15,6 +16,8 @@
  * @param loops number of threads that carry connections
  * @param pingMillis time between pings on a connection, in milliseconds
  * @param silenceMillis silence after which a connection is given up, in milliseconds
+ * @param staleMillis gap between two messages on a connection after which what follows was sent too
+ *     long ago to be believed, in milliseconds; several heartbeats
  */
 public record TransportSettings(
     String cluster,
@@ -24,7 +27,8 @@
     Predicate<String> known,
     int loops,
     long pingMillis,
-    long silenceMillis) {
+    long silenceMillis,
+    long staleMillis) {
 
   /** Silence after which a connection is given up where hosts are listed, in milliseconds. */
   static final long LISTED_SILENCE_MILLIS = 1_500;
@@ -42,6 +46,7 @@
         settings.domainByHost()::containsKey,
         LISTED_LOOPS,
         LISTED_PING_MILLIS,
-        LISTED_SILENCE_MILLIS);
+        LISTED_SILENCE_MILLIS,
+        Membership.LOST_MILLIS);
   }
 }
--- /dev/null
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/transport/InboundHandlerTest.java
@@ -0,0 +1,95 @@
+package org.burdockbay.server.transport;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.util.ArrayList;
+import java.util.List;
+import org.burdockbay.core.message.PeerMessage;
+import org.burdockbay.server.logging.EventLog;
+import org.burdockbay.server.settings.HostAddress;
+import org.burdockbay.wire.PeerCodec;
+import org.burdockbay.wire.proto.Wire;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** What the accepting end of a connection passes on. */
+public class InboundHandlerTest {
+
+  private static final long STALE_MILLIS = 450;
+  private static final PeerMessage MESSAGE = new PeerMessage.CancelWork("w");
+
+  private final List<PeerMessage> received = new ArrayList<>();
+  private final List<String> connected = new ArrayList<>();
+  private EmbeddedChannel channel;
+  private long now;
+
+  /** Connects a host that has proved itself. */
+  @BeforeMethod
+  public void setUp() {
+    now = 10_000;
+    received.clear();
+    connected.clear();
+    Handshake there = new Handshake(settings("10.0.0.2"), 1);
+    channel =
+        new EmbeddedChannel(
+            new InboundHandler(
+                new Handshake(settings("10.0.0.1"), 1),
+                new Listener(),
+                connected::add,
+                STALE_MILLIS,
+                () -> now,
+                new TransportCounters(new MetricRegistry()),
+                new EventLog("test")));
+    channel.writeInbound(Wire.Envelope.newBuilder().setHello(there.hello()).build());
+    channel.writeInbound(
+        Wire.Envelope.newBuilder().setProof(Wire.Proof.getDefaultInstance()).build());
+    assertEquals(connected, List.of("10.0.0.2"));
+  }
+
+  /** Heartbeats that come a little late are believed. */
+  @Test
+  public void passesOnMessagesWithinTheGap() {
+    now += STALE_MILLIS;
+    channel.writeInbound(PeerCodec.encode(MESSAGE));
+    now += STALE_MILLIS;
+    channel.writeInbound(PeerCodec.encode(MESSAGE));
+    assertEquals(received.size(), 2);
+    assertTrue(channel.isOpen());
+  }
+
+  /**
+   * A partition heals after seconds, and the network delivers what was sent before it. A heartbeat
+   * from before its sender had the dispatcher role made the other dispatcher claim the role again,
+   * which cost both sides the work under way; old work would start after it was refused.
+   */
+  @Test
+  public void believesNothingAfterLongGaps() {
+    channel.writeInbound(PeerCodec.encode(MESSAGE));
+    now += STALE_MILLIS + 1;
+    channel.writeInbound(PeerCodec.encode(MESSAGE), PeerCodec.encode(MESSAGE));
+    assertEquals(received.size(), 1);
+    assertFalse(channel.isOpen());
+  }
+
+  private static TransportSettings settings(String host) {
+    return new TransportSettings(
+        "c", host, "", new HostAddress(host, 1), other -> true, 1, 1_000, 1_000, STALE_MILLIS);
+  }
+
+  private final class Listener implements PeerListener {
+
+    @Override
+    public void received(String host, PeerMessage message) {
+      received.add(message);
+    }
+
+    @Override
+    public void reset(String host) {
+      // Nothing is sent back here.
+    }
+  }
+}
