Submissions name the role that they are meant for; copies only of orders that later ones overtook

A host lost the role and claimed it again within a millisecond. A repetition of work that was sent before came after the claim; it told of no time to wait, and its tasks started beside their first runs. Submissions and cancellations now carry the token that they are meant for; others are noted and dropped. 2. A machine that is suspended together with its clock sees no late event. A copy is now sent only once a call that was sent 10 ms later was answered; a renewal counts as missed by what answers usually take.

--- a/burdockbay-core/src/main/java/org/burdockbay/core/intake/IntakeEffect.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/intake/IntakeEffect.java
@@ -7,11 +7,12 @@
 public sealed interface IntakeEffect {
 
   /** Submits work to a dispatcher. */
-  record Submit(String host, long ticket, WorkRequest request, long ageMillis, long quietMillis)
+  record Submit(
+      IntakeEvent.Dispatcher to, long ticket, WorkRequest request, long ageMillis, long quietMillis)
       implements IntakeEffect {}
 
   /** Tells a dispatcher that the caller has left. */
-  record Cancel(String host, String workId) implements IntakeEffect {}
+  record Cancel(IntakeEvent.Dispatcher to, String workId) implements IntakeEffect {}
 
   /** Answers a caller, finally. */
   record Answer(long ticket, WorkRequest request, long ageMillis, WorkOutcome outcome)
--- a/burdockbay-core/src/main/java/org/burdockbay/core/intake/WorkIntake.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/intake/WorkIntake.java
@@ -86,7 +86,7 @@
     note("caller-left", pending, "");
     if (!byWork.containsKey(pending.request.id())) {
       pending.submittedTo.ifPresent(
-          host -> effects.add(new IntakeEffect.Cancel(host.host(), pending.request.id())));
+          earlier -> effects.add(new IntakeEffect.Cancel(earlier, pending.request.id())));
     }
   }
 
@@ -153,14 +153,14 @@
       pending.quietUntil = Math.max(pending.quietUntil, pending.heardAt + runsOnMillis);
       pending.mayHaveRun = true;
       // In a cut of one direction the earlier dispatcher may hear this host and go on.
-      effects.add(new IntakeEffect.Cancel(pending.submittedTo.get().host(), pending.request.id()));
+      effects.add(new IntakeEffect.Cancel(pending.submittedTo.get(), pending.request.id()));
       note("work-moved", pending, " to=" + target.host() + " token=" + target.token());
     }
     pending.submittedTo = dispatcher;
     pending.submittedAt = now;
     effects.add(
         new IntakeEffect.Submit(
-            target.host(),
+            target,
             pending.ticket,
             pending.request,
             now - pending.arrivedAt,
@@ -184,7 +184,7 @@
   private void giveUp(Pending pending, String reason) {
     boolean neverLeft = pending.submittedTo.isEmpty();
     pending.submittedTo.ifPresent(
-        host -> effects.add(new IntakeEffect.Cancel(host.host(), pending.request.id())));
+        earlier -> effects.add(new IntakeEffect.Cancel(earlier, pending.request.id())));
     answer(
         pending,
         neverLeft ? new WorkOutcome.NotRun(reason, RETRY_MILLIS) : new WorkOutcome.GivenUp(reason));
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseBook.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseBook.java
@@ -32,7 +32,10 @@
    */
   private static final long EXTEND_MILLIS = 450;
 
-  /** So many renewals in a row get a short time for their answer, as single calls are lost. */
+  /**
+   * So many renewals in a row get a short time for their answer, as single calls are lost; the
+   * first one of all, which connects, does not.
+   */
   static final int SOON_REPEATED = 2;
 
   private final DispatchContext context;
@@ -142,8 +145,14 @@
       return;
     }
     run.startsOpen--;
+    if (answered.result() != OrderResult.NO_ANSWER) {
+      runs.answered(run.startSentAt);
+    }
     switch (answered.result()) {
       case DONE -> {
+        if (run.startsSent == 1) {
+          runs.answeredAfter(context.now() - run.startSentAt);
+        }
         run.confirmed = context.nextOrder();
         if (run.phase != LeasedRun.Phase.STOPPING) {
           run.phase = LeasedRun.Phase.RUNNING;
@@ -195,6 +204,19 @@
     }
   }
 
+  /**
+   * Returns for how long this host's clock has stood still, by an answer to a renewal, in
+   * milliseconds; at most 0 if it hasn't.
+   */
+  long standstill(LeaseEvent.RenewalAnswered answered) {
+    UpstreamLease upstream = same(answered.upstream());
+    boolean readable =
+        upstream != null
+            && upstream.renewal == answered.renewal()
+            && answered.clockMillis().isPresent();
+    return readable ? upstream.clockJump(answered.clockMillis().getAsLong(), context.now()) : 0;
+  }
+
   void renewalAnswered(LeaseEvent.RenewalAnswered answered) {
     UpstreamLease upstream = same(answered.upstream());
     if (upstream == null || upstream.renewal != answered.renewal()) {
@@ -224,6 +246,7 @@
     }
     upstream.owned = true;
     upstream.listedAt = context.now();
+    runs.answered(upstream.renewalSentAt);
     upstream.fencedTimes = 0;
     upstream.unanswered = 0;
     for (RunEnd end : answered.ended()) {
@@ -375,6 +398,7 @@
     upstream.renewal = lastRenewal;
     upstream.renewalOpen = true;
     upstream.renewalSent = context.nextOrder();
+    upstream.renewalSentAt = context.now();
     boolean longPoll = wait && upstream.owned && upstream.unanswered == 0;
     context.emit(
         new LeaseEffect.Renew(
@@ -384,7 +408,9 @@
             upstream.acknowledged,
             deadline,
             longPoll ? terms.pollMillis() : 0,
-            upstream.unanswered < SOON_REPEATED ? terms.resendMillis() : terms.answerMillis()));
+            upstream.owned && upstream.unanswered < SOON_REPEATED
+                ? runs.renewalMillis()
+                : terms.answerMillis()));
   }
 
   private @Nullable UpstreamLease same(UpstreamNotice notice) {
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseDispatcher.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseDispatcher.java
@@ -104,19 +104,60 @@
 
   private void dispatch(LeaseEvent event) {
     switch (event) {
-      case LeaseEvent.Submitted submitted -> works.submitted(submitted, leases.all());
-      case LeaseEvent.Cancelled cancelled ->
-          works.abandon(cancelled.entryHost(), cancelled.workId());
+      case LeaseEvent.Submitted submitted -> submitted(submitted);
+      case LeaseEvent.Cancelled cancelled -> cancelled(cancelled);
       case LeaseEvent.EntryHeard heard -> works.entryHeard(heard.entryHost());
       case LeaseEvent.EntryLost lost -> works.entryLost(lost.entryHost());
       case LeaseEvent.StartAnswered answered -> leases.startAnswered(answered);
       case LeaseEvent.StopAnswered answered -> leases.stopAnswered(answered);
-      case LeaseEvent.RenewalAnswered answered -> leases.renewalAnswered(answered);
+      case LeaseEvent.RenewalAnswered answered -> renewalAnswered(answered);
       case LeaseEvent.Tick tick -> tick();
       default -> throw new IllegalStateException("handled before: " + event);
     }
   }
 
+  private void submitted(LeaseEvent.Submitted submitted) {
+    if (meantForNow(submitted.token(), submitted.request().id())) {
+      works.submitted(submitted, leases.all());
+    }
+  }
+
+  private void cancelled(LeaseEvent.Cancelled cancelled) {
+    if (meantForNow(cancelled.token(), cancelled.workId())) {
+      works.abandon(cancelled.entryHost(), cancelled.workId());
+    }
+  }
+
+  /**
+   * Returns whether a message was meant for the role as this host holds it now.
+   *
+   * <p>A host may lose the role and claim it again within a millisecond. A submission that was sent
+   * before knows of no earlier dispatcher whose runs may go on; taken up, it would start tasks that
+   * run already. The entry host submits again as soon as it hears of the new token, and its
+   * cancellation of the earlier submission must not meet the new one.
+   */
+  private boolean meantForNow(long token, String workId) {
+    if (token != context.token()) {
+      context.note(
+          "message-outdated", "work=" + workId + " token=" + token + " now=" + context.token());
+    }
+    return token == context.token();
+  }
+
+  /**
+   * Takes the answer to a renewal, unless it shows that this host stood still together with its
+   * clock, as a suspended machine does. No event comes late by that clock then; but a start needs a
+   * fresh reading of the upstream's clock, and the first one gives the standstill away.
+   */
+  private void renewalAnswered(LeaseEvent.RenewalAnswered answered) {
+    long standstill = leases.standstill(answered);
+    if (standstill > STALL_MILLIS) {
+      stalled(standstill);
+    } else {
+      leases.renewalAnswered(answered);
+    }
+  }
+
   private void tick() {
     leases.tick();
     runs.tick();
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseEvent.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseEvent.java
@@ -18,16 +18,26 @@
   /**
    * An entry host has work; it repeats this until it gets the outcome.
    *
+   * @param token the token under which the entry host takes this host for the dispatcher
    * @param ticket the entry host's number for the request; the same in each repetition
    * @param ageMillis how long ago the caller's request arrived
    * @param quietMillis for how long no task may start, as an earlier dispatcher may still run some
    */
   record Submitted(
-      String entryHost, long ticket, WorkRequest request, long ageMillis, long quietMillis)
+      String entryHost,
+      long token,
+      long ticket,
+      WorkRequest request,
+      long ageMillis,
+      long quietMillis)
       implements LeaseEvent {}
 
-  /** An entry host's caller no longer waits. */
-  record Cancelled(String entryHost, String workId) implements LeaseEvent {}
+  /**
+   * An entry host's caller no longer waits.
+   *
+   * @param token the token under which the entry host takes this host for the dispatcher
+   */
+  record Cancelled(String entryHost, long token, String workId) implements LeaseEvent {}
 
   /** A heartbeat of an entry host arrived. */
   record EntryHeard(String entryHost) implements LeaseEvent {}
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/RunBook.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/RunBook.java
@@ -16,16 +16,66 @@
   /** An order is sent so often at most before lists decide; each copy may be lost by itself. */
   private static final int MOST_COPIES = 4;
 
+  /** A renewal counts as lost after so many times the usual time for an answer. */
+  private static final double LOST_RATIO = 5;
+
+  /** The weight of the newest answer in the usual time for one. */
+  private static final double NEWEST_WEIGHT = 0.1;
+
+  /**
+   * How much later than an order another one was sent, in milliseconds, whose answer shows that the
+   * first one is lost; answers of calls that were sent together come in any order.
+   */
+  private static final long OVERTAKEN_MILLIS = 10;
+
   private final DispatchContext context;
   private final LeaseTerms terms;
   private final Map<TaskId, LeasedRun> openRuns = new HashMap<>();
   private final TakenOverRuns takenOver = new TakenOverRuns();
 
+  /** How long starts take to be answered, in milliseconds; a moving average. */
+  private double answerMillis;
+
+  /** When the newest call that was answered had been sent, in milliseconds. */
+  private long newestAnsweredSentAt;
+
   RunBook(DispatchContext context, LeaseTerms terms) {
     this.context = context;
     this.terms = terms;
   }
 
+  /** Takes note of how long a start took to be answered, in milliseconds. */
+  void answeredAfter(long millis) {
+    answerMillis += NEWEST_WEIGHT * (millis - answerMillis);
+  }
+
+  /** Takes note that a call that was sent at some time was answered. */
+  void answered(long sentAt) {
+    newestAnsweredSentAt = Math.max(newestAnsweredSentAt, sentAt);
+  }
+
+  /**
+   * Returns whether an order that was sent at some time and isn't answered counts as lost.
+   *
+   * <p>Only once later calls were answered: where this host or the network is slow, all answers are
+   * late, and copies would add to the load that makes it slow. A host that takes over on a cold
+   * process would send four copies of each of its first starts.
+   */
+  private boolean lost(long sentAt) {
+    return context.now() - sentAt >= terms.resendMillis()
+        && newestAnsweredSentAt - sentAt >= OVERTAKEN_MILLIS;
+  }
+
+  /**
+   * Returns the silence beyond its wait after which a renewal counts as lost, in milliseconds.
+   *
+   * <p>It follows what is usual, for the same reason.
+   */
+  long renewalMillis() {
+    return Math.clamp(
+        Math.round(LOST_RATIO * answerMillis), terms.resendMillis(), terms.answerMillis());
+  }
+
   /** Returns whether a run of the task may be under way. */
   boolean open(TaskId task) {
     return openRuns.containsKey(task);
@@ -247,9 +297,8 @@
     switch (run.phase) {
       case STARTING -> startAgain(run);
       case STOPPING -> {
-        boolean silent = context.now() - run.stopSentAt >= terms.resendMillis();
         boolean open = run.confirmed == 0 && run.stopSentAt != 0;
-        if (open && silent && run.stopsSent < MOST_COPIES) {
+        if (open && run.stopsSent < MOST_COPIES && lost(run.stopSentAt)) {
           sendStop(run);
         }
       }
@@ -263,9 +312,7 @@
     TaskState task = run.task;
     if (context.now() - run.sentAt >= terms.answerMillis()) {
       unsure(run);
-    } else if (task != null
-        && run.startsSent < MOST_COPIES
-        && context.now() - run.startSentAt >= terms.resendMillis()) {
+    } else if (task != null && run.startsSent < MOST_COPIES && lost(run.startSentAt)) {
       run.startSentAt = context.now();
       run.startsSent++;
       run.startsOpen++;
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/UpstreamLease.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/UpstreamLease.java
@@ -49,6 +49,13 @@
   int failureStreak;
   long pausedUntil;
 
+  /** When the last renewal was sent, in milliseconds. */
+  long renewalSentAt;
+
+  /** By how much its clock is ahead of this host's at most, as of {@link #aheadReadAt}. */
+  private OptionalLong aheadAtMost = OptionalLong.empty();
+
+  private long aheadReadAt;
   private boolean clockKnown;
   private long clockThere;
   private long clockHere;
@@ -75,6 +82,31 @@
     }
   }
 
+  /**
+   * Returns for how much longer than this host's clock the upstream's has gone on, in milliseconds,
+   * as the answer to a renewal shows; at most 0 unless this host's clock has stood still.
+   *
+   * <p>The upstream read its clock between the sending of the renewal and now. So the answer gives
+   * a lower and an upper bound of how far it is ahead, and the lower bound of one answer stays
+   * below the upper bounds of all earlier ones, but for the rates of the clocks.
+   */
+  long clockJump(long clock, long now) {
+    long lower = clock - now;
+    long upper = clock - renewalSentAt;
+    if (aheadAtMost.isEmpty()) {
+      aheadAtMost = OptionalLong.of(upper);
+      aheadReadAt = now;
+      return 0;
+    }
+    double drift = (now - aheadReadAt) * (1 - LeaseTerms.SLOWEST_CLOCK);
+    long known = aheadAtMost.getAsLong() + (long) Math.ceil(drift);
+    if (upper < known) {
+      aheadAtMost = OptionalLong.of(upper);
+      aheadReadAt = now;
+    }
+    return lower - known;
+  }
+
   /**
    * Returns the end of a lease that begins now, on the upstream's clock; 0 while that is unknown.
    *
--- a/burdockbay-core/src/main/java/org/burdockbay/core/message/PeerMessage.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/message/PeerMessage.java
@@ -73,15 +73,20 @@
   /**
    * Submits work to the dispatcher; repeated until the outcome comes.
    *
+   * @param token the token under which the sender takes the receiver for the dispatcher
    * @param ticket the sender's number for the caller's request; the same in each repetition
    * @param ageMillis how long ago the caller's request arrived
    * @param quietMillis for how long no task may start, as an earlier dispatcher may still run some
    */
-  record SubmitWork(long ticket, WorkRequest request, long ageMillis, long quietMillis)
+  record SubmitWork(long token, long ticket, WorkRequest request, long ageMillis, long quietMillis)
       implements PeerMessage {}
 
-  /** Tells the dispatcher that the caller no longer waits. */
-  record CancelWork(String workId) implements PeerMessage {}
+  /**
+   * Tells the dispatcher that the caller no longer waits.
+   *
+   * @param token the token under which the sender takes the receiver for the dispatcher
+   */
+  record CancelWork(long token, String workId) implements PeerMessage {}
 
   /** Tells an entry host the outcome of its work. */
   record ReportWork(String workId, WorkOutcome outcome) implements PeerMessage {}
--- a/burdockbay-core/src/test/java/org/burdockbay/core/agreement/RaftNodeTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/agreement/RaftNodeTest.java
@@ -87,6 +87,31 @@
     assertTrue(voteOf(voter.persisted(ticketOf(effects), LATER)).isPresent());
   }
 
+  /**
+   * All hosts were killed and are up again; without a leader no host has a configuration, and every
+   * caller is refused. A member that hears of no leader campaigns soon, and later each time: with
+   * the short time alone, members that campaign side by side split the votes for ever.
+   */
+  @Test
+  public void campaignsSoonAndThenLaterWhileItHearsOfNoLeader() {
+    RaftNode member = new RaftNode(A, RecoveredLog.bootstrap(GROUP), TIMING, 1, 0);
+    List<Long> campaigns = new ArrayList<>();
+    for (long time = 1; time <= LATER; time++) {
+      boolean campaigned =
+          member.tick(time).stream()
+              .anyMatch(
+                  effect ->
+                      effect instanceof RaftEffect.Send send
+                          && send.message() instanceof RaftMessage.VoteRequest);
+      if (campaigned) {
+        campaigns.add(time);
+      }
+    }
+    assertTrue(campaigns.getFirst() <= 2 * TIMING.firstElectionMillis(), campaigns.toString());
+    long lastPause = campaigns.getLast() - campaigns.get(campaigns.size() - 2);
+    assertTrue(lastPause >= TIMING.electionMillis(), campaigns.toString());
+  }
+
   /**
    * A removed or cut-off host returns and campaigns with a high term; the healthy leader is
    * unseated again and again, and callers wait for elections.
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
@@ -322,12 +322,13 @@
           desk.dispatch(
               new LeaseEvent.Submitted(
                   host,
+                  submit.token(),
                   submit.ticket(),
                   submit.request(),
                   submit.ageMillis(),
                   submit.quietMillis()));
       case PeerMessage.CancelWork cancel ->
-          desk.dispatch(new LeaseEvent.Cancelled(host, cancel.workId()));
+          desk.dispatch(new LeaseEvent.Cancelled(host, cancel.token(), cancel.workId()));
       case PeerMessage.ReportWork report ->
           desk.intake(new IntakeEvent.Reported(report.workId(), report.outcome()));
       case PeerMessage.Agreement received ->
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/WorkDesk.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/WorkDesk.java
@@ -85,11 +85,17 @@
       switch (effect) {
         case IntakeEffect.Submit submit ->
             sender.send(
-                submit.host(),
+                submit.to().host(),
                 new PeerMessage.SubmitWork(
-                    submit.ticket(), submit.request(), submit.ageMillis(), submit.quietMillis()));
+                    submit.to().token(),
+                    submit.ticket(),
+                    submit.request(),
+                    submit.ageMillis(),
+                    submit.quietMillis()));
         case IntakeEffect.Cancel cancel ->
-            sender.send(cancel.host(), new PeerMessage.CancelWork(cancel.workId()));
+            sender.send(
+                cancel.to().host(),
+                new PeerMessage.CancelWork(cancel.to().token(), cancel.workId()));
         case IntakeEffect.Answer answer -> answer(answer);
         case IntakeEffect.Note note -> log.info(note.event(), note.fields());
       }
--- a/burdockbay-wire/src/main/java/org/burdockbay/wire/PeerCodec.java
+++ b/burdockbay-wire/src/main/java/org/burdockbay/wire/PeerCodec.java
@@ -55,7 +55,7 @@
       case PeerMessage.ReturnJob returned ->
           envelope.setReturnJob(SubmissionCodec.encode(returned.key()));
       case PeerMessage.SubmitWork submit -> envelope.setSubmitWork(WorkCodec.encode(submit));
-      case PeerMessage.CancelWork cancel -> envelope.setCancelWork(cancel.workId());
+      case PeerMessage.CancelWork cancel -> envelope.setCancelWork(WorkCodec.encode(cancel));
       case PeerMessage.ReportWork report -> envelope.setReportWork(WorkCodec.encode(report));
       case PeerMessage.UpstreamNews news -> envelope.setUpstreamNews(FleetCodec.encode(news));
       case PeerMessage.KnownHosts known -> envelope.setHostCards(FleetCodec.encode(known));
@@ -123,7 +123,7 @@
               envelope.getRedirectJob().getDomain());
       case RETURN_JOB -> new PeerMessage.ReturnJob(SubmissionCodec.decode(envelope.getReturnJob()));
       case SUBMIT_WORK -> WorkCodec.decode(envelope.getSubmitWork());
-      case CANCEL_WORK -> new PeerMessage.CancelWork(envelope.getCancelWork());
+      case CANCEL_WORK -> WorkCodec.decode(envelope.getCancelWork());
       case REPORT_WORK -> WorkCodec.decode(envelope.getReportWork());
       case UPSTREAM_NEWS -> FleetCodec.decode(envelope.getUpstreamNews());
       case HOST_CARDS -> FleetCodec.decode(envelope.getHostCards());
--- a/burdockbay-wire/src/main/java/org/burdockbay/wire/WorkCodec.java
+++ b/burdockbay-wire/src/main/java/org/burdockbay/wire/WorkCodec.java
@@ -30,7 +30,8 @@
             .setBudgetMs(request.budgetMillis())
             .setAgeMs(submit.ageMillis())
             .setQuietMs(submit.quietMillis())
-            .setTicket(submit.ticket());
+            .setTicket(submit.ticket())
+            .setToken(submit.token());
     request.steps().forEach(step -> builder.addSteps(encode(step)));
     return builder.build();
   }
@@ -88,7 +89,15 @@
             submit.getTargetMs(),
             submit.getBudgetMs());
     return new PeerMessage.SubmitWork(
-        submit.getTicket(), request, submit.getAgeMs(), submit.getQuietMs());
+        submit.getToken(), submit.getTicket(), request, submit.getAgeMs(), submit.getQuietMs());
+  }
+
+  static Wire.CancelWork encode(PeerMessage.CancelWork cancel) {
+    return Wire.CancelWork.newBuilder().setId(cancel.workId()).setToken(cancel.token()).build();
+  }
+
+  static PeerMessage.CancelWork decode(Wire.CancelWork cancel) {
+    return new PeerMessage.CancelWork(cancel.getToken(), cancel.getId());
   }
 
   static PeerMessage.ReportWork decode(Wire.ReportWork report) throws WireException {
