--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/AdmissionRule.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/AdmissionRule.java
@@ -23,10 +23,8 @@
   /**
    * By how much the wait of work that has just arrived is taken longer than predicted.
    *
-   * <p>Work of higher priority that comes later goes first, and estimates are off by 0.4. Without a
-   * margin, callers wait for the most part of their time and are refused then. Under 1.3 times as
-   * much as fits, 2.5 cuts refusals after a quarter of the time from 0.090 to 0.013 of all work and
-   * raises prompt answers from 0.724 to 0.772; 1.5 gives 0.036 and 0.762.
+   * <p>Work of higher priority that comes later goes first, and estimates are rough. Without a
+   * margin, callers wait for the most part of their time and are refused then.
    */
   private static final double EARLY_MARGIN = 2.5;
 
@@ -34,9 +32,8 @@
    * Returns the work in the order in which its tasks are placed.
    *
    * <p>What can still be answered promptly goes first, then the queue's priority counts, then the
-   * latest start. Under 1.3 times as much as fits, priority before the latest start raises the mean
-   * share of prompt answers over three kinds of jobs from 0.655 to 0.735, since the kinds with
-   * little slack no longer wait behind those with much.
+   * latest start. Under more load than fits, kinds with little slack would otherwise wait behind
+   * those with much.
    */
   List<WorkState> order(Collection<WorkState> works, long now) {
     List<WorkState> ordered = new ArrayList<>(works);
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/Backlog.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/Backlog.java
@@ -7,8 +7,7 @@
 
   /**
    * The share of the upstreams' processors that tasks use while others wait. Two or three tasks
-   * fill an upstream, so a part of each stays unused. Under traffic that fills all room, 0.7 serves
-   * 0.90 in time, 0.8 0.89 and 0.875 0.86.
+   * fill an upstream, so a part of each stays unused.
    */
   private static final double USABLE_SHARE = 0.7;
 
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseDispatcher.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseDispatcher.java
@@ -53,8 +53,7 @@
    * Starts the tasks that can start now; call it once all events that wait have been handled.
    *
    * <p>A round looks at all waiting work. One for each event costs most when the most events come:
-   * at 1.3 times the room of 33 upstreams a host of 0.75 cores fell behind, its heartbeats came
-   * late, and others took its role.
+   * an overloaded host falls behind, its heartbeats come late, and others take its role.
    */
   public List<LeaseEffect> place(long time) {
     observe(time);
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/Fleet.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/Fleet.java
@@ -25,9 +25,8 @@
    *
    * <p>Upstreams announce themselves to hosts with a disk only. When all of those are down, an
    * upstream is silent here and serves as before, and the dispatcher's own calls tell whether it is
-   * alive. Forgotten after 6 s, a fleet of 33 upstreams was gone within 6 s after the hosts with a
-   * disk had lost power, with every caller of the next seconds. Ten minutes are longer than a
-   * restart of all of them takes.
+   * alive. Forgotten sooner, the whole fleet would be gone, and every caller refused, while the
+   * hosts with a disk are down. Ten minutes are longer than a restart of all of them takes.
    */
   static final long SILENCE_MILLIS = 600_000;
 
