The confirmation of a start confirms no stop

Cause, found by reading the diff: a start that was confirmed after its stop had been sent counted as the stop's confirmation. Change: only the answer to a stop confirms it. Test first: takesNoConfirmationOfStartsForThatOfStops, red before. Also: a tick without stragglers builds no placement policy.

--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseBook.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseBook.java
@@ -153,8 +153,9 @@
         if (run.startsSent == 1) {
           runs.answeredAfter(context.now() - run.startSentAt);
         }
-        run.confirmed = context.nextOrder();
+        // A run that is being stopped is confirmed by the answer to the stop only.
         if (run.phase != LeasedRun.Phase.STOPPING) {
+          run.confirmed = context.nextOrder();
           run.phase = LeasedRun.Phase.RUNNING;
         }
       }
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseDispatcher.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseDispatcher.java
@@ -161,7 +161,7 @@
   private void tick() {
     leases.tick();
     runs.tick();
-    runs.moveStragglers(stragglers, new PlacementPolicy(leases.open(), context.now()));
+    runs.moveStragglers(stragglers, leases::open);
     works.tick();
   }
 
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/RunBook.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/RunBook.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Supplier;
 import org.burdockbay.core.work.RunId;
 import org.burdockbay.core.work.TaskId;
 
@@ -285,11 +286,13 @@
   /**
    * Takes runs that are overdue from their upstreams, where another one has room for the task.
    *
-   * @param placement chooses the upstream that the task could move to
+   * @param open the upstreams on which tasks may start now
    */
-  void moveStragglers(StragglerRule rule, PlacementPolicy placement) {
-    for (LeasedRun run : rule.stragglers(openRuns.values(), context.now())) {
-      straggles(run, rule, placement);
+  void moveStragglers(StragglerRule rule, Supplier<List<UpstreamLease>> open) {
+    List<LeasedRun> stragglers = rule.stragglers(openRuns.values(), context.now());
+    if (!stragglers.isEmpty()) {
+      PlacementPolicy placement = new PlacementPolicy(open.get(), context.now());
+      stragglers.forEach(run -> straggles(run, rule, placement));
     }
   }
 
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseDispatcherTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseDispatcherTest.java
@@ -374,6 +374,23 @@
         stops(handle(new LeaseEvent.Cancelled("entry", TOKEN, "w"))).getFirst().run(), run);
   }
 
+  /**
+   * A caller leaves while its start is on the way. The stop is lost, and the start's confirmation
+   * comes after it. It confirms no stop, so the stop is sent again, and the lease isn't extended
+   * for a run that nobody wants.
+   */
+  @Test
+  public void takesNoConfirmationOfStartsForThatOfStops() {
+    UpstreamNotice upstream = join("u1");
+    RunId run = starts(submit("w", 1, HALF)).getFirst().run();
+    handle(new LeaseEvent.Cancelled("entry", TOKEN, "w"));
+    handle(new LeaseEvent.StartAnswered(upstream, run, OrderResult.DONE, OptionalLong.of(clock())));
+    handle(new LeaseEvent.StopAnswered(upstream, run, OrderResult.NO_ANSWER, OptionalLong.empty()));
+    List<LeaseEffect> effects = list(upstream, List.of(run), List.of());
+    assertEquals(stops(effects).size(), 1);
+    assertEquals(renewals(effects).getFirst().deadlineMillis(), 0);
+  }
+
   /**
    * An entry host falls silent: its work is dropped after 450 ms, as its callers come elsewhere.
    */
