--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/StragglerRule.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/StragglerRule.java
@@ -21,8 +21,11 @@
   /** What is added for calls and lists on their way, in milliseconds. */
   private static final long CALLS_MILLIS = 40;
 
-  /** By how much a caller's estimate may be too short, as long as nothing better is known. */
-  private static final double ESTIMATE_MARGIN = 1.25;
+  /**
+   * By how much a caller's estimate may be too short, as long as no sibling is done: then the job
+   * and not the upstream may be what is slow.
+   */
+  private static final double ESTIMATE_MARGIN = 2.5;
 
   /** A task is moved so often at most; one that is slow everywhere is its own fault. */
   private static final int MOST_MOVES = 1;
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/HeavyLoadTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/HeavyLoadTest.java
@@ -66,7 +66,7 @@
   /**
    * Six of 33 upstreams turn slow and take 6.5 times as long; the others have room for the usual
    * traffic, 0.88 of it taken. Most jobs of eight tasks meet a slow one. Before: 0.786 in time;
-   * with stragglers moved and slow upstreams avoided 0.924.
+   * with stragglers moved and slow upstreams avoided 0.914.
    */
   @Test
   public void servesAroundSlowUpstreams() {
