Copies of a start carry the same end of the lease

Cause, found by reading the diff: a copy came with a lease from the time of the copy, which holds for all that runs on the upstream. Change: the copy is the same order, byte for byte.

--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeasedRun.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeasedRun.java
@@ -24,6 +24,9 @@
   final TaskSize size;
   final long sentAt;
 
+  /** End of the lease that its start carries, on the upstream's clock, in milliseconds. */
+  long leaseEnd;
+
   /** When the start was sent last, in milliseconds. */
   long startSentAt;
 
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/RunBook.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/RunBook.java
@@ -95,6 +95,8 @@
     task.work.offered = true;
     upstream.add(run);
     openRuns.put(task.id, run);
+    upstream.covered(terms, context.now());
+    run.leaseEnd = upstream.deadline(terms, context.now());
     sendStart(run, task);
     context.note(
         "run-begun",
@@ -109,15 +111,13 @@
   }
 
   private void sendStart(LeasedRun run, TaskState task) {
-    UpstreamLease upstream = run.upstream;
-    upstream.covered(terms, context.now());
     context.emit(
         new LeaseEffect.Start(
-            upstream.notice,
+            run.upstream.notice,
             run.id,
             task.work.request.payload(),
             context.token(),
-            upstream.deadline(terms, context.now())));
+            run.leaseEnd));
   }
 
   /** Gives the work the runs that an earlier dispatcher started and that were found running. */
@@ -332,7 +332,8 @@
    * Sends an order again that wasn't answered.
    *
    * <p>An order or its answer may be lost or held up for seconds, while the next call works. The
-   * copies carry the same run, so the upstream carries out one of them at most.
+   * copies carry the same run, so the upstream carries out one of them at most, and the same end of
+   * the lease: a later one would hold for all that runs there, also for what is being stopped.
    */
   private void sendAgain(LeasedRun run) {
     switch (run.phase) {
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseDispatcherTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseDispatcherTest.java
@@ -154,6 +154,19 @@
     assertEquals(reports(end(upstream, run, 1, RunEnd.Cause.DONE)).size(), 1);
   }
 
+  /**
+   * A start is sent again while another job's run is being stopped there. A copy with a later lease
+   * would keep alive what has to end before its caller comes again elsewhere.
+   */
+  @Test
+  public void copiesOfStartsMakeNoLeaseLonger() {
+    UpstreamNotice upstream = join("u1");
+    LeaseEffect.Start first = starts(submit("w", 1, HALF)).getFirst();
+    overtake(upstream);
+    LeaseEffect.Start again = starts(handle(new LeaseEvent.Tick())).getFirst();
+    assertEquals(again, first);
+  }
+
   /**
    * A dispatcher takes over on a process that has just started, and every answer comes late. Sent
    * again after a fixed time, each of its first starts went out four times, and the answers came
