--- a/burdockbay-wire/src/main/java/org/burdockbay/wire/WorkCodec.java
+++ b/burdockbay-wire/src/main/java/org/burdockbay/wire/WorkCodec.java
@@ -36,6 +36,10 @@
     return builder.build();
   }
 
+  static Wire.CancelWork encode(PeerMessage.CancelWork cancel) {
+    return Wire.CancelWork.newBuilder().setId(cancel.workId()).setToken(cancel.token()).build();
+  }
+
   static Wire.ReportWork encode(PeerMessage.ReportWork report) {
     Wire.ReportWork.Builder builder = Wire.ReportWork.newBuilder().setId(report.workId());
     switch (report.outcome()) {
@@ -92,10 +96,6 @@
         submit.getToken(), submit.getTicket(), request, submit.getAgeMs(), submit.getQuietMs());
   }
 
-  static Wire.CancelWork encode(PeerMessage.CancelWork cancel) {
-    return Wire.CancelWork.newBuilder().setId(cancel.workId()).setToken(cancel.token()).build();
-  }
-
   static PeerMessage.CancelWork decode(Wire.CancelWork cancel) {
     return new PeerMessage.CancelWork(cancel.getToken(), cancel.getId());
   }
