--- /dev/null
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/shard/ShardMap.java
@@ -0,0 +1,72 @@
+package org.burdockbay.core.shard;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Which shard owns which upstream, by rendezvous hashing.
+ *
+ * <p>An upstream belongs to a shard of its own failure domain. Where the domain has none, any other
+ * one takes it. A shard that appears or goes moves only the upstreams that it gains or leaves.
+ */
+public final class ShardMap {
+
+  private static final long HASH_SEED = 0x9E3779B97F4A7C15L;
+  private static final long HASH_PRIME = 0x100000001B3L;
+
+  private final List<ShardId> shards;
+
+  private ShardMap(List<ShardId> shards) {
+    this.shards = shards;
+  }
+
+  /** Returns the map of the given shards; the order in which they are given doesn't matter. */
+  public static ShardMap of(Collection<ShardId> shards) {
+    return new ShardMap(shards.stream().distinct().sorted().toList());
+  }
+
+  /** Returns the shards. */
+  public List<ShardId> shards() {
+    return shards;
+  }
+
+  /** Returns the shard that owns an upstream of a failure domain; empty if there are no shards. */
+  public Optional<ShardId> owner(String upstream, String domain) {
+    List<ShardId> near = shards.stream().filter(shard -> shard.domain().equals(domain)).toList();
+    return highest(upstream, near.isEmpty() ? shards : near);
+  }
+
+  /** Returns the shards in the order in which they are to be tried for a key, best first. */
+  public List<ShardId> preference(String key) {
+    return shards.stream().sorted(byWeight(key).reversed()).toList();
+  }
+
+  private static Optional<ShardId> highest(String key, List<ShardId> candidates) {
+    return candidates.stream().max(byWeight(key));
+  }
+
+  private static Comparator<ShardId> byWeight(String key) {
+    return Comparator.<ShardId>comparingLong(shard -> weight(key, shard))
+        .thenComparing(Comparator.naturalOrder());
+  }
+
+  /** Mixes key and shard (FNV-1a, then the finalizer of SplitMix64); the same on every host. */
+  private static long weight(String key, ShardId shard) {
+    long hash = mix(HASH_SEED, key);
+    hash = mix(hash, shard.domain());
+    hash = (hash ^ shard.index()) * HASH_PRIME;
+    hash = (hash ^ (hash >>> 30)) * 0xBF58476D1CE4E5B9L;
+    hash = (hash ^ (hash >>> 27)) * 0x94D049BB133111EBL;
+    return hash ^ (hash >>> 31);
+  }
+
+  private static long mix(long seed, String text) {
+    long hash = seed;
+    for (int i = 0; i < text.length(); i++) {
+      hash = (hash ^ text.charAt(i)) * HASH_PRIME;
+    }
+    return (hash ^ '/') * HASH_PRIME;
+  }
+}
