--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseModel.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseModel.java
@@ -50,6 +50,9 @@
   /** Share of calls to upstreams that are carried out and whose answer is lost. */
   double answerLost;
 
+  /** What handling an event takes of a host's processor, in microseconds; 0 for no limit. */
+  long eventMicros;
+
   int answers;
   int completed;
   int starts;
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelEntryHost.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelEntryHost.java
@@ -24,6 +24,7 @@
   private static final long LOST_MILLIS = 450;
   private static final long HEARTBEAT_MILLIS = 150;
   private static final long TICK_MILLIS = 25;
+  private static final long MICROS_PER_MILLI = 1_000;
 
   final String name;
   final String domain;
@@ -41,6 +42,10 @@
   private long frozenAt;
   private boolean clockStops;
   private boolean placing;
+
+  /** Until when the processor is busy with what has arrived, in microseconds. */
+  private long busyUntilMicros;
+
   private Membership membership;
   private WorkIntake intake;
   private LeaseDispatcher dispatcher;
@@ -156,6 +161,8 @@
     }
     if (frozen) {
       held.add(() -> arrive(meant, action));
+    } else if (model.eventMicros > 0) {
+      takeTurn(model.eventMicros, action);
     } else if (model.batches()) {
       gather(action);
     } else {
@@ -163,6 +170,20 @@
     }
   }
 
+  /** Handles an event once the processor is done with all that arrived before. */
+  private void takeTurn(long micros, Runnable action) {
+    long meant = life;
+    long nowMicros = model.now() * MICROS_PER_MILLI;
+    busyUntilMicros = Math.max(busyUntilMicros, nowMicros) + micros;
+    model.after(
+        (busyUntilMicros - nowMicros) / MICROS_PER_MILLI,
+        () -> {
+          if (up && meant == life) {
+            action.run();
+          }
+        });
+  }
+
   /** Handles what arrives while the control thread is busy as one batch. */
   private void gather(Runnable action) {
     inbox.add(action);
@@ -197,19 +218,23 @@
       return;
     }
     if (!frozen) {
-      run(membership.tick(clock()));
-      dispatch(new LeaseEvent.Tick());
-      intake(new IntakeEvent.Tick());
+      takeTurn(0, this::timePasses);
     }
     model.after(TICK_MILLIS, () -> tick(meant));
   }
 
+  private void timePasses() {
+    run(membership.tick(clock()));
+    dispatch(new LeaseEvent.Tick());
+    intake(new IntakeEvent.Tick());
+  }
+
   private void beat(long meant) {
     if (!up || meant != life) {
       return;
     }
     if (!frozen) {
-      heartbeat();
+      takeTurn(0, this::heartbeat);
     }
     model.after(HEARTBEAT_MILLIS, () -> beat(meant));
   }
