Observability: why a configuration comes late

What callers saw: two entry hosts answered under configuration 4 while version 8 had been acknowledged for 3.7 s. Three hypotheses (C1 control thread behind, C2 no connection, C3 bytes on the link) could not be told apart by what was logged.

--- a/burdockbay-server/src/main/java/org/burdockbay/server/host/ControlThread.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/host/ControlThread.java
@@ -1,5 +1,6 @@
 package org.burdockbay.server.host;
 
+import com.codahale.metrics.MetricRegistry;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
@@ -7,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import org.burdockbay.core.clock.Clock;
 import org.burdockbay.server.logging.EventLog;
+import org.burdockbay.server.metrics.WaitMeter;
 
 /**
  * The one thread that owns all control state.
@@ -23,16 +25,18 @@
 
   private final Clock clock;
   private final EventLog log;
-  private final BlockingQueue<Runnable> queue = new LinkedBlockingQueue<>();
+  private final WaitMeter waits;
+  private final BlockingQueue<Task> queue = new LinkedBlockingQueue<>();
   private final Thread thread;
   private volatile boolean stopped;
   private Runnable tick = () -> {};
   private Runnable flush = () -> {};
 
   /** Creates the thread; {@link #start} runs it. */
-  public ControlThread(Clock clock, EventLog log) {
+  public ControlThread(Clock clock, EventLog log, MetricRegistry registry) {
     this.clock = clock;
     this.log = log;
+    this.waits = new WaitMeter(registry, "control.wait", log, "control-late");
     this.thread = Thread.ofPlatform().name("control").unstarted(this::run);
   }
 
@@ -45,7 +49,7 @@
 
   /** Runs a task on the thread, later. */
   public void execute(Runnable task) {
-    queue.add(task);
+    queue.add(new Task(task, clock.millis()));
   }
 
   /** Returns the number of tasks that wait. */
@@ -66,7 +70,7 @@
 
   private void run() {
     long nextTick = clock.millis();
-    List<Runnable> batch = new ArrayList<>();
+    List<Task> batch = new ArrayList<>();
     while (!stopped) {
       long now = clock.millis();
       if (now >= nextTick) {
@@ -74,15 +78,15 @@
         nextTick = now + TICK_MILLIS;
       }
       collect(batch, nextTick - now);
-      batch.forEach(this::guarded);
+      batch.forEach(this::begin);
       batch.clear();
       guarded(flush);
     }
   }
 
-  private void collect(List<Runnable> batch, long waitMillis) {
+  private void collect(List<Task> batch, long waitMillis) {
     try {
-      Runnable first = queue.poll(Math.max(0, waitMillis), TimeUnit.MILLISECONDS);
+      Task first = queue.poll(Math.max(0, waitMillis), TimeUnit.MILLISECONDS);
       if (first != null) {
         batch.add(first);
         queue.drainTo(batch, BATCH);
@@ -93,6 +97,12 @@
     }
   }
 
+  private void begin(Task task) {
+    long now = clock.millis();
+    waits.waited(now - task.queuedAt, queue.size(), now);
+    guarded(task.body);
+  }
+
   /** Runs a task; a defect in one event must not end the host's whole control. */
   private void guarded(Runnable task) {
     try {
@@ -101,4 +111,6 @@
       log.error("control-defect", "", e);
     }
   }
+
+  private record Task(Runnable body, long queuedAt) {}
 }
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/CatalogKeeper.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/CatalogKeeper.java
@@ -1,5 +1,6 @@
 package org.burdockbay.server.node;
 
+import java.util.OptionalLong;
 import org.burdockbay.core.catalog.Catalog;
 import org.burdockbay.core.catalog.CatalogException;
 import org.burdockbay.server.logging.EventLog;
@@ -16,6 +17,7 @@
   private final EventLog log;
   private volatile Catalog current = Catalog.NONE;
   private String text = "";
+  private OptionalLong newerHeardAt = OptionalLong.empty();
 
   CatalogKeeper(CatalogReader reader, EventLog log) {
     this.reader = reader;
@@ -32,16 +34,23 @@
     return text;
   }
 
+  /** Takes note of the version that is in force elsewhere, and returns whether it is newer. */
+  boolean heard(long version, long now) {
+    boolean newer = version > current.version();
+    if (newer && newerHeardAt.isEmpty()) {
+      newerHeardAt = OptionalLong.of(now);
+    }
+    return newer;
+  }
+
   /** Puts a catalog in force if it is newer, and returns whether it was. */
-  boolean offer(long version, String offered, String source) {
+  boolean offer(long version, String offered, String source, long now) {
     if (version <= current.version()) {
       return false;
     }
     try {
       Catalog read = reader.read(offered);
-      log.info(
-          "catalog-in-force",
-          "version=" + version + " before=" + current.version() + " source=" + source);
+      noteInForce(version, source, now);
       text = offered;
       current = read;
       return true;
@@ -51,4 +60,18 @@
       return false;
     }
   }
+
+  private void noteInForce(long version, String source, long now) {
+    log.info(
+        "catalog-in-force",
+        "version="
+            + version
+            + " before="
+            + current.version()
+            + " source="
+            + source
+            + " heard-ago="
+            + (now - newerHeardAt.orElse(now)));
+    newerHeardAt = OptionalLong.empty();
+  }
 }
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
@@ -288,7 +288,7 @@
   private void useAgreedCatalog() {
     agreedCatalog.ifPresent(
         document -> {
-          if (catalog.offer(document.version(), document.text(), "log")) {
+          if (catalog.offer(document.version(), document.text(), "log", clock.millis())) {
             heartbeat();
           }
         });
@@ -340,7 +340,7 @@
           proposals.answered(proposed.requestId(), proposed.reply());
       case PeerMessage.FetchConfiguration fetch -> fetched(host, fetch.haveVersion());
       case PeerMessage.ConfigurationText text -> {
-        if (catalog.offer(text.version(), text.text(), host)) {
+        if (catalog.offer(text.version(), text.text(), host, now)) {
           heartbeat();
         }
       }
@@ -361,7 +361,7 @@
     run(membership.heartbeat(status, now));
     desk.dispatch(new LeaseEvent.EntryHeard(status.host()));
     desk.intake(new IntakeEvent.DispatcherHeard(status.host()));
-    if (status.configurationVersion() > catalog.current().version() && now >= fetchAt) {
+    if (catalog.heard(status.configurationVersion(), now) && now >= fetchAt) {
       fetchAt = now + FETCH_MILLIS;
       send(status.host(), new PeerMessage.FetchConfiguration(catalog.current().version()));
     }
--- a/burdockbay-server/src/main/java/org/burdockbay/server/transport/OutboundConnection.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/transport/OutboundConnection.java
@@ -5,12 +5,14 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import org.burdockbay.core.clock.Clock;
+import org.burdockbay.server.logging.EventLog;
 import org.burdockbay.server.settings.PeerSettings;
 import org.burdockbay.wire.proto.Wire;
 import org.jspecify.annotations.Nullable;
@@ -31,17 +33,25 @@
   private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
   private static final int MOST_BYTES_WAITING = 64 * 1024 * 1024;
 
+  /** So many bytes that wait for a peer are logged; a link takes them in about a second. */
+  private static final int MANY_BYTES_WAITING = 256 * 1024;
+
+  /** Time between two such lines for a peer, in milliseconds. */
+  private static final long BACKLOG_LINE_MILLIS = 1_000;
+
   private final TransportSettings settings;
   private final PeerSettings peer;
   private final Handshake handshake;
   private final PeerListener listener;
   private final TransportCounters counters;
+  private final EventLog log;
   private final Clock clock;
   private final Bootstrap bootstrap;
   private volatile @Nullable Channel ready;
   private volatile long readyAt;
   private volatile boolean closed;
   private volatile @Nullable ScheduledFuture<?> retry;
+  private volatile long backlogQuietUntil = Long.MIN_VALUE;
   private volatile long pauseMillis = SHORTEST_PAUSE_MILLIS;
 
   OutboundConnection(
@@ -50,6 +60,7 @@
       Handshake handshake,
       PeerListener listener,
       TransportCounters counters,
+      EventLog log,
       Clock clock,
       EventLoopGroup loops) {
     this.settings = settings;
@@ -57,6 +68,7 @@
     this.handshake = handshake;
     this.listener = listener;
     this.counters = counters;
+    this.log = log;
     this.clock = clock;
     this.bootstrap =
         new Bootstrap()
@@ -98,8 +110,11 @@
       counters.dropped(envelope);
       return;
     }
-    if (channel.unsafe().outboundBuffer() != null
-        && channel.unsafe().outboundBuffer().totalPendingWriteBytes() > MOST_BYTES_WAITING) {
+    long waiting = bytesWaiting(channel);
+    if (waiting > MANY_BYTES_WAITING) {
+      noteBacklog(waiting);
+    }
+    if (waiting > MOST_BYTES_WAITING) {
       counters.dropped(envelope);
       channel.close();
       return;
@@ -108,6 +123,19 @@
     channel.writeAndFlush(envelope);
   }
 
+  private static long bytesWaiting(Channel channel) {
+    ChannelOutboundBuffer buffer = channel.unsafe().outboundBuffer();
+    return buffer == null ? 0 : buffer.totalPendingWriteBytes();
+  }
+
+  private void noteBacklog(long bytes) {
+    long now = clock.millis();
+    if (now >= backlogQuietUntil) {
+      backlogQuietUntil = now + BACKLOG_LINE_MILLIS;
+      log.warn("peer-backlog", "to=" + peer.id() + " bytes=" + bytes);
+    }
+  }
+
   /** Closes the connection of the moment if it has been open for longer than the given time. */
   boolean renew(long olderThanMillis) {
     Channel channel = ready;
--- a/burdockbay-server/src/main/java/org/burdockbay/server/transport/PeerTransport.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/transport/PeerTransport.java
@@ -103,7 +103,7 @@
       throw new IllegalStateException("the transport isn't started");
     }
     OutboundConnection connection =
-        new OutboundConnection(settings, peer, handshake, told, counters, clock, loops);
+        new OutboundConnection(settings, peer, handshake, told, counters, log, clock, loops);
     OutboundConnection before = outbound.put(peer.id(), connection);
     if (before != null) {
       before.close();
--- a/burdockbay-server/src/main/java/org/burdockbay/server/wiring/HostModule.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/wiring/HostModule.java
@@ -80,6 +80,6 @@
         metrics,
         new PeerTransport(TransportSettings.of(settings), incarnation, counters, log, clock),
         new RunnerClient(json),
-        new ControlThread(clock, log));
+        new ControlThread(clock, log, metrics.registry()));
   }
 }
