A total restart after which nobody knows the highest token, as a test that fails

The dispatcher learns of a higher token by refusals only. Epoch files hide this as long as one disk has kept the highest claim.

The test kills all hosts of the lease model, which start again after 1.2 s without memory, and lets the upstreams have met a token that is 0, 5, 60 or 600 rounds ahead.

--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseModel.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseModel.java
@@ -26,7 +26,7 @@
   static final int TASK_CPU = 14_000;
 
   private static final long RESEND_MILLIS = 1_300;
-  private static final long PATIENCE_MILLIS = 2_500;
+  static final long PATIENCE_MILLIS = 2_500;
   private static final long LONGEST_WORK_MILLIS = 900;
 
   private final SplittableRandom random;
@@ -53,11 +53,18 @@
   int answers;
   int completed;
   int starts;
-  private long now = 1_000_000;
+  private long now;
   private long order;
   private int works;
 
   LeaseModel(long seed, Network network, int hostsInDomain, int upstreamsInDomain) {
+    this(seed, network, hostsInDomain, upstreamsInDomain, 1_000_000);
+  }
+
+  /** Creates a model that begins at a time of day, in milliseconds since 1970. */
+  LeaseModel(
+      long seed, Network network, int hostsInDomain, int upstreamsInDomain, long beginsAtMillis) {
+    now = beginsAtMillis;
     random = new SplittableRandom(seed);
     this.network = network;
     int number = 0;
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelEntryHost.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelEntryHost.java
@@ -34,6 +34,15 @@
   private final List<Runnable> inbox = new ArrayList<>();
   boolean up;
   boolean frozen;
+
+  /** By how much its time of day is ahead when its process starts, in milliseconds. */
+  long aheadAtStart;
+
+  /** Whether it has a disk, from which the process recalls the highest epoch. */
+  boolean keepsEpoch;
+
+  private long savedEpoch;
+  private long aheadMillis;
   private long life;
   private long incarnation;
   private long lastTicket;
@@ -55,13 +64,15 @@
     up = true;
     frozen = false;
     life++;
-    incarnation = model.now();
+    aheadMillis = aheadAtStart;
+    incarnation = clock();
     placing = false;
     inbox.clear();
     membership =
         Membership.growing(
             name, GROUP, MembershipTerms.ofAddress(name, LOST_MILLIS, true), clock());
     model.hosts.keySet().forEach(host -> membership.admit(host, GROUP, clock()));
+    membership.recall(savedEpoch);
     intake = new WorkIntake(name, LOST_MILLIS + LeaseTerms.DEFAULT.longestMillis());
     dispatcher = new LeaseDispatcher(name, LeaseTerms.DEFAULT);
     incarnations.clear();
@@ -189,7 +200,7 @@
   }
 
   private long clock() {
-    return model.now() - suspendedMillis;
+    return model.now() + aheadMillis - suspendedMillis;
   }
 
   private void tick(long meant) {
@@ -198,6 +209,7 @@
     }
     if (!frozen) {
       run(membership.tick(clock()));
+      savedEpoch = keepsEpoch ? membership.highestEpoch() : 0;
       dispatch(new LeaseEvent.Tick());
       intake(new IntakeEvent.Tick());
     }
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelUpstream.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelUpstream.java
@@ -63,6 +63,15 @@
     lastEnd = 0;
   }
 
+  /** Meets a token of a dispatcher that is no part of the model. */
+  void meets(long strangeToken) {
+    token = Math.max(token, strangeToken);
+  }
+
+  long token() {
+    return token;
+  }
+
   void restart() {
     if (up) {
       return;
