A claim that no upstream has obeyed is outbid by more each time

What a refusal means was not told apart: a token that was obeyed and is refused now was outbid by a rival that lives, and a small step suffices; one that was never obeyed is below a claim that nobody remembers, however far. The second kind now grows: 10, 80, 640 rounds, then 640 each. A start of the process, 1.5 s to the claim, and three outbids take 8.7 s by this reckoning, and bridge 730 rounds.

Rivals on two sides of a cut go on with small steps, since each claim of theirs is obeyed at first; growing steps there would spend epochs, which have 29 bits of rounds, and the cap lets refusals go on for weeks.

Not tried: fewer or faster refusals per outbid.

LeaseModel.heal granted 20 s, which was no stated bound; it grants the 12 s of the aim now.

--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseBook.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseBook.java
@@ -362,7 +362,7 @@
             + upstream.fencedTimes);
     if (upstream.fencedTimes >= MOST_FENCED) {
       upstream.fencedTimes = 0;
-      context.emit(new LeaseEffect.Outranked(context.token()));
+      context.emit(new LeaseEffect.Outranked(context.token(), upstream.hasObeyed()));
     }
   }
 
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseEffect.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseEffect.java
@@ -40,8 +40,12 @@
   /** Tells an entry host the outcome of its work. */
   record Report(String entryHost, String workId, WorkOutcome outcome) implements LeaseEffect {}
 
-  /** An upstream goes on refusing this host's token, as it has seen a higher one. */
-  record Outranked(long token) implements LeaseEffect {}
+  /**
+   * An upstream goes on refusing this host's token, as it has seen a higher one.
+   *
+   * @param obeyedBefore whether it has obeyed this token, so that the higher one is newer
+   */
+  record Outranked(long token, boolean obeyedBefore) implements LeaseEffect {}
 
   /** This host stood still and has given the role up. */
   record Stalled() implements LeaseEffect {}
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/UpstreamLease.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/UpstreamLease.java
@@ -74,6 +74,11 @@
     return owned && clockKnown && unanswered == 0 && !notice.leaving() && now >= pausedUntil;
   }
 
+  /** Returns whether it has answered a renewal under the present token. */
+  boolean hasObeyed() {
+    return listedAt != 0;
+  }
+
   TaskSize free() {
     return notice.capacity().minus(used);
   }
--- a/burdockbay-core/src/main/java/org/burdockbay/core/membership/Membership.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/membership/Membership.java
@@ -28,6 +28,15 @@
   /** By how many rounds an unknown higher claim is outbid: clocks may differ by some seconds. */
   private static final long OUTRANK_ROUNDS = 10;
 
+  /**
+   * How many times more rounds each further claim is worth that was never obeyed. Such a claim is
+   * below one that nobody remembers, however far, and each refusal costs seconds without service.
+   */
+  private static final long OUTRANK_GROWTH = 8;
+
+  /** The most rounds at once: hosts that are refused for weeks must not run out of epochs. */
+  private static final long MOST_OUTRANK_ROUNDS = 640;
+
   /**
    * A host that finds the others by itself, and hasn't heard all that it was told of, claims
    * nothing before it has heard some for so many times the silence that counts as a loss. Counted
@@ -62,6 +71,7 @@
   private final TreeMap<String, Heard> heard = new TreeMap<>();
   private long claimedEpoch;
   private long highestEpoch;
+  private long outrankRounds = OUTRANK_ROUNDS;
   private boolean draining;
   private boolean settled;
   private RouteView routes;
@@ -205,12 +215,15 @@
    * Gives a claim up because it is below one that nobody tells of, and claims again well above it.
    *
    * @param epoch the claim that proved too low; another one is left as it is
+   * @param obeyedBefore whether the claim was obeyed at first, so that a rival has outbid it since
    */
-  public List<MembershipEffect> outranked(long epoch, long now) {
+  public List<MembershipEffect> outranked(long epoch, boolean obeyedBefore, long now) {
     if (epoch != claimedEpoch) {
       return List.of();
     }
-    return fenced(epoch + (OUTRANK_ROUNDS << terms.hostBits()), now);
+    long rounds = obeyedBefore ? OUTRANK_ROUNDS : outrankRounds;
+    outrankRounds = Math.min(rounds * OUTRANK_GROWTH, MOST_OUTRANK_ROUNDS);
+    return fenced(epoch + (rounds << terms.hostBits()), now);
   }
 
   /**
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseModel.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseModel.java
@@ -27,6 +27,10 @@
 
   private static final long RESEND_MILLIS = 1_300;
   static final long PATIENCE_MILLIS = 2_500;
+
+  /** Time after the last fault by which callers are served again, by the stated aim. */
+  static final long RECOVERY_MILLIS = 12_000;
+
   private static final long LONGEST_WORK_MILLIS = 900;
 
   private final SplittableRandom random;
@@ -213,7 +217,7 @@
             upstream.restart();
           }
         });
-    advance(20_000);
+    advance(RECOVERY_MILLIS);
     for (ModelEntryHost host : hosts.values()) {
       check(host.waiting() == 0, host.name + " owes " + host.waiting() + " answers");
     }
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelEntryHost.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelEntryHost.java
@@ -372,7 +372,12 @@
               () -> target.intake(new IntakeEvent.Reported(report.workId(), report.outcome())));
         }
         case LeaseEffect.Outranked outranked ->
-            deliver(0, () -> run(membership.outranked(outranked.token(), clock())));
+            deliver(
+                0,
+                () ->
+                    run(
+                        membership.outranked(
+                            outranked.token(), outranked.obeyedBefore(), clock())));
         case LeaseEffect.Stalled stalled -> deliver(0, () -> run(membership.startOver(clock())));
         case LeaseEffect.Note note -> model.trace(name, note.event() + " " + note.fields());
       }
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/TotalRestartTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/TotalRestartTest.java
@@ -8,9 +8,6 @@
 /** What callers get after all hosts were killed at once, while the upstreams went on. */
 public class TotalRestartTest {
 
-  /** Time after which callers are served again, by the stated aim, in milliseconds. */
-  private static final long RECOVERY_MILLIS = 12_000;
-
   private static final long DOWN_MILLIS = 1_200;
   private static final long BEGINS_AT_MILLIS = 1_796_256_000_000L;
   private static final int TOKEN_BITS = 24;
@@ -42,6 +39,45 @@
     }
   }
 
+  /** The same with a disk on one host, and clocks that were stepped back before the restart. */
+  @Test
+  public void servesInTimeThoughClocksWentBack() {
+    for (long seed = 1; seed <= SEEDS; seed++) {
+      LeaseModel model = model(seed);
+      model.hosts.values().iterator().next().keepsEpoch = true;
+      model.advance(1_000);
+      long step = -2_400 * seed;
+      restart(
+          model,
+          () ->
+              model
+                  .hosts
+                  .values()
+                  .forEach(host -> host.aheadAtStart = step + model.random().nextLong(2_400)));
+      checkServed(model, "seed " + seed);
+    }
+  }
+
+  /** Hosts that have just started stand still now and then, and the role goes round. */
+  @Test
+  public void servesInTimeThoughRestartedHostsStandStill() {
+    for (long seed = 1; seed <= SEEDS; seed++) {
+      LeaseModel model = model(seed);
+      restart(model, () -> {});
+      for (int i = 0; i < 12; i++) {
+        model.hosts.values().stream()
+            .filter(ModelEntryHost::dispatches)
+            .forEach(
+                host -> {
+                  host.freeze(false);
+                  model.after(300 + model.random().nextLong(200), host::thaw);
+                });
+        submitFor(model, 600);
+      }
+      checkServed(model, "seed " + seed);
+    }
+  }
+
   private static LeaseModel model(long seed) {
     LeaseModel model = new LeaseModel(seed, LeaseModel.Network.SPACED, 2, 3, BEGINS_AT_MILLIS);
     submitFor(model, 1_000);
@@ -62,7 +98,7 @@
 
   /** Checks that callers who come later than the stated aim after the restart are all served. */
   private static void checkServed(LeaseModel model, String play) {
-    submitFor(model, RECOVERY_MILLIS - LeaseModel.PATIENCE_MILLIS);
+    submitFor(model, LeaseModel.RECOVERY_MILLIS - LeaseModel.PATIENCE_MILLIS);
     model.advance(LeaseModel.PATIENCE_MILLIS);
     int before = model.completed;
     submitFor(model, LAST_CALLERS * GAP_MILLIS);
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
@@ -20,6 +20,7 @@
 import org.burdockbay.core.dispatch.DomainLoad;
 import org.burdockbay.core.fleet.UpstreamNotice;
 import org.burdockbay.core.intake.IntakeEvent;
+import org.burdockbay.core.lease.LeaseEffect;
 import org.burdockbay.core.lease.LeaseEvent;
 import org.burdockbay.core.lease.LeaseTerms;
 import org.burdockbay.core.membership.HostCard;
@@ -460,8 +461,8 @@
   }
 
   /** Claims the role anew with a higher token, or leaves it to a host that is heard with one. */
-  private void outranked(long token) {
-    run(membership.outranked(token, clock.millis()));
+  private void outranked(LeaseEffect.Outranked lost) {
+    run(membership.outranked(lost.token(), lost.obeyedBefore(), clock.millis()));
   }
 
   private void startOver() {
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/WorkDesk.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/WorkDesk.java
@@ -5,7 +5,6 @@
 import java.util.Map;
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
-import java.util.function.LongConsumer;
 import org.burdockbay.core.clock.Clock;
 import org.burdockbay.core.intake.IntakeEffect;
 import org.burdockbay.core.intake.IntakeEvent;
@@ -33,14 +32,14 @@
   private final HostMetrics metrics;
   private final PeerSender sender;
   private final Executor control;
-  private final LongConsumer outranked;
+  private final Consumer<LeaseEffect.Outranked> outranked;
   private final Runnable startOver;
 
   WorkDesk(
       NodeParts parts,
       PeerSender sender,
       Executor control,
-      LongConsumer outranked,
+      Consumer<LeaseEffect.Outranked> outranked,
       Runnable startOver) {
     this.dispatcher = new LeaseDispatcher(parts.settings().host(), LeaseTerms.DEFAULT);
     this.intake =
@@ -120,7 +119,7 @@
         case LeaseEffect.Report report ->
             sender.send(
                 report.entryHost(), new PeerMessage.ReportWork(report.workId(), report.outcome()));
-        case LeaseEffect.Outranked lost -> control.execute(() -> outranked.accept(lost.token()));
+        case LeaseEffect.Outranked lost -> control.execute(() -> outranked.accept(lost));
         case LeaseEffect.Stalled stalled -> control.execute(startOver);
         case LeaseEffect.Note note -> {
           metrics.event(note.event());
