--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelEntryHost.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelEntryHost.java
@@ -35,6 +35,15 @@
   private final List<Runnable> inbox = new ArrayList<>();
   boolean up;
   boolean frozen;
+
+  /** By how much its time of day is ahead when its process starts, in milliseconds. */
+  long aheadAtStart;
+
+  /** Whether it has a disk, from which the process recalls the highest epoch. */
+  boolean keepsEpoch;
+
+  private long savedEpoch;
+  private long aheadMillis;
   private long life;
   private long incarnation;
   private long lastTicket;
@@ -60,13 +69,15 @@
     up = true;
     frozen = false;
     life++;
-    incarnation = model.now();
+    aheadMillis = aheadAtStart;
+    incarnation = clock();
     placing = false;
     inbox.clear();
     membership =
         Membership.growing(
             name, GROUP, MembershipTerms.ofAddress(name, LOST_MILLIS, true), clock());
     model.hosts.keySet().forEach(host -> membership.admit(host, GROUP, clock()));
+    membership.recall(savedEpoch);
     intake = new WorkIntake(name, LOST_MILLIS + LeaseTerms.DEFAULT.longestMillis());
     dispatcher = new LeaseDispatcher(name, LeaseTerms.DEFAULT);
     incarnations.clear();
@@ -170,6 +181,15 @@
     }
   }
 
+  /** Does what is due, behind what has arrived before if the processor is limited. */
+  private void inTurn(Runnable action) {
+    if (model.eventMicros > 0) {
+      takeTurn(0, action);
+    } else {
+      action.run();
+    }
+  }
+
   /** Handles an event once the processor is done with all that arrived before. */
   private void takeTurn(long micros, Runnable action) {
     long meant = life;
@@ -210,7 +230,7 @@
   }
 
   private long clock() {
-    return model.now() - suspendedMillis;
+    return model.now() + aheadMillis - suspendedMillis;
   }
 
   private void tick(long meant) {
@@ -218,13 +238,14 @@
       return;
     }
     if (!frozen) {
-      takeTurn(0, this::timePasses);
+      inTurn(this::timePasses);
     }
     model.after(TICK_MILLIS, () -> tick(meant));
   }
 
   private void timePasses() {
     run(membership.tick(clock()));
+    savedEpoch = keepsEpoch ? membership.highestEpoch() : 0;
     dispatch(new LeaseEvent.Tick());
     intake(new IntakeEvent.Tick());
   }
@@ -234,7 +255,7 @@
       return;
     }
     if (!frozen) {
-      takeTurn(0, this::heartbeat);
+      inTurn(this::heartbeat);
     }
     model.after(HEARTBEAT_MILLIS, () -> beat(meant));
   }
@@ -385,7 +406,12 @@
               () -> target.intake(new IntakeEvent.Reported(report.workId(), report.outcome())));
         }
         case LeaseEffect.Outranked outranked ->
-            deliver(0, () -> run(membership.outranked(outranked.token(), clock())));
+            deliver(
+                0,
+                () ->
+                    run(
+                        membership.outranked(
+                            outranked.token(), outranked.obeyedBefore(), clock())));
         case LeaseEffect.Stalled stalled -> deliver(0, () -> run(membership.startOver(clock())));
         case LeaseEffect.Note note -> model.trace(name, note.event() + " " + note.fields());
       }
