Metrics tell what calls and messages cost, by kind

What callers saw: an overloaded dispatcher or a full link shows as late answers, and nothing told which traffic took the room.

Counters now give calls to upstreams by kind (count, bytes each way on the connection, unanswered), messages between hosts by kind and direction with their bytes, why connections were opened, and the most bytes that wait for one host. They are looked up once and not by a name that is put together for each message. Bytes of received messages are counted from the frame, so no message is measured again.

A read of the bytes that wait on a connection took the buffer twice, and could meet a connection that was closed in between; it takes it once.

--- a/burdockbay-server/src/main/java/org/burdockbay/server/transport/InboundHandler.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/transport/InboundHandler.java
@@ -55,7 +55,6 @@
       // It was closed over an earlier message that was read together with this one.
       return;
     }
-    counters.received(envelope);
     switch (envelope.getBodyCase()) {
       case HELLO -> greeted(context, envelope.getHello());
       case PROOF -> proven(context, envelope.getProof());
--- a/burdockbay-server/src/main/java/org/burdockbay/server/transport/OutboundConnection.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/transport/OutboundConnection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
@@ -43,6 +44,7 @@
   private volatile boolean closed;
   private volatile @Nullable ScheduledFuture<?> retry;
   private volatile long pauseMillis = SHORTEST_PAUSE_MILLIS;
+  private volatile TransportCounters.Reason reason = TransportCounters.Reason.FIRST;
 
   OutboundConnection(
       TransportSettings settings,
@@ -64,7 +66,7 @@
             .channel(NioSocketChannel.class)
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-            .handler(new PeerPipeline(SenderHandler::new));
+            .handler(new PeerPipeline(counters, SenderHandler::new));
   }
 
   void connect() {
@@ -78,6 +80,7 @@
               if (attempt.isSuccess()) {
                 attempt.channel().closeFuture().addListener(ended -> reconnectLater(attempt));
               } else {
+                reason = TransportCounters.Reason.FAILED;
                 reconnectLater(attempt);
               }
             });
@@ -98,9 +101,9 @@
       counters.dropped(envelope);
       return;
     }
-    if (channel.unsafe().outboundBuffer() != null
-        && channel.unsafe().outboundBuffer().totalPendingWriteBytes() > MOST_BYTES_WAITING) {
+    if (unsentBytes(channel) > MOST_BYTES_WAITING) {
       counters.dropped(envelope);
+      reason = TransportCounters.Reason.BACKLOG;
       channel.close();
       return;
     }
@@ -108,12 +111,24 @@
     channel.writeAndFlush(envelope);
   }
 
+  /** Returns how many bytes wait on the connection. */
+  long unsentBytes() {
+    Channel channel = ready;
+    return channel == null ? 0 : unsentBytes(channel);
+  }
+
+  private static long unsentBytes(Channel channel) {
+    ChannelOutboundBuffer buffer = channel.unsafe().outboundBuffer();
+    return buffer == null ? 0 : buffer.totalPendingWriteBytes();
+  }
+
   /** Closes the connection of the moment if it has been open for longer than the given time. */
   boolean renew(long olderThanMillis) {
     Channel channel = ready;
     boolean old = channel != null && clock.millis() - readyAt > olderThanMillis;
     if (old) {
       ready = null;
+      reason = TransportCounters.Reason.SILENT;
       channel.close();
     }
     return old;
@@ -177,6 +192,8 @@
             readyAt = clock.millis();
             pauseMillis = SHORTEST_PAUSE_MILLIS;
             ready = context.channel();
+            counters.connected(reason);
+            reason = TransportCounters.Reason.LOST;
             listener.reset(peer.id());
           } else {
             counters.refused();
@@ -199,6 +216,7 @@
         return;
       }
       if (clock.millis() - heardAt > settings.silenceMillis()) {
+        reason = TransportCounters.Reason.SILENT;
         context.close();
       } else if (context.channel().equals(ready)) {
         context.writeAndFlush(Wire.Envelope.newBuilder().setPing(clock.millis()).build());
--- a/burdockbay-server/src/main/java/org/burdockbay/server/transport/PeerPipeline.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/transport/PeerPipeline.java
@@ -6,10 +6,8 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
-import io.netty.handler.codec.protobuf.ProtobufDecoder;
 import io.netty.handler.codec.protobuf.ProtobufEncoder;
 import java.util.function.Supplier;
-import org.burdockbay.wire.proto.Wire;
 
 /** The handlers of a connection between hosts: frames, protobuf, and one handler of ours. */
 final class PeerPipeline extends ChannelInitializer<SocketChannel> {
@@ -17,9 +15,11 @@
   private static final int LARGEST_FRAME = 64 * 1024 * 1024;
   private static final int LENGTH_BYTES = 4;
 
+  private final TransportCounters counters;
   private final Supplier<ChannelHandler> handler;
 
-  PeerPipeline(Supplier<ChannelHandler> handler) {
+  PeerPipeline(TransportCounters counters, Supplier<ChannelHandler> handler) {
+    this.counters = counters;
     this.handler = handler;
   }
 
@@ -28,7 +28,7 @@
     ChannelPipeline pipeline = channel.pipeline();
     pipeline.addLast(
         new LengthFieldBasedFrameDecoder(LARGEST_FRAME, 0, LENGTH_BYTES, 0, LENGTH_BYTES));
-    pipeline.addLast(new ProtobufDecoder(Wire.Envelope.getDefaultInstance()));
+    pipeline.addLast(new EnvelopeDecoder(counters));
     pipeline.addLast(new LengthFieldPrepender(LENGTH_BYTES));
     pipeline.addLast(new ProtobufEncoder());
     pipeline.addLast(handler.get());
--- a/burdockbay-server/src/main/java/org/burdockbay/server/transport/PeerTransport.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/transport/PeerTransport.java
@@ -42,6 +42,7 @@
     this.counters = counters;
     this.log = log;
     this.clock = clock;
+    counters.showUnsent(this::mostUnsent);
     this.loops = new MultiThreadIoEventLoopGroup(settings.loops(), NioIoHandler.newFactory());
   }
 
@@ -65,6 +66,7 @@
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childHandler(
                 new PeerPipeline(
+                    counters,
                     () ->
                         new InboundHandler(
                             handshake,
@@ -138,6 +140,10 @@
     }
   }
 
+  private long mostUnsent() {
+    return outbound.values().stream().mapToLong(OutboundConnection::unsentBytes).max().orElse(0);
+  }
+
   @Override
   public void close() {
     outbound.values().forEach(OutboundConnection::close);
--- /dev/null
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/web/CallMeter.java
@@ -0,0 +1,35 @@
+package org.burdockbay.server.web;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+
+/** Counts the calls of one kind, and their bytes as they are on the connection. */
+public final class CallMeter {
+
+  private final Counter calls;
+  private final Counter bytesOut;
+  private final Counter bytesIn;
+  private final Counter unanswered;
+
+  /** Creates the counters of a kind of call in the given registry. */
+  public CallMeter(MetricRegistry registry, String kind) {
+    String name = "upstream.calls." + kind;
+    this.calls = registry.counter(name);
+    this.bytesOut = registry.counter(name + ".bytes-out");
+    this.bytesIn = registry.counter(name + ".bytes-in");
+    this.unanswered = registry.counter(name + ".unanswered");
+  }
+
+  void begun() {
+    calls.inc();
+  }
+
+  void unanswered() {
+    unanswered.inc();
+  }
+
+  void carried(long out, long in) {
+    bytesOut.inc(out);
+    bytesIn.inc(in);
+  }
+}
--- a/burdockbay-server/src/main/java/org/burdockbay/server/web/WebClient.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/web/WebClient.java
@@ -1,5 +1,7 @@
 package org.burdockbay.server.web;
 
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -23,7 +25,9 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.EnumMap;
 import java.util.HashMap;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ScheduledFuture;
@@ -47,10 +51,19 @@
 
   private final EventLoop loop;
   private final Bootstrap bootstrap;
-  private final Map<HostAddress, Deque<Connection>> idle = new HashMap<>();
+  private final Map<HostAddress, Endpoint> endpoints = new HashMap<>();
+  private final Map<Reason, Counter> connected = new EnumMap<>(Reason.class);
 
-  /** Creates a client on one of the given loops. */
-  public WebClient(EventLoopGroup loops) {
+  /**
+   * Creates a client on one of the given loops.
+   *
+   * @param registry where new connections are counted
+   */
+  public WebClient(EventLoopGroup loops, MetricRegistry registry) {
+    for (Reason reason : Reason.values()) {
+      String word = reason.name().toLowerCase(Locale.ROOT);
+      connected.put(reason, registry.counter("upstream.connections." + word));
+    }
     this.loop = loops.next();
     this.bootstrap =
         new Bootstrap()
@@ -64,6 +77,7 @@
                   protected void initChannel(SocketChannel channel) {
                     channel
                         .pipeline()
+                        .addLast(new ByteCounter())
                         .addLast(new HttpClientCodec())
                         .addLast(new HttpObjectAggregator(LARGEST_ANSWER))
                         .addLast(new Connection());
@@ -74,13 +88,15 @@
   /**
    * Makes a call.
    *
+   * @param meter counts the call
    * @param answer gets the answer, or nothing if none came in time; called once, on the loop
    */
-  public void call(WebCall call, Consumer<Optional<WebAnswer>> answer) {
+  public void call(WebCall call, CallMeter meter, Consumer<Optional<WebAnswer>> answer) {
+    Pending pending = new Pending(call, meter, answer);
     if (loop.inEventLoop()) {
-      begin(new Pending(call, answer));
+      begin(pending);
     } else {
-      loop.execute(() -> begin(new Pending(call, answer)));
+      loop.execute(() -> begin(pending));
     }
   }
 
@@ -88,36 +104,41 @@
   public void forget(HostAddress address) {
     loop.execute(
         () -> {
-          Deque<Connection> connections = idle.remove(address);
-          if (connections != null) {
-            connections.forEach(connection -> connection.channel().close());
+          Endpoint endpoint = endpoints.remove(address);
+          if (endpoint != null) {
+            endpoint.idle.forEach(connection -> connection.channel().close());
           }
         });
   }
 
   private void begin(Pending pending) {
+    pending.meter.begun();
     pending.timer =
         loop.schedule(pending::timedOut, pending.call.timeoutMillis(), TimeUnit.MILLISECONDS);
-    Deque<Connection> free = idle.get(pending.call.address());
-    Connection connection = free == null ? null : free.pollLast();
+    Endpoint endpoint =
+        endpoints.computeIfAbsent(pending.call.address(), address -> new Endpoint());
+    Connection connection = endpoint.idle.pollLast();
     if (connection != null) {
       connection.send(pending);
     } else {
-      connect(pending);
+      connect(pending, endpoint);
     }
   }
 
-  private void connect(Pending pending) {
+  private void connect(Pending pending, Endpoint endpoint) {
+    connected.get(endpoint.reason).inc();
+    endpoint.reason = Reason.BUSY;
     bootstrap
         .connect(pending.call.address().socket())
         .addListener(
             (ChannelFuture attempt) -> {
               if (!attempt.isSuccess()) {
+                endpoint.reason = Reason.FAILED;
                 pending.finish(Optional.empty());
               } else if (pending.finished) {
                 attempt.channel().close();
               } else {
-                attempt.channel().pipeline().get(Connection.class).send(pending);
+                attempt.channel().pipeline().get(Connection.class).open(endpoint, pending);
               }
             });
   }
@@ -138,24 +159,49 @@
     return request;
   }
 
+  /** Why a connection was opened. */
+  private enum Reason {
+    /** There was none before. */
+    FIRST,
+    /** All others carry calls. */
+    BUSY,
+    /** The one before could not be opened. */
+    FAILED,
+    /** The one before carried a call that wasn't answered in time. */
+    UNANSWERED,
+    /** The one before was closed by the other end or the network. */
+    LOST
+  }
+
+  /** The connections to an address on which no call is under way. */
+  private static final class Endpoint {
+
+    private final Deque<Connection> idle = new ArrayDeque<>();
+
+    /** Why the next connection will be opened. */
+    private Reason reason = Reason.FIRST;
+  }
+
   /** A call with what is to be told its answer. */
   private static final class Pending {
 
     private final WebCall call;
+    private final CallMeter meter;
     private final Consumer<Optional<WebAnswer>> answer;
     private @Nullable ScheduledFuture<?> timer;
-    private @Nullable Channel channel;
+    private @Nullable Connection connection;
     private boolean finished;
 
-    Pending(WebCall call, Consumer<Optional<WebAnswer>> answer) {
+    Pending(WebCall call, CallMeter meter, Consumer<Optional<WebAnswer>> answer) {
       this.call = call;
+      this.meter = meter;
       this.answer = answer;
     }
 
     void timedOut() {
-      Channel used = channel;
+      Connection used = connection;
       if (used != null) {
-        used.close();
+        used.giveUp();
       }
       finish(Optional.empty());
     }
@@ -168,16 +214,20 @@
       if (timer != null) {
         timer.cancel(false);
       }
+      if (result.isEmpty()) {
+        meter.unanswered();
+      }
       answer.accept(result);
     }
   }
 
   /** An open connection. */
-  private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
+  private static final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
 
     private @Nullable ChannelHandlerContext context;
     private @Nullable Pending pending;
-    private @Nullable HostAddress address;
+    private @Nullable Endpoint endpoint;
+    private Reason end = Reason.LOST;
 
     @Override
     public void handlerAdded(ChannelHandlerContext added) {
@@ -191,10 +241,19 @@
       return context.channel();
     }
 
+    void open(Endpoint to, Pending first) {
+      endpoint = to;
+      send(first);
+    }
+
+    void giveUp() {
+      end = Reason.UNANSWERED;
+      channel().close();
+    }
+
     void send(Pending next) {
       pending = next;
-      address = next.call.address();
-      next.channel = channel();
+      next.connection = this;
       channel().writeAndFlush(request(next.call));
     }
 
@@ -203,16 +262,21 @@
       Pending answered = pending;
       pending = null;
       boolean keep = HttpUtil.isKeepAlive(response) && answered != null;
-      if (keep && address != null) {
-        idle.computeIfAbsent(address, key -> new ArrayDeque<>()).addLast(this);
+      if (keep && endpoint != null) {
+        endpoint.idle.addLast(this);
       } else {
         read.close();
       }
       if (answered != null) {
+        report(read, answered.meter);
         answered.finish(Optional.of(answer(response)));
       }
     }
 
+    private void report(ChannelHandlerContext at, CallMeter meter) {
+      at.pipeline().get(ByteCounter.class).report(meter);
+    }
+
     private WebAnswer answer(FullHttpResponse response) {
       byte[] body = new byte[response.content().readableBytes()];
       response.content().getBytes(response.content().readerIndex(), body);
@@ -221,13 +285,14 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext closed) {
-      Deque<Connection> connections = address == null ? null : idle.get(address);
-      if (connections != null) {
-        connections.remove(this);
+      if (endpoint != null) {
+        endpoint.idle.remove(this);
+        endpoint.reason = end;
       }
       Pending unanswered = pending;
       pending = null;
       if (unanswered != null) {
+        report(closed, unanswered.meter);
         unanswered.finish(Optional.empty());
       }
     }
