--- a/burdockbay-server/src/main/java/org/burdockbay/server/transport/OutboundConnection.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/transport/OutboundConnection.java
@@ -53,6 +53,7 @@
   private volatile @Nullable ScheduledFuture<?> retry;
   private volatile long backlogQuietUntil = Long.MIN_VALUE;
   private volatile long pauseMillis = SHORTEST_PAUSE_MILLIS;
+  private volatile TransportCounters.Reason reason = TransportCounters.Reason.FIRST;
 
   OutboundConnection(
       TransportSettings settings,
@@ -76,7 +77,7 @@
             .channel(NioSocketChannel.class)
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-            .handler(new PeerPipeline(SenderHandler::new));
+            .handler(new PeerPipeline(counters, SenderHandler::new));
   }
 
   void connect() {
@@ -90,6 +91,7 @@
               if (attempt.isSuccess()) {
                 attempt.channel().closeFuture().addListener(ended -> reconnectLater(attempt));
               } else {
+                reason = TransportCounters.Reason.FAILED;
                 reconnectLater(attempt);
               }
             });
@@ -110,12 +112,13 @@
       counters.dropped(envelope);
       return;
     }
-    long waiting = bytesWaiting(channel);
+    long waiting = unsentBytes(channel);
     if (waiting > MANY_BYTES_WAITING) {
       noteBacklog(waiting);
     }
     if (waiting > MOST_BYTES_WAITING) {
       counters.dropped(envelope);
+      reason = TransportCounters.Reason.BACKLOG;
       channel.close();
       return;
     }
@@ -123,7 +126,13 @@
     channel.writeAndFlush(envelope);
   }
 
-  private static long bytesWaiting(Channel channel) {
+  /** Returns how many bytes wait on the connection. */
+  long unsentBytes() {
+    Channel channel = ready;
+    return channel == null ? 0 : unsentBytes(channel);
+  }
+
+  private static long unsentBytes(Channel channel) {
     ChannelOutboundBuffer buffer = channel.unsafe().outboundBuffer();
     return buffer == null ? 0 : buffer.totalPendingWriteBytes();
   }
@@ -142,6 +151,7 @@
     boolean old = channel != null && clock.millis() - readyAt > olderThanMillis;
     if (old) {
       ready = null;
+      reason = TransportCounters.Reason.SILENT;
       channel.close();
     }
     return old;
@@ -205,6 +215,8 @@
             readyAt = clock.millis();
             pauseMillis = SHORTEST_PAUSE_MILLIS;
             ready = context.channel();
+            counters.connected(reason);
+            reason = TransportCounters.Reason.LOST;
             listener.reset(peer.id());
           } else {
             counters.refused();
@@ -227,6 +239,7 @@
         return;
       }
       if (clock.millis() - heardAt > settings.silenceMillis()) {
+        reason = TransportCounters.Reason.SILENT;
         context.close();
       } else if (context.channel().equals(ready)) {
         context.writeAndFlush(Wire.Envelope.newBuilder().setPing(clock.millis()).build());
