Membership: a dispatcher role for each shard of a divided fleet

Cause: there was one role for a whole group of hosts. Hosts now tell each other the largest layout that they know, and the shard that they dispatch; in a divided fleet each shard has a role that a host of its failure domain takes. Vacant roles choose hosts by rendezvous hashing, in their order. Removing a pair of role and host from that choice changes no other pair, so all roles are claimed in one round however the claims arrive.

Nothing divides a fleet yet: nobody calls suits().

--- a/burdockbay-core/src/main/java/org/burdockbay/core/membership/Membership.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/membership/Membership.java
@@ -11,20 +11,35 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.burdockbay.core.dispatch.DomainLoad;
+import org.burdockbay.core.shard.ShardId;
+import org.burdockbay.core.shard.ShardLayout;
+import org.burdockbay.core.shard.ShardMatch;
 
 /**
- * Liveness of the hosts by heartbeat, and the dispatcher role in this host's failure domain.
+ * Liveness of the hosts by heartbeat, and the dispatcher roles of this host's group.
  *
  * <p>Silence isn't death: a host that is silent here may be alive and still dispatching on the
  * other side of a network partition. So the role carries an epoch that rises with each claim, and
  * the runners enforce it. The role is sticky, since each change costs a rebuild: a claim is made
- * only when no live host of the domain holds one.
+ * only when no live host of the group holds one.
+ *
+ * <p>A fleet that isn't divided has one role. A divided one has a role for each shard, which the
+ * hosts of the shard's failure domain take; a host has one role at a time.
  */
 public final class Membership {
 
   /** Silence after which a host counts as lost, in milliseconds. */
   public static final long LOST_MILLIS = 2_000;
 
+  /**
+   * For how long a shard without a dispatcher keeps its upstreams, in milliseconds: an ordinary
+   * takeover is over by then, and moving them to other shards and back would cost two rebuilds.
+   */
+  static final long VACANCY_MILLIS = 2_000;
+
   /** By how many rounds an unknown higher claim is outbid: clocks may differ by some seconds. */
   private static final long OUTRANK_ROUNDS = 10;
 
@@ -49,6 +64,7 @@
 
   private final String self;
   private final String domain;
+  private final String failureDomain;
   private final Map<String, String> domainByHost;
   private final MembershipTerms terms;
   private final boolean fixedHosts;
@@ -60,7 +76,10 @@
 
   private long newsAt;
   private final TreeMap<String, Heard> heard = new TreeMap<>();
+  private final Vacancies vacancies = new Vacancies(VACANCY_MILLIS);
+  private ShardLayout layout = ShardLayout.UNDIVIDED;
   private long claimedEpoch;
+  private ShardId claimedShard = ShardId.WHOLE_FLEET;
   private long highestEpoch;
   private boolean draining;
   private boolean settled;
@@ -74,12 +93,13 @@
    * @param now the time of the start, in milliseconds
    */
   public Membership(String self, Map<String, String> domainByHost, long now) {
-    this(self, domainByHost, terms(self, domainByHost), true, now);
+    this(self, domainByHost, "", terms(self, domainByHost), true, now);
   }
 
   private Membership(
       String self,
       Map<String, String> domainByHost,
+      String failureDomain,
       MembershipTerms terms,
       boolean fixedHosts,
       long now) {
@@ -89,6 +109,7 @@
     this.self = self;
     this.domainByHost = new HashMap<>(domainByHost);
     this.domain = domainByHost.get(self);
+    this.failureDomain = failureDomain;
     this.terms = terms;
     this.fixedHosts = fixedHosts;
     this.startedAt = now;
@@ -104,7 +125,17 @@
    * @param now the time of the start, in milliseconds
    */
   public static Membership growing(String self, String domain, MembershipTerms terms, long now) {
-    return new Membership(self, Map.of(self, domain), terms, false, now);
+    return growing(new HostCard(self, domain, "", ""), terms, now);
+  }
+
+  /**
+   * Creates the membership of a host that knows only itself; {@link #admit} adds the others.
+   *
+   * @param now the time of the start, in milliseconds
+   */
+  public static Membership growing(HostCard self, MembershipTerms terms, long now) {
+    return new Membership(
+        self.id(), Map.of(self.id(), self.group()), self.domain(), terms, false, now);
   }
 
   private static MembershipTerms terms(String self, Map<String, String> domainByHost) {
@@ -117,6 +148,20 @@
     observeEpoch(epoch);
   }
 
+  /** Takes a layout into account that an earlier life of this host has known. */
+  public void recall(ShardLayout known) {
+    layout = layout.or(known);
+  }
+
+  /** Divides the fleet at least as far as suits the upstreams that this host knows of. */
+  public List<MembershipEffect> suits(ShardLayout suited, long now) {
+    List<MembershipEffect> effects = adopt(suited);
+    if (!effects.isEmpty()) {
+      effects.addAll(elect(now));
+    }
+    return effects;
+  }
+
   /** Takes a host into account from now on. */
   public void admit(String host, String hostDomain, long now) {
     if (domainByHost.put(host, hostDomain) == null) {
@@ -139,7 +184,7 @@
     if (found.add(status.host())) {
       newsAt = now;
     }
-    if (before != null && before.status.equals(status) && decided()) {
+    if (before != null && before.status.equalsButLoad(status) && decided()) {
       // Most heartbeats tell nothing new; deciding anew took a third of an idle host's time.
       return effects;
     }
@@ -154,11 +199,14 @@
       // of its epoch: they have disks, and remember it when all others were killed.
       observeEpoch(Math.max(status.highestEpoch(), status.dispatcherEpoch()));
     }
+    if (!fixedHosts) {
+      effects.addAll(adopt(status.layout()));
+    }
     effects.addAll(elect(now));
     return effects;
   }
 
-  /** Drops hosts that went silent, and claims the dispatcher role where nobody holds it. */
+  /** Drops hosts that went silent, and claims a dispatcher role that nobody holds. */
   public List<MembershipEffect> tick(long now) {
     List<MembershipEffect> effects = new ArrayList<>();
     List<String> lost = new ArrayList<>();
@@ -180,7 +228,9 @@
 
   /** Returns whether nothing changes in this host's view as long as nobody else changes. */
   private boolean decided() {
-    return settled && !draining && routes.dispatcher(domain).isPresent();
+    boolean served =
+        claimedEpoch != 0 || routes.shards().keySet().containsAll(layout.shards(failureDomain));
+    return settled && !draining && !vacancies.pending() && served;
   }
 
   /** Notes that this host is stopping: it hands the role over as soon as there is a successor. */
@@ -241,6 +291,21 @@
     return Optional.ofNullable(heard.get(host)).map(last -> last.status);
   }
 
+  /** Returns the load that a live host told last. */
+  public Optional<DomainLoad> load(String host) {
+    return status(host).map(HostStatus::load);
+  }
+
+  /** Returns into how many shards the fleet is divided. */
+  public ShardLayout layout() {
+    return layout;
+  }
+
+  /** Returns the shard that this host dispatches, if it has a claim. */
+  public Optional<ShardId> claimedShard() {
+    return claimedEpoch == 0 ? Optional.empty() : Optional.of(claimedShard);
+  }
+
   /** Returns who dispatches where. */
   public RouteView routes() {
     return routes;
@@ -265,20 +330,32 @@
     highestEpoch = Math.max(highestEpoch, epoch);
   }
 
+  private List<MembershipEffect> adopt(ShardLayout heardOf) {
+    List<MembershipEffect> effects = new ArrayList<>();
+    ShardLayout larger = layout.or(heardOf);
+    if (!larger.equals(layout)) {
+      effects.add(new MembershipEffect.LayoutChanged(layout, larger));
+      layout = larger;
+      vacancies.clear();
+    }
+    return effects;
+  }
+
   private List<MembershipEffect> elect(long now) {
     List<MembershipEffect> effects = new ArrayList<>();
-    long rival = highestClaim();
-    // Without a successor in the domain a stopping host finishes what it dispatches: its jobs can't
-    // move to another domain, whose dispatcher doesn't know which tasks run here.
-    boolean handOver = draining && successorExists();
-    if (claimedEpoch != 0 && (handOver || rival > claimedEpoch)) {
+    if (claimedEpoch != 0 && (!layout.has(claimedShard) || outbid() || handsOver())) {
       claimedEpoch = 0;
       effects.add(new MembershipEffect.Yield());
     }
-    if (mayClaim() && rival == 0 && firstInLine() && heardLongEnough(now)) {
-      claimedEpoch = nextEpoch(now);
-      observeEpoch(claimedEpoch);
-      effects.add(new MembershipEffect.Claim(claimedEpoch));
+    if (mayClaim() && heardLongEnough(now)) {
+      firstInLineFor()
+          .ifPresent(
+              shard -> {
+                claimedShard = shard;
+                claimedEpoch = nextEpoch(now);
+                observeEpoch(claimedEpoch);
+                effects.add(new MembershipEffect.Claim(claimedEpoch, shard));
+              });
     }
     RouteView next = view(now);
     if (!next.equals(routes)) {
@@ -292,23 +369,92 @@
     return claimedEpoch == 0 && !draining && terms.mayDispatch();
   }
 
-  private long highestClaim() {
-    return heard.values().stream()
-        .filter(last -> last.status.domain().equals(domain))
-        .mapToLong(last -> last.status.dispatcherEpoch())
-        .max()
-        .orElse(0);
+  private boolean outbid() {
+    return groupHosts()
+        .filter(status -> claims(status) && status.shard().equals(claimedShard))
+        .anyMatch(status -> status.dispatcherEpoch() > claimedEpoch);
   }
 
-  private boolean successorExists() {
-    return heard.values().stream()
-        .anyMatch(last -> last.status.domain().equals(domain) && !last.status.draining());
+  /**
+   * Returns whether this host is stopping and there is a successor.
+   *
+   * <p>Without one a stopping host finishes what it dispatches: nobody else knows which tasks run
+   * here. In a divided fleet the dispatchers of other shards take the upstreams of one that has no
+   * successor.
+   */
+  private boolean handsOver() {
+    if (!draining) {
+      return false;
+    }
+    if (layout.undivided()) {
+      return groupHosts().anyMatch(status -> !status.draining());
+    }
+    return groupHosts().anyMatch(status -> claims(status) || free(status, failureDomain));
   }
 
-  private boolean firstInLine() {
+  private Stream<HostStatus> groupHosts() {
     return heard.values().stream()
-        .filter(last -> last.status.domain().equals(domain) && !last.status.draining())
-        .noneMatch(last -> last.status.host().compareTo(self) < 0);
+        .map(last -> last.status)
+        .filter(status -> status.domain().equals(domain));
+  }
+
+  /** Returns whether a host has a role of the present layout; one of a smaller layout is over. */
+  private boolean claims(HostStatus status) {
+    return status.dispatcherEpoch() != 0 && layout.has(status.shard());
+  }
+
+  private boolean free(HostStatus status, String hostsDomain) {
+    return status.failureDomain().equals(hostsDomain) && !status.draining() && !claims(status);
+  }
+
+  private Optional<ShardId> firstInLineFor() {
+    if (layout.undivided()) {
+      boolean first =
+          groupHosts()
+              .noneMatch(
+                  status ->
+                      claims(status) || (!status.draining() && status.host().compareTo(self) < 0));
+      return first ? Optional.of(ShardId.WHOLE_FLEET) : Optional.empty();
+    }
+    return match(failureDomain).entrySet().stream()
+        .filter(entry -> entry.getValue().equals(self))
+        .map(Map.Entry::getKey)
+        .findFirst();
+  }
+
+  /** Returns who is first in line for the vacant shards of a failure domain. */
+  private Map<ShardId, String> match(String hostsDomain) {
+    Set<ShardId> vacant = new HashSet<>(layout.shards(hostsDomain));
+    vacant.removeAll(dispatchersByShard().keySet());
+    Set<String> free =
+        groupHosts()
+            .filter(status -> free(status, hostsDomain))
+            .map(HostStatus::host)
+            .collect(Collectors.toCollection(HashSet::new));
+    if (mayClaim() && failureDomain.equals(hostsDomain)) {
+      free.add(self);
+    }
+    return ShardMatch.of(vacant, free);
+  }
+
+  private Map<ShardId, RouteView.Dispatching> dispatchersByShard() {
+    Map<ShardId, RouteView.Dispatching> dispatchers = new HashMap<>();
+    groupHosts()
+        .filter(this::claims)
+        .forEach(
+            status -> dispatchers.merge(status.shard(), dispatching(status), Membership::higher));
+    if (claimedEpoch != 0) {
+      dispatchers.put(claimedShard, new RouteView.Dispatching(self, claimedEpoch, draining));
+    }
+    return dispatchers;
+  }
+
+  private static RouteView.Dispatching dispatching(HostStatus status) {
+    return new RouteView.Dispatching(status.host(), status.dispatcherEpoch(), status.draining());
+  }
+
+  private static RouteView.Dispatching higher(RouteView.Dispatching a, RouteView.Dispatching b) {
+    return a.epoch() > b.epoch() ? a : b;
   }
 
   /** Returns whether a dispatcher of this domain would have been heard of by now. */
@@ -338,12 +484,8 @@
   private RouteView view(long now) {
     Map<String, RouteView.Dispatching> dispatchers = new HashMap<>();
     for (Heard last : heard.values()) {
-      HostStatus status = last.status;
-      if (status.dispatcherEpoch() != 0) {
-        dispatchers.merge(
-            status.domain(),
-            new RouteView.Dispatching(status.host(), status.dispatcherEpoch(), status.draining()),
-            (a, b) -> a.epoch() > b.epoch() ? a : b);
+      if (claims(last.status)) {
+        dispatchers.merge(last.status.domain(), dispatching(last.status), Membership::higher);
       }
     }
     if (claimedEpoch != 0) {
@@ -358,7 +500,23 @@
     }
     boolean allHeard = openDomains.containsAll(domainByHost.values());
     settled |= allHeard || now - startedAt > terms.lostMillis();
-    return new RouteView(domain, dispatchers, openDomains, settled);
+    Map<ShardId, RouteView.Dispatching> shards = dispatchersByShard();
+    return new RouteView(
+        domain, dispatchers, openDomains, settled, shards, liveShards(shards.keySet(), now));
+  }
+
+  private Set<ShardId> liveShards(Set<ShardId> claimed, long now) {
+    if (layout.undivided()) {
+      return Set.of(ShardId.WHOLE_FLEET);
+    }
+    Set<String> hostDomains =
+        groupHosts().map(HostStatus::failureDomain).collect(Collectors.toCollection(HashSet::new));
+    hostDomains.add(failureDomain);
+    Set<ShardId> awaited =
+        hostDomains.stream()
+            .flatMap(hostDomain -> match(hostDomain).keySet().stream())
+            .collect(Collectors.toSet());
+    return vacancies.live(claimed, terms.mayDispatch() ? awaited : Set.of(), now);
   }
 
   private record Heard(HostStatus status, long at) {}
--- a/burdockbay-core/src/main/java/org/burdockbay/core/membership/MembershipEffect.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/membership/MembershipEffect.java
@@ -1,10 +1,13 @@
 package org.burdockbay.core.membership;
 
+import org.burdockbay.core.shard.ShardId;
+import org.burdockbay.core.shard.ShardLayout;
+
 /** What {@link Membership} wants done. */
 public sealed interface MembershipEffect {
 
-  /** This host takes the role of dispatcher. */
-  record Claim(long epoch) implements MembershipEffect {}
+  /** This host takes the role of dispatcher of a shard. */
+  record Claim(long epoch, ShardId shard) implements MembershipEffect {}
 
   /** This host gives the role up. */
   record Yield() implements MembershipEffect {}
@@ -12,6 +15,9 @@
   /** Who dispatches where has changed. */
   record Routes(RouteView view) implements MembershipEffect {}
 
+  /** The fleet is divided into more shards than before. */
+  record LayoutChanged(ShardLayout before, ShardLayout now) implements MembershipEffect {}
+
   /** A host is no longer heard of. */
   record HostLost(String host) implements MembershipEffect {}
 
--- a/burdockbay-core/src/main/java/org/burdockbay/core/membership/RouteView.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/membership/RouteView.java
@@ -4,9 +4,11 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
+import org.burdockbay.core.shard.ShardId;
+import org.jspecify.annotations.Nullable;
 
 /**
- * Who dispatches in each failure domain that can be reached.
+ * Who dispatches in each failure domain that can be reached, and which shard.
  *
  * @param domain the failure domain of this host
  * @param dispatchers the dispatcher by domain
@@ -14,14 +16,39 @@
  *     or will have one within moments
  * @param settled whether every domain was heard of, or would have been by now; a host that has just
  *     started knows too few domains to tell the home of a key
+ * @param shards the dispatcher by shard, of the shards that have one
+ * @param liveShards the shards that own upstreams: those with a dispatcher, and those that will
+ *     have one within moments
  */
 public record RouteView(
-    String domain, Map<String, Dispatching> dispatchers, Set<String> openDomains, boolean settled) {
+    String domain,
+    Map<String, Dispatching> dispatchers,
+    Set<String> openDomains,
+    boolean settled,
+    Map<ShardId, Dispatching> shards,
+    Set<ShardId> liveShards) {
 
   /** Copies the collections. */
   public RouteView {
     dispatchers = Map.copyOf(dispatchers);
     openDomains = Set.copyOf(openDomains);
+    shards = Map.copyOf(shards);
+    liveShards = Set.copyOf(liveShards);
+  }
+
+  /** Creates the view of a fleet that isn't divided. */
+  public RouteView(
+      String domain,
+      Map<String, Dispatching> dispatchers,
+      Set<String> openDomains,
+      boolean settled) {
+    this(
+        domain,
+        dispatchers,
+        openDomains,
+        settled,
+        wholeFleet(dispatchers.get(domain)),
+        Set.of(ShardId.WHOLE_FLEET));
   }
 
   /** Returns the domains whose dispatcher takes new submissions. */
@@ -37,6 +64,10 @@
     return new RouteView(domain, Map.of(), Set.of(), false);
   }
 
+  private static Map<ShardId, Dispatching> wholeFleet(@Nullable Dispatching dispatcher) {
+    return dispatcher == null ? Map.of() : Map.of(ShardId.WHOLE_FLEET, dispatcher);
+  }
+
   /** Returns the dispatcher of a domain, if one is known. */
   public Optional<Dispatching> dispatcher(String name) {
     return Optional.ofNullable(dispatchers.get(name));
--- /dev/null
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/shard/Rendezvous.java
@@ -0,0 +1,28 @@
+package org.burdockbay.core.shard;
+
+/** The weights of rendezvous hashing; the same on every host. */
+final class Rendezvous {
+
+  private static final long HASH_SEED = 0x9E3779B97F4A7C15L;
+  private static final long HASH_PRIME = 0x100000001B3L;
+
+  private Rendezvous() {}
+
+  /** Mixes key and shard (FNV-1a, then the finalizer of SplitMix64). */
+  static long weight(String key, ShardId shard) {
+    long hash = mix(HASH_SEED, key);
+    hash = mix(hash, shard.domain());
+    hash = (hash ^ shard.index()) * HASH_PRIME;
+    hash = (hash ^ (hash >>> 30)) * 0xBF58476D1CE4E5B9L;
+    hash = (hash ^ (hash >>> 27)) * 0x94D049BB133111EBL;
+    return hash ^ (hash >>> 31);
+  }
+
+  private static long mix(long seed, String text) {
+    long hash = seed;
+    for (int i = 0; i < text.length(); i++) {
+      hash = (hash ^ text.charAt(i)) * HASH_PRIME;
+    }
+    return (hash ^ '/') * HASH_PRIME;
+  }
+}
--- a/burdockbay-core/src/main/java/org/burdockbay/core/shard/ShardLayout.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/shard/ShardLayout.java
@@ -52,6 +52,12 @@
     return shardsPerDomain >= other.shardsPerDomain ? this : other;
   }
 
+  /** Returns whether a shard is part of this layout. */
+  public boolean has(ShardId shard) {
+    boolean whole = shard.equals(ShardId.WHOLE_FLEET);
+    return undivided() ? whole : !whole && shard.index() < shardsPerDomain;
+  }
+
   /** Returns the shards that hosts of a failure domain may own. */
   public List<ShardId> shards(String domain) {
     if (undivided()) {
--- a/burdockbay-core/src/test/java/org/burdockbay/core/dispatch/ModelHost.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/dispatch/ModelHost.java
@@ -142,6 +142,7 @@
           heartbeat();
         }
         case MembershipEffect.Routes routes -> enter(new EntryEvent.RoutesChanged(routes.view()));
+        case MembershipEffect.LayoutChanged changed -> {}
         case MembershipEffect.HostLost lost -> {}
         case MembershipEffect.HostFound found -> {}
       }
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelEntryHost.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelEntryHost.java
@@ -271,6 +271,7 @@
                   .map(found -> new IntakeEvent.Dispatcher(found.host(), found.epoch()));
           intake(new IntakeEvent.DispatcherChanged(known));
         }
+        case MembershipEffect.LayoutChanged changed -> {}
         case MembershipEffect.HostLost lost -> {
           // The dispatcher finds out by itself.
         }
--- a/burdockbay-server/src/main/java/org/burdockbay/server/host/HostController.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/host/HostController.java
@@ -321,6 +321,9 @@
         }
         case MembershipEffect.Routes routes ->
             entry.handle(new EntryEvent.RoutesChanged(routes.view()));
+        case MembershipEffect.LayoutChanged changed -> {
+          // Hosts of a fixed list never divide the fleet.
+        }
         case MembershipEffect.HostLost lost -> parts.log().warn("host-lost", "lost=" + lost.host());
         case MembershipEffect.HostFound found ->
             parts.log().info("host-found", "found=" + found.host());
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/Fleet.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/Fleet.java
@@ -1,6 +1,7 @@
 package org.burdockbay.server.node;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
@@ -8,6 +9,7 @@
 import org.burdockbay.core.fleet.UpstreamRegistry;
 import org.burdockbay.core.lease.LeaseEvent;
 import org.burdockbay.core.message.PeerMessage;
+import org.burdockbay.core.shard.ShardLayout;
 
 /**
  * Passes what upstreams say of themselves on to the dispatcher here and to all other hosts.
@@ -83,6 +85,18 @@
         : Optional.of(new PeerMessage.UpstreamNews(all, List.of()));
   }
 
+  /** Returns the number of upstreams that are known. */
+  int size() {
+    return registry.notices().size();
+  }
+
+  /** Returns the layout that suits the upstreams that are known. */
+  ShardLayout suitedLayout() {
+    Collection<UpstreamNotice> notices = registry.notices();
+    long domains = notices.stream().map(UpstreamNotice::domain).distinct().count();
+    return ShardLayout.of(notices.size(), Math.toIntExact(domains));
+  }
+
   void tick(long now) {
     if (now >= tellAt && !(announced.isEmpty() && departed.isEmpty())) {
       tellAt = now + GATHER_MILLIS;
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
@@ -441,6 +441,7 @@
           heartbeat();
         }
         case MembershipEffect.Routes routes -> routed(routes.view());
+        case MembershipEffect.LayoutChanged changed -> layoutChanged(changed);
         case MembershipEffect.HostLost lost ->
             log.warn("host-lost", "lost=" + lost.host() + " silence=" + LOST_MILLIS);
         case MembershipEffect.HostFound found -> log.info("host-found", "found=" + found.host());
@@ -448,6 +449,18 @@
     }
   }
 
+  private void layoutChanged(MembershipEffect.LayoutChanged changed) {
+    log.info(
+        "layout",
+        "before="
+            + changed.before().shardsPerDomain()
+            + " now="
+            + changed.now().shardsPerDomain()
+            + " upstreams="
+            + fleet.size());
+    heartbeat();
+  }
+
   private void routed(RouteView view) {
     Optional<IntakeEvent.Dispatcher> dispatcher =
         view.dispatcher(settings.card().group())
