Wire: heartbeats carry failure domain, layout and shard

Hosts can agree on the division of the fleet only if they tell each other of it. A heartbeat of an earlier version lacks the fields and reads as one of an undivided fleet.

--- /dev/null
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/transport/HeartbeatCodecTest.java
@@ -0,0 +1,38 @@
+package org.burdockbay.server.transport;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.OptionalLong;
+import org.burdockbay.core.dispatch.DomainLoad;
+import org.burdockbay.core.membership.HostStatus;
+import org.burdockbay.core.message.PeerMessage;
+import org.burdockbay.core.shard.ShardId;
+import org.burdockbay.core.shard.ShardLayout;
+import org.burdockbay.wire.PeerCodec;
+import org.testng.annotations.Test;
+
+/** What of a heartbeat reaches the other host. */
+public class HeartbeatCodecTest {
+
+  /** A field that is lost on the way would make hosts elect dispatchers by different rules. */
+  @Test
+  public void keepsEveryFieldOfHeartbeats() throws Exception {
+    HostStatus status =
+        new HostStatus(
+            "10.0.0.1",
+            "entry",
+            2,
+            3,
+            4,
+            1L << 52,
+            6,
+            true,
+            "10.0.0.9",
+            new DomainLoad(7, 8),
+            "north",
+            new ShardLayout(3),
+            new ShardId("north", 2));
+    PeerMessage.Heartbeat heartbeat = new PeerMessage.Heartbeat(status, OptionalLong.of(40));
+    assertEquals(PeerCodec.decode(PeerCodec.encode(heartbeat)), heartbeat);
+  }
+}
--- a/burdockbay-wire/src/main/java/org/burdockbay/wire/PeerCodec.java
+++ b/burdockbay-wire/src/main/java/org/burdockbay/wire/PeerCodec.java
@@ -5,6 +5,8 @@
 import org.burdockbay.core.dispatch.DomainLoad;
 import org.burdockbay.core.membership.HostStatus;
 import org.burdockbay.core.message.PeerMessage;
+import org.burdockbay.core.shard.ShardId;
+import org.burdockbay.core.shard.ShardLayout;
 import org.burdockbay.wire.proto.Wire;
 
 /** Encodes messages between hosts. */
@@ -78,6 +80,10 @@
         .setFreeSlots(status.load().freeSlots())
         .setWaitMs(status.load().waitMillis())
         .setHeardAgoMsPlusOne(heartbeat.heardAgoMillis().orElse(-1) + 1)
+        .setFailureDomain(status.failureDomain())
+        .setShardsPerDomain(status.layout().shardsPerDomain())
+        .setShardDomain(status.shard().domain())
+        .setShardIndex(status.shard().index())
         .build();
   }
 
@@ -143,7 +149,10 @@
         status.getHighestEpoch(),
         status.getDraining(),
         status.getLeader(),
-        new DomainLoad(status.getFreeSlots(), status.getWaitMs()));
+        new DomainLoad(status.getFreeSlots(), status.getWaitMs()),
+        status.getFailureDomain(),
+        new ShardLayout(status.getShardsPerDomain()),
+        new ShardId(status.getShardDomain(), status.getShardIndex()));
   }
 
   private static PeerMessage.Heartbeat heartbeat(Wire.HostStatus status) {
