Hosts with a disk remember the layout beside the highest epoch

Hosts with a disk now keep the largest layout in the file of the epoch, and tell it with their first heartbeat, before anybody may claim. Files of earlier versions are read as before; an unreadable one is logged and counts as none. EpochFileTest compares epoch and layout where it compared the epoch.

--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/EpochKeeper.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/EpochKeeper.java
@@ -3,15 +3,17 @@
 import java.util.Optional;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import org.burdockbay.core.shard.ShardLayout;
 import org.burdockbay.server.logging.EventLog;
 import org.burdockbay.server.storage.EpochFile;
 import org.burdockbay.server.storage.StorageException;
 
 /**
- * Keeps the highest epoch of the dispatcher role on disk, on hosts that have one.
+ * Keeps the highest epoch of a dispatcher and the largest layout on disk, on hosts that have one.
  *
  * <p>Nothing waits for it: an epoch that didn't reach the disk costs the next dispatcher a few
- * refusals at most. The disk may stall, so the control thread never writes by itself.
+ * refusals at most, and a layout is found again from the upstreams. The disk may stall, so the
+ * control thread never writes by itself.
  */
 final class EpochKeeper {
 
@@ -19,15 +21,15 @@
   private final EventLog log;
   private final ExecutorService writer =
       Executors.newSingleThreadExecutor(Thread.ofVirtual().name("epoch-writer").factory());
-  private long saved;
+  private EpochFile.Content saved = EpochFile.Content.NONE;
 
   EpochKeeper(Optional<EpochFile> file, EventLog log) {
     this.file = file;
     this.log = log;
   }
 
-  /** Returns the epoch that an earlier life of this host has saved; 0 if none. */
-  long recall() {
+  /** Returns what an earlier life of this host has saved. */
+  EpochFile.Content recall() {
     if (file.isPresent()) {
       try {
         saved = file.get().read();
@@ -38,19 +40,24 @@
     return saved;
   }
 
-  /** Saves an epoch in the background, if it is higher than the one before. */
-  void remember(long epoch) {
-    if (file.isPresent() && epoch > saved) {
-      saved = epoch;
-      writer.execute(() -> write(file.get(), epoch));
+  /** Saves epoch and layout in the background, if one of them is larger than before. */
+  void remember(long epoch, ShardLayout layout) {
+    EpochFile.Content content =
+        new EpochFile.Content(Math.max(epoch, saved.epoch()), saved.layout().or(layout));
+    if (file.isPresent() && !content.equals(saved)) {
+      saved = content;
+      writer.execute(() -> write(file.get(), content));
     }
   }
 
-  private void write(EpochFile target, long epoch) {
+  private void write(EpochFile target, EpochFile.Content content) {
     try {
-      target.write(epoch);
+      target.write(content);
     } catch (StorageException e) {
-      log.error("epoch-unsaved", "epoch=" + epoch, e);
+      log.error(
+          "epoch-unsaved",
+          "epoch=" + content.epoch() + " layout=" + content.layout().shardsPerDomain(),
+          e);
     }
   }
 }
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
@@ -29,6 +29,7 @@
 import org.burdockbay.core.membership.MembershipTerms;
 import org.burdockbay.core.membership.RouteView;
 import org.burdockbay.core.message.PeerMessage;
+import org.burdockbay.core.shard.ShardId;
 import org.burdockbay.core.work.WorkOutcome;
 import org.burdockbay.core.work.WorkRequest;
 import org.burdockbay.server.ServerException;
@@ -118,8 +119,7 @@
     this.catalog = new CatalogKeeper(parts.catalogReader(), log);
     this.membership =
         Membership.growing(
-            settings.host(),
-            settings.card().group(),
+            settings.card(),
             MembershipTerms.ofAddress(settings.host(), LOST_MILLIS, settings.mayDispatch()),
             now);
     this.directory = new HostDirectory(settings.card());
@@ -129,7 +129,9 @@
     this.storageIncarnation = storage.map(AgreementStorage::incarnation).orElse(0L);
     this.agreement = storage.map(this::driver);
     this.epochs = new EpochKeeper(settings.dataFolder().map(EpochFile::new), log);
-    membership.recall(epochs.recall());
+    EpochFile.Content recalled = epochs.recall();
+    membership.recall(recalled.epoch());
+    membership.recall(recalled.layout());
     this.proposals = new ProposalClient(clock, agreement, this::leader, this::send);
     this.voters = new VoterKeeper(VOTERS, this::replaceable, log);
   }
@@ -503,7 +505,7 @@
     if (now >= membershipAt) {
       membershipAt = now + MEMBERSHIP_MILLIS;
       run(membership.tick(now));
-      epochs.remember(membership.highestEpoch());
+      epochs.remember(membership.highestEpoch(), membership.layout());
     }
     desk.tick();
     fleet.tick(now);
@@ -569,7 +571,10 @@
         membership.highestEpoch(),
         membership.draining(),
         leader().orElse(""),
-        new DomainLoad(0, 0));
+        new DomainLoad(0, 0),
+        settings.card().domain(),
+        membership.layout(),
+        membership.claimedShard().orElse(ShardId.WHOLE_FLEET));
   }
 
   private Optional<String> leader() {
--- a/burdockbay-server/src/main/java/org/burdockbay/server/storage/EpochFile.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/storage/EpochFile.java
@@ -6,14 +6,16 @@
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.util.List;
+import org.burdockbay.core.shard.ShardLayout;
 import org.burdockbay.server.storage.StorageException.Fault;
 
 /**
- * The highest epoch of the dispatcher role that a host with a disk has seen.
+ * The highest epoch of a dispatcher and the largest layout that a host with a disk has seen.
  *
  * <p>Upstreams remember the highest epoch that they have seen and refuse all below. Hosts learn it
  * from each other; after all of them were killed, only a disk tells it, and the first dispatcher
- * would otherwise be refused until it has outbid what it doesn't know.
+ * would otherwise be refused until it has outbid what it doesn't know. In the same way one host
+ * would otherwise dispatch the whole of a large fleet until enough upstreams have been heard of.
  */
 public final class EpochFile {
 
@@ -27,31 +29,58 @@
   }
 
   /**
-   * Returns the epoch; 0 if none was saved.
+   * What is kept.
+   *
+   * @param epoch the highest epoch; 0 if none was seen
+   * @param layout the largest layout
+   */
+  public record Content(long epoch, ShardLayout layout) {
+
+    /** What a host knows that has saved nothing. */
+    public static final Content NONE = new Content(0, ShardLayout.UNDIVIDED);
+  }
+
+  /**
+   * Returns what was saved; a file of earlier versions holds the epoch alone.
    *
    * @throws StorageException if the file is there and can't be read
    */
-  public long read() throws StorageException {
+  public Content read() throws StorageException {
     Path file = folder.resolve(NAME);
     if (!Files.exists(file)) {
-      return 0;
+      return Content.NONE;
     }
     List<byte[]> records = RecordFile.read(file).records();
-    if (records.size() != 1 || records.getFirst().length != Long.BYTES) {
-      throw new StorageException(Fault.CORRUPT, file + " holds no epoch");
+    if (records.size() != 1) {
+      throw new StorageException(Fault.CORRUPT, file + " holds " + records.size() + " records");
+    }
+    ByteBuffer record = ByteBuffer.wrap(records.getFirst());
+    return switch (record.remaining()) {
+      case Long.BYTES -> new Content(record.getLong(), ShardLayout.UNDIVIDED);
+      case Long.BYTES + Integer.BYTES -> new Content(record.getLong(), layout(record.getInt()));
+      default -> throw new StorageException(Fault.CORRUPT, file + " holds no epoch");
+    };
+  }
+
+  private ShardLayout layout(int shardsPerDomain) throws StorageException {
+    if (shardsPerDomain < 0) {
+      throw new StorageException(
+          Fault.CORRUPT, folder.resolve(NAME) + " holds " + shardsPerDomain + " shards");
     }
-    return ByteBuffer.wrap(records.getFirst()).getLong();
+    return new ShardLayout(shardsPerDomain);
   }
 
   /**
-   * Saves an epoch and waits for the disk.
+   * Saves epoch and layout and waits for the disk.
    *
    * @throws StorageException if it can't be saved
    */
-  public void write(long epoch) throws StorageException {
+  public void write(Content content) throws StorageException {
     Path draft = folder.resolve(NAME + ".new");
+    ByteBuffer record = ByteBuffer.allocate(Long.BYTES + Integer.BYTES);
+    record.putLong(content.epoch()).putInt(content.layout().shardsPerDomain());
     try {
-      RecordFile.writeWhole(draft, ByteBuffer.allocate(Long.BYTES).putLong(epoch).array());
+      RecordFile.writeWhole(draft, record.array());
       Files.move(draft, folder.resolve(NAME), StandardCopyOption.ATOMIC_MOVE);
       RecordFile.syncFolder(folder);
     } catch (IOException e) {
--- a/burdockbay-server/src/test/java/org/burdockbay/server/storage/EpochFileTest.java
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/storage/EpochFileTest.java
@@ -4,8 +4,10 @@
 import static org.testng.Assert.assertThrows;
 
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import org.burdockbay.core.shard.ShardLayout;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -31,15 +33,26 @@
   /** A host that never saw an epoch knows none. */
   @Test
   public void knowsNoEpochAtFirst() throws StorageException {
-    assertEquals(new EpochFile(folder).read(), 0);
+    assertEquals(new EpochFile(folder).read(), EpochFile.Content.NONE);
+    assertEquals(EpochFile.Content.NONE.epoch(), 0);
   }
 
-  /** The process is killed and starts again: it knows the last epoch that it has saved. */
+  /** The process is killed and starts again: it knows what it has saved last. */
   @Test
   public void keepsTheLastEpoch() throws StorageException {
-    new EpochFile(folder).write(7);
-    new EpochFile(folder).write(1L << 52);
-    assertEquals(new EpochFile(folder).read(), 1L << 52);
+    EpochFile.Content last = new EpochFile.Content(1L << 52, new ShardLayout(4));
+    new EpochFile(folder).write(new EpochFile.Content(7, ShardLayout.UNDIVIDED));
+    new EpochFile(folder).write(last);
+    assertEquals(new EpochFile(folder).read(), last);
+  }
+
+  /** A file that an earlier version has left is read after an upgrade. */
+  @Test
+  public void readsEpochsThatWereSavedWithoutLayout() throws IOException, StorageException {
+    byte[] epoch = ByteBuffer.allocate(Long.BYTES).putLong(1L << 52).array();
+    RecordFile.writeWhole(folder.resolve("epoch"), epoch);
+    assertEquals(
+        new EpochFile(folder).read(), new EpochFile.Content(1L << 52, ShardLayout.UNDIVIDED));
   }
 
   /** A torn or foreign file is told apart from none. */
