Shapes that several dispatchers share

Dispatchers are told to the intake by shard, with how much room each has; a lease dispatcher is told its shard and the live ones, and tells its load. A report names the host that it comes from. Nothing acts on shards yet: one dispatcher gets all work, and NodeController tells it as that of the whole fleet.

--- a/burdockbay-core/src/main/java/org/burdockbay/core/intake/IntakeEvent.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/intake/IntakeEvent.java
@@ -1,6 +1,8 @@
 package org.burdockbay.core.intake;
 
-import java.util.Optional;
+import java.util.Map;
+import org.burdockbay.core.dispatch.DomainLoad;
+import org.burdockbay.core.shard.ShardId;
 import org.burdockbay.core.work.WorkOutcome;
 import org.burdockbay.core.work.WorkRequest;
 
@@ -13,20 +15,33 @@
   /** A caller has closed its connection. */
   record Left(long ticket) implements IntakeEvent {}
 
-  /** A dispatcher tells an outcome. */
-  record Reported(String workId, WorkOutcome outcome) implements IntakeEvent {}
+  /**
+   * A dispatcher tells an outcome.
+   *
+   * @param from the dispatcher's host
+   */
+  record Reported(String from, String workId, WorkOutcome outcome) implements IntakeEvent {}
 
   /**
    * Who dispatches has changed.
    *
-   * @param dispatcher the host and token; empty while nobody is known
+   * @param dispatchers the host and token of each shard that has a dispatcher
    */
-  record DispatcherChanged(Optional<Dispatcher> dispatcher) implements IntakeEvent {}
+  record DispatchersChanged(Map<ShardId, Dispatcher> dispatchers) implements IntakeEvent {
+
+    /** Copies the map. */
+    public DispatchersChanged {
+      dispatchers = Map.copyOf(dispatchers);
+    }
+  }
+
+  /** A host has told how much room the upstreams of its shard have. */
+  record LoadTold(String host, DomainLoad load) implements IntakeEvent {}
 
   /** The connection to a host is new, so messages on the earlier one may be lost. */
   record PeerReset(String host) implements IntakeEvent {}
 
-  /** A message of the dispatcher's host arrived. */
+  /** A message of a host arrived, which may dispatch. */
   record DispatcherHeard(String host) implements IntakeEvent {}
 
   /** Time passes. */
--- a/burdockbay-core/src/main/java/org/burdockbay/core/intake/WorkIntake.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/intake/WorkIntake.java
@@ -55,7 +55,11 @@
       case IntakeEvent.Opened opened -> opened(opened);
       case IntakeEvent.Left left -> left(left.ticket());
       case IntakeEvent.Reported reported -> reported(reported.workId(), reported.outcome());
-      case IntakeEvent.DispatcherChanged changed -> dispatcherChanged(changed.dispatcher());
+      case IntakeEvent.DispatchersChanged changed ->
+          dispatcherChanged(changed.dispatchers().values().stream().findFirst());
+      case IntakeEvent.LoadTold told -> {
+        // One dispatcher gets all work, whatever room it has.
+      }
       case IntakeEvent.DispatcherHeard heard -> heard(heard.host());
       case IntakeEvent.PeerReset reset -> reset(reset.host());
       case IntakeEvent.Tick tick -> tick();
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseDispatcher.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseDispatcher.java
@@ -1,6 +1,7 @@
 package org.burdockbay.core.lease;
 
 import java.util.List;
+import org.burdockbay.core.dispatch.DomainLoad;
 
 /**
  * Dispatches sized tasks to leased upstreams, while this host has the role.
@@ -21,6 +22,8 @@
    */
   private static final long STALL_MILLIS = 250;
 
+  private static final int MILLICORES = 1_000;
+
   private final DispatchContext context = new DispatchContext();
   private final AdmissionRule admission = new AdmissionRule();
   private final StragglerRule stragglers = new StragglerRule();
@@ -74,6 +77,18 @@
     return works.unanswered().size();
   }
 
+  /** Returns how much room the upstreams have on which tasks may start now. */
+  public DomainLoad load() {
+    List<UpstreamLease> open = leases.open();
+    Backlog backlog = new Backlog(open);
+    works.unanswered().forEach(backlog::add);
+    int freeCores =
+        open.stream()
+            .mapToInt(upstream -> Math.max(0, upstream.free().cpuMillicores()) / MILLICORES)
+            .sum();
+    return new DomainLoad(freeCores, Math.round(backlog.waitMillis()));
+  }
+
   private void observe(long time) {
     long gap = time - context.now();
     if (context.dispatches() && gap > STALL_MILLIS) {
@@ -88,6 +103,9 @@
       case LeaseEvent.RoleLost lost -> roleLost();
       case LeaseEvent.Announced announced -> leases.announced(announced.notice());
       case LeaseEvent.Departed departed -> leases.departed(departed.notice());
+      case LeaseEvent.ScopeChanged changed -> {
+        // One dispatcher owns all upstreams.
+      }
       case LeaseEvent.Stalled suspended -> {
         if (context.dispatches()) {
           stalled(suspended.millis());
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseEvent.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseEvent.java
@@ -2,7 +2,9 @@
 
 import java.util.List;
 import java.util.OptionalLong;
+import java.util.Set;
 import org.burdockbay.core.fleet.UpstreamNotice;
+import org.burdockbay.core.shard.ShardId;
 import org.burdockbay.core.work.RunId;
 import org.burdockbay.core.work.WorkRequest;
 
@@ -15,6 +17,20 @@
   /** Another host dispatches from now on. */
   record RoleLost() implements LeaseEvent {}
 
+  /**
+   * The shard of this host, or the shards that divide the fleet, have changed.
+   *
+   * @param own the shard that this host dispatches, or would
+   * @param live the shards that have a dispatcher
+   */
+  record ScopeChanged(ShardId own, Set<ShardId> live) implements LeaseEvent {
+
+    /** Copies the set. */
+    public ScopeChanged {
+      live = Set.copyOf(live);
+    }
+  }
+
   /**
    * An entry host has work; it repeats this until it gets the outcome.
    *
--- a/burdockbay-core/src/test/java/org/burdockbay/core/intake/WorkIntakeTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/intake/WorkIntakeTest.java
@@ -4,7 +4,8 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.List;
-import java.util.Optional;
+import java.util.Map;
+import org.burdockbay.core.shard.ShardId;
 import org.burdockbay.core.work.TaskSize;
 import org.burdockbay.core.work.WorkOutcome;
 import org.burdockbay.core.work.WorkRequest;
@@ -93,7 +94,7 @@
     handle(new IntakeEvent.Opened(1, WORK));
     change(SECOND);
     List<IntakeEffect> effects =
-        handle(new IntakeEvent.Reported("w", new WorkOutcome.NotRun("no room", 1_000)));
+        handle(new IntakeEvent.Reported("b", "w", new WorkOutcome.NotRun("no room", 1_000)));
     assertTrue(answers(effects).getFirst().outcome() instanceof WorkOutcome.GivenUp);
   }
 
@@ -105,7 +106,7 @@
     change(FIRST);
     handle(new IntakeEvent.Opened(1, WORK));
     handle(new IntakeEvent.Opened(2, WORK));
-    IntakeEvent done = new IntakeEvent.Reported("w", new WorkOutcome.Completed());
+    IntakeEvent done = new IntakeEvent.Reported("a", "w", new WorkOutcome.Completed());
     assertEquals(answers(handle(done)).size(), 2);
     assertTrue(handle(done).isEmpty());
     assertEquals(intake.waiting(), 0);
@@ -146,7 +147,7 @@
   }
 
   private List<IntakeEffect> change(IntakeEvent.Dispatcher dispatcher) {
-    return handle(new IntakeEvent.DispatcherChanged(Optional.of(dispatcher)));
+    return handle(new IntakeEvent.DispatchersChanged(Map.of(ShardId.WHOLE_FLEET, dispatcher)));
   }
 
   private static List<IntakeEffect.Submit> submits(List<IntakeEffect> effects) {
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelEntryHost.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelEntryHost.java
@@ -15,6 +15,7 @@
 import org.burdockbay.core.membership.Membership;
 import org.burdockbay.core.membership.MembershipEffect;
 import org.burdockbay.core.membership.MembershipTerms;
+import org.burdockbay.core.shard.ShardId;
 import org.burdockbay.core.work.WorkRequest;
 
 /** One host of a {@link LeaseModel}: membership, intake and dispatch, wired as a process does. */
@@ -269,7 +270,9 @@
                   .view()
                   .dispatcher(GROUP)
                   .map(found -> new IntakeEvent.Dispatcher(found.host(), found.epoch()));
-          intake(new IntakeEvent.DispatcherChanged(known));
+          intake(
+              new IntakeEvent.DispatchersChanged(
+                  known.map(it -> Map.of(ShardId.WHOLE_FLEET, it)).orElse(Map.of())));
         }
         case MembershipEffect.HostLost lost -> {
           // The dispatcher finds out by itself.
@@ -282,8 +285,8 @@
   }
 
   private void intake(IntakeEvent event) {
-    if (event instanceof IntakeEvent.DispatcherChanged changed) {
-      model.trace(name, "dispatcher=" + changed.dispatcher());
+    if (event instanceof IntakeEvent.DispatchersChanged changed) {
+      model.trace(name, "dispatchers=" + changed.dispatchers());
     }
     for (IntakeEffect effect : intake.handle(event, clock())) {
       switch (effect) {
@@ -357,7 +360,8 @@
           ModelEntryHost target = model.hosts.get(report.entryHost());
           send(
               target,
-              () -> target.intake(new IntakeEvent.Reported(report.workId(), report.outcome())));
+              () ->
+                  target.intake(new IntakeEvent.Reported(name, report.workId(), report.outcome())));
         }
         case LeaseEffect.Outranked outranked ->
             deliver(0, () -> run(membership.outranked(outranked.token(), clock())));
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
@@ -29,6 +29,7 @@
 import org.burdockbay.core.membership.MembershipTerms;
 import org.burdockbay.core.membership.RouteView;
 import org.burdockbay.core.message.PeerMessage;
+import org.burdockbay.core.shard.ShardId;
 import org.burdockbay.core.work.WorkOutcome;
 import org.burdockbay.core.work.WorkRequest;
 import org.burdockbay.server.ServerException;
@@ -330,7 +331,7 @@
       case PeerMessage.CancelWork cancel ->
           desk.dispatch(new LeaseEvent.Cancelled(host, cancel.token(), cancel.workId()));
       case PeerMessage.ReportWork report ->
-          desk.intake(new IntakeEvent.Reported(report.workId(), report.outcome()));
+          desk.intake(new IntakeEvent.Reported(host, report.workId(), report.outcome()));
       case PeerMessage.Agreement received ->
           agreement
               .filter(driver -> received.group().equals(GroupId.CONTROL))
@@ -456,7 +457,9 @@
     log.info(
         "dispatcher",
         dispatcher.map(it -> "dispatcher=" + it.host() + " token=" + it.token()).orElse("none"));
-    desk.intake(new IntakeEvent.DispatcherChanged(dispatcher));
+    desk.intake(
+        new IntakeEvent.DispatchersChanged(
+            dispatcher.map(it -> Map.of(ShardId.WHOLE_FLEET, it)).orElse(Map.of())));
   }
 
   /** Claims the role anew with a higher token, or leaves it to a host that is heard with one. */
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/WorkDesk.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/WorkDesk.java
@@ -7,6 +7,7 @@
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import org.burdockbay.core.clock.Clock;
+import org.burdockbay.core.dispatch.DomainLoad;
 import org.burdockbay.core.intake.IntakeEffect;
 import org.burdockbay.core.intake.IntakeEvent;
 import org.burdockbay.core.intake.WorkIntake;
@@ -75,6 +76,11 @@
     return intake.waiting() + dispatcher.unanswered();
   }
 
+  /** Returns how much room there is on the upstreams that this host dispatches to. */
+  DomainLoad load() {
+    return dispatcher.load();
+  }
+
   void tick() {
     dispatch(new LeaseEvent.Tick());
     intake(new IntakeEvent.Tick());
