Membership: a shard whose dispatcher is outranked stays with its host

An upstream that comes from another shard may have seen a higher epoch than its new dispatcher's. The answer to that is a claim well above it. The host that was outranked gave its shard up first, and the shard went to whichever free host was first in line, which would have to rebuild what the former one knew. In a divided fleet it now claims the same shard again; an undivided fleet is as before.

Evidence: ShardRolesTest.keepsTheShardsOfHostsThatAreOutranked; burdockbay-core 128 tests, no failure.

--- a/burdockbay-core/src/main/java/org/burdockbay/core/membership/Membership.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/membership/Membership.java
@@ -254,13 +254,26 @@
   /**
    * Gives a claim up because it is below one that nobody tells of, and claims again well above it.
    *
+   * <p>In a divided fleet an upstream that comes from another shard may have seen a higher epoch
+   * than this shard's. Its dispatcher then keeps the shard, which another host would have to
+   * rebuild.
+   *
    * @param epoch the claim that proved too low; another one is left as it is
    */
   public List<MembershipEffect> outranked(long epoch, long now) {
     if (epoch != claimedEpoch) {
       return List.of();
     }
-    return fenced(epoch + (OUTRANK_ROUNDS << terms.hostBits()), now);
+    long higher = epoch + (OUTRANK_ROUNDS << terms.hostBits());
+    if (layout.undivided() || draining) {
+      return fenced(higher, now);
+    }
+    observeEpoch(higher);
+    List<MembershipEffect> effects = new ArrayList<>();
+    effects.add(new MembershipEffect.Yield());
+    effects.add(claim(claimedShard, now));
+    effects.addAll(elect(now));
+    return effects;
   }
 
   /**
@@ -348,14 +361,7 @@
       effects.add(new MembershipEffect.Yield());
     }
     if (mayClaim() && heardLongEnough(now)) {
-      firstInLineFor()
-          .ifPresent(
-              shard -> {
-                claimedShard = shard;
-                claimedEpoch = nextEpoch(now);
-                observeEpoch(claimedEpoch);
-                effects.add(new MembershipEffect.Claim(claimedEpoch, shard));
-              });
+      firstInLineFor().ifPresent(shard -> effects.add(claim(shard, now)));
     }
     RouteView next = view(now);
     if (!next.equals(routes)) {
@@ -365,6 +371,13 @@
     return effects;
   }
 
+  private MembershipEffect claim(ShardId shard, long now) {
+    claimedShard = shard;
+    claimedEpoch = nextEpoch(now);
+    observeEpoch(claimedEpoch);
+    return new MembershipEffect.Claim(claimedEpoch, shard);
+  }
+
   private boolean mayClaim() {
     return claimedEpoch == 0 && !draining && terms.mayDispatch();
   }
--- a/burdockbay-core/src/test/java/org/burdockbay/core/membership/ShardRolesTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/membership/ShardRolesTest.java
@@ -181,6 +181,23 @@
     assertEquals(domains.get(dispatchers().get(shard).host()), "east");
   }
 
+  /** Upstreams that came from another shard would make each shard change hands once. */
+  @Test
+  public void keepsTheShardsOfHostsThatAreOutranked() {
+    suit("10.0.5.1", TWO);
+    pass(1_000);
+    Map<ShardId, RouteView.Dispatching> before = dispatchers();
+    before.forEach((shard, found) -> hosts.get(found.host()).outranked(found.epoch(), now));
+    pass(1_000);
+    dispatchers()
+        .forEach(
+            (shard, found) -> {
+              assertEquals(found.host(), before.get(shard).host());
+              assertTrue(found.epoch() > before.get(shard).epoch());
+            });
+    assertAllShardsServed(TWO);
+  }
+
   /** Each new route makes every host look at all of its work. */
   @Test
   public void tellsNoNewRoutesWhenOnlyLoadsChange() {
