Hosts tell dispatcher and intake of every shard and its load

The dispatcher learns its shard before its token, and again when the shards that own upstreams change; the intake gets the dispatcher of each shard, and the load that each dispatching host tells in its heartbeats (0 until now). A line `dispatcher` tells the shard, and is written for shards that have changed. Nothing divides a fleet yet.

--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
@@ -6,6 +6,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
@@ -68,6 +70,9 @@
   /** How far the time of day must leap ahead to show a suspension, in milliseconds. */
   private static final long SUSPENDED_MILLIS = 250;
 
+  /** What a host tells of its load that doesn't dispatch. */
+  private static final DomainLoad NO_LOAD = new DomainLoad(0, 0);
+
   private static final long RECONCILE_MILLIS = 500;
   private static final long FETCH_MILLIS = 250;
 
@@ -93,6 +98,7 @@
   private final long storageIncarnation;
   private final Map<String, Long> incarnations = new HashMap<>();
   private final AtomicLong lastTicket;
+  private Map<ShardId, RouteView.Dispatching> dispatchers = Map.of();
   private volatile boolean dispatcherKnown;
   private volatile boolean draining;
   private Optional<ControlImage.CatalogDocument> agreedCatalog = Optional.empty();
@@ -361,6 +367,9 @@
       desk.dispatch(new LeaseEvent.EntryLost(status.host()));
     }
     run(membership.heartbeat(status, now));
+    if (status.dispatcherEpoch() != 0) {
+      desk.intake(new IntakeEvent.LoadTold(status.host(), status.load()));
+    }
     desk.dispatch(new LeaseEvent.EntryHeard(status.host()));
     desk.intake(new IntakeEvent.DispatcherHeard(status.host()));
     if (status.configurationVersion() > catalog.current().version() && now >= fetchAt) {
@@ -435,6 +444,8 @@
     for (MembershipEffect effect : effects) {
       switch (effect) {
         case MembershipEffect.Claim claim -> {
+          Set<ShardId> live = membership.routes().liveShards();
+          desk.dispatch(new LeaseEvent.ScopeChanged(claim.shard(), live));
           desk.dispatch(new LeaseEvent.RoleGained(claim.epoch()));
           heartbeat();
         }
@@ -464,16 +475,32 @@
   }
 
   private void routed(RouteView view) {
-    Optional<IntakeEvent.Dispatcher> dispatcher =
-        view.dispatcher(settings.card().group())
-            .map(found -> new IntakeEvent.Dispatcher(found.host(), found.epoch()));
-    dispatcherKnown = dispatcher.isPresent();
-    log.info(
-        "dispatcher",
-        dispatcher.map(it -> "dispatcher=" + it.host() + " token=" + it.token()).orElse("none"));
-    desk.intake(
-        new IntakeEvent.DispatchersChanged(
-            dispatcher.map(it -> Map.of(ShardId.WHOLE_FLEET, it)).orElse(Map.of())));
+    logDispatchers(view.shards());
+    dispatchers = view.shards();
+    dispatcherKnown = !dispatchers.isEmpty();
+    membership
+        .claimedShard()
+        .ifPresent(own -> desk.dispatch(new LeaseEvent.ScopeChanged(own, view.liveShards())));
+    Map<ShardId, IntakeEvent.Dispatcher> known = new HashMap<>();
+    dispatchers.forEach(
+        (shard, found) ->
+            known.put(shard, new IntakeEvent.Dispatcher(found.host(), found.epoch())));
+    desk.intake(new IntakeEvent.DispatchersChanged(known));
+  }
+
+  private void logDispatchers(Map<ShardId, RouteView.Dispatching> now) {
+    Set<ShardId> shards = new TreeSet<>(now.keySet());
+    shards.addAll(dispatchers.keySet());
+    for (ShardId shard : shards) {
+      RouteView.Dispatching found = now.get(shard);
+      if (found == null) {
+        log.info("dispatcher", "shard=" + shard + " none");
+      } else if (!found.equals(dispatchers.get(shard))) {
+        log.info(
+            "dispatcher",
+            "shard=" + shard + " dispatcher=" + found.host() + " token=" + found.epoch());
+      }
+    }
   }
 
   /** Claims the role anew with a higher token, or leaves it to a host that is heard with one. */
@@ -553,6 +580,9 @@
   private void heartbeat() {
     heartbeatAt = clock.millis() + HEARTBEAT_MILLIS;
     HostStatus status = status();
+    if (status.dispatcherEpoch() != 0) {
+      desk.intake(new IntakeEvent.LoadTold(status.host(), status.load()));
+    }
     directory.others().forEach(host -> parts.transport().send(host, heartbeatTo(host, status)));
   }
 
@@ -573,7 +603,7 @@
         membership.highestEpoch(),
         membership.draining(),
         leader().orElse(""),
-        new DomainLoad(0, 0),
+        membership.claimedEpoch() == 0 ? NO_LOAD : desk.load(),
         settings.card().domain(),
         membership.layout(),
         membership.claimedShard().orElse(ShardId.WHOLE_FLEET));
