A lease dispatcher keeps leases on the upstreams of its shard only

What callers saw: at 245 upstreams one dispatcher used the whole core share of its host, and next to nothing was served.

Now ScopeChanged tells a dispatcher its shard and the live ones. Upstreams that come into the shard are taken over at once. On those that leave it nothing starts and no lease is made longer; runs there are read until they end, and are over with their lease once another dispatcher has the upstream. Its refusals of the token neither count as outranked nor are repeated. Work that no known upstream can run is refused as before; work that only other shards can run is refused with another reason, at once, so that they can be asked.

Views of two hosts may differ: the upstream obeys the highest token, and who holds that makes no lease longer while a run that it doesn't know is there.

A run that is found at a takeover now counts as covered by the lease that the earlier dispatcher may have renewed a moment ago. Before, silence of such an upstream let the run count as over at once. No play has shown that; it is a matter of the argument.

--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseBook.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseBook.java
@@ -7,11 +7,20 @@
 import java.util.Map;
 import java.util.Set;
 import org.burdockbay.core.fleet.UpstreamNotice;
+import org.burdockbay.core.shard.ShardId;
+import org.burdockbay.core.shard.ShardMap;
 import org.burdockbay.core.work.RunId;
 import org.burdockbay.core.work.WorkOutcome;
 import org.jspecify.annotations.Nullable;
 
-/** The upstreams, the leases that are kept there, and what they tell of their runs. */
+/**
+ * The upstreams, the leases that are kept there, and what they tell of their runs.
+ *
+ * <p>Leases are kept on the upstreams of this host's shard. On one that leaves it nothing starts
+ * and no lease is made longer, and its runs are over when they end or their lease does. No two
+ * hosts need to agree on whose an upstream is: it obeys the highest token, and whoever holds that
+ * one makes no lease longer while runs that it doesn't know are there.
+ */
 final class LeaseBook {
 
   /**
@@ -43,6 +52,8 @@
   private final RunBook runs;
   private final WorkBook works;
   private final Map<String, UpstreamLease> upstreams = new LinkedHashMap<>();
+  private ShardId ownShard = ShardId.WHOLE_FLEET;
+  private ShardMap shards = ShardMap.of(Set.of(ShardId.WHOLE_FLEET));
   private long lastRenewal;
 
   LeaseBook(DispatchContext context, LeaseTerms terms, RunBook runs, WorkBook works) {
@@ -63,20 +74,61 @@
         .toList();
   }
 
+  /** Returns the upstreams of this host's shard. */
+  List<UpstreamLease> inScope() {
+    return upstreams.values().stream().filter(upstream -> upstream.inScope).toList();
+  }
+
   /** Returns whether each upstream that may be alive has answered under the present token. */
   boolean allHeard() {
     return upstreams.values().stream()
-        .noneMatch(upstream -> !upstream.owned && upstream.unanswered == 0);
+        .noneMatch(upstream -> upstream.inScope && !upstream.owned && upstream.unanswered == 0);
   }
 
-  /** Takes every upstream over under a new token. */
+  /** Takes every upstream of the shard over under a new token. */
   void takeOver() {
-    upstreams.values().forEach(upstream -> renew(upstream, false));
+    inScope().forEach(upstream -> renew(upstream, false));
   }
 
   /** Forgets the leases, and keeps the upstreams. */
   void giveUp() {
-    upstreams.replaceAll((id, upstream) -> new UpstreamLease(upstream.notice));
+    upstreams.replaceAll((id, upstream) -> leaseOn(upstream.notice));
+  }
+
+  /** Takes the upstreams over that come into the shard, and lets go of those that leave it. */
+  void scopeChanged(ShardId own, Set<ShardId> live) {
+    Set<ShardId> all = new HashSet<>(live);
+    all.add(own);
+    ownShard = own;
+    shards = ShardMap.of(all);
+    upstreams.values().forEach(this::rescope);
+  }
+
+  private void rescope(UpstreamLease upstream) {
+    boolean inScope = owns(upstream.notice);
+    if (inScope == upstream.inScope) {
+      return;
+    }
+    upstream.inScope = inScope;
+    upstream.fencedTimes = 0;
+    if (context.dispatches()) {
+      context.note(
+          inScope ? "upstream-gained" : "upstream-given",
+          "upstream=" + upstream.notice.id() + " runs=" + upstream.runs.size());
+    }
+    if (inScope && context.dispatches()) {
+      // Another dispatcher may have had it meanwhile.
+      upstream.owned = false;
+      renew(upstream, false);
+    }
+  }
+
+  private boolean owns(UpstreamNotice notice) {
+    return shards.owner(notice.id(), notice.domain()).filter(ownShard::equals).isPresent();
+  }
+
+  private UpstreamLease leaseOn(UpstreamNotice notice) {
+    return new UpstreamLease(notice, owns(notice));
   }
 
   void announced(UpstreamNotice notice) {
@@ -94,10 +146,10 @@
       }
       lifeOver(known, "reborn");
     }
-    UpstreamLease upstream = new UpstreamLease(notice);
+    UpstreamLease upstream = leaseOn(notice);
     upstreams.put(notice.id(), upstream);
     context.note("upstream-found", "upstream=" + notice.id() + " address=" + notice.address());
-    if (context.dispatches()) {
+    if (context.dispatches() && upstream.inScope) {
       renew(upstream, false);
     }
   }
@@ -265,12 +317,16 @@
         found(id, upstream);
       }
     }
-    // At once: until the next call waits there, no end of a run is heard of.
-    renew(upstream, true);
+    if (kept(upstream)) {
+      // At once: until the next call waits there, no end of a run is heard of.
+      renew(upstream, true);
+    }
   }
 
   /** Gives a run of an earlier dispatcher to the work that it belongs to, now or once it comes. */
   private void found(RunId id, UpstreamLease upstream) {
+    // The earlier dispatcher's lease may have been renewed a moment ago.
+    upstream.covered(terms, context.now());
     TaskState task = works.task(id.task());
     if (task != null && task.waits() && !runs.open(id.task())) {
       runs.adopt(task, upstream, id);
@@ -350,6 +406,10 @@
       return;
     }
     upstream.owned = false;
+    if (!upstream.inScope) {
+      // The dispatcher of its shard has it now.
+      return;
+    }
     upstream.fencedTimes++;
     upstream.renewAt = context.now() + FENCED_MILLIS;
     context.note(
@@ -368,22 +428,30 @@
 
   void tick() {
     for (UpstreamLease upstream : List.copyOf(upstreams.values())) {
-      if (!upstream.renewalOpen && context.now() >= upstream.renewAt) {
+      if (!upstream.renewalOpen && context.now() >= upstream.renewAt && kept(upstream)) {
         renew(upstream, true);
       }
-      boolean silent = upstream.unanswered > 0 && context.now() > upstream.coveredUntil;
-      if (silent && !upstream.runs.isEmpty()) {
+      boolean silent = upstream.unanswered > 0 || (!upstream.inScope && !upstream.owned);
+      if (silent && context.now() > upstream.coveredUntil && !upstream.runs.isEmpty()) {
         context.note(
             "lease-over", "upstream=" + upstream.notice.id() + " runs=" + upstream.runs.size());
         runs.allOver(upstream);
       }
-      if (upstream.notice.leaving() && upstream.runs.isEmpty() && upstream.unanswered > 4) {
+      int mostUnanswered = upstream.inScope ? 4 : 0;
+      if (upstream.notice.leaving()
+          && upstream.runs.isEmpty()
+          && upstream.unanswered > mostUnanswered) {
         upstreams.remove(upstream.notice.id());
         context.note("upstream-left", "upstream=" + upstream.notice.id());
       }
     }
   }
 
+  /** Returns whether an upstream is renewed: the shard's, and others while runs are read there. */
+  private boolean kept(UpstreamLease upstream) {
+    return upstream.inScope || (upstream.owned && !upstream.runs.isEmpty());
+  }
+
   /**
    * Renews the lease of an upstream.
    *
@@ -393,7 +461,7 @@
    */
   private void renew(UpstreamLease upstream, boolean wait) {
     boolean heard = context.now() - upstream.listedAt <= EXTEND_MILLIS;
-    boolean extend = heard && runs.mayExtend(upstream);
+    boolean extend = upstream.inScope && heard && runs.mayExtend(upstream);
     long deadline = extend && upstream.owned ? upstream.deadline(terms, context.now()) : 0;
     if (deadline != 0) {
       upstream.covered(terms, context.now());
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseDispatcher.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseDispatcher.java
@@ -10,6 +10,9 @@
  * entry host submits is answered by exactly one {@link LeaseEffect.Report} for each entry host that
  * waits, unless the role or the entry host is lost.
  *
+ * <p>In a divided fleet it keeps leases on the upstreams of its shard only, and knows all others: a
+ * task that none of them can run is refused as impossible.
+ *
  * <p>No two runs of a task overlap: a task starts only when every earlier run of it that this
  * dispatcher knows of is over, and an earlier dispatcher's runs are over when the work's quiet time
  * is. Not safe for use by several threads.
@@ -104,7 +107,8 @@
       case LeaseEvent.Announced announced -> leases.announced(announced.notice());
       case LeaseEvent.Departed departed -> leases.departed(departed.notice());
       case LeaseEvent.ScopeChanged changed -> {
-        // One dispatcher owns all upstreams.
+        leases.scopeChanged(changed.own(), changed.live());
+        unplaced = true;
       }
       case LeaseEvent.Stalled suspended -> {
         if (context.dispatches()) {
@@ -136,7 +140,7 @@
 
   private void submitted(LeaseEvent.Submitted submitted) {
     if (meantForNow(submitted.token(), submitted.request().id())) {
-      works.submitted(submitted, leases.all());
+      works.submitted(submitted, leases);
     }
   }
 
@@ -185,7 +189,7 @@
 
   private void roleGained(long token) {
     context.hold(token);
-    context.note("role-gained", "token=" + token + " upstreams=" + leases.all().size());
+    context.note("role-gained", "token=" + token + " upstreams=" + leases.inScope().size());
     leases.takeOver();
   }
 
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/UpstreamLease.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/UpstreamLease.java
@@ -21,6 +21,9 @@
   final Map<RunId, LeasedRun> runs = new HashMap<>();
   UpstreamNotice notice;
 
+  /** Whether it belongs to this host's shard. */
+  boolean inScope;
+
   /** Whether a renewal under the present token was answered. */
   boolean owned;
 
@@ -65,13 +68,19 @@
   private long clockThere;
   private long clockHere;
 
-  UpstreamLease(UpstreamNotice notice) {
+  UpstreamLease(UpstreamNotice notice, boolean inScope) {
     this.notice = notice;
+    this.inScope = inScope;
   }
 
   /** Returns whether it takes new tasks now. */
   boolean usable(long now) {
-    return owned && clockKnown && unanswered == 0 && !notice.leaving() && now >= pausedUntil;
+    return inScope
+        && owned
+        && clockKnown
+        && unanswered == 0
+        && !notice.leaving()
+        && now >= pausedUntil;
   }
 
   TaskSize free() {
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/WorkBook.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/WorkBook.java
@@ -57,7 +57,7 @@
     entriesHeard.put(entryHost, context.now());
   }
 
-  void submitted(LeaseEvent.Submitted submitted, Collection<UpstreamLease> upstreams) {
+  void submitted(LeaseEvent.Submitted submitted, LeaseBook leases) {
     String id = submitted.request().id();
     entriesHeard.put(submitted.entryHost(), context.now());
     KeptOutcome kept = outcomes.get(id);
@@ -92,22 +92,27 @@
     if (work.complete()) {
       answer(work, new WorkOutcome.Completed());
     } else {
-      refuseImpossible(work, upstreams);
+      refuseImpossible(work, leases);
     }
   }
 
-  private void refuseImpossible(WorkState work, Collection<UpstreamLease> upstreams) {
-    if (upstreams.isEmpty() || work.offered) {
+  /** Refuses at once what no upstream can run, or none of this shard; others may then be asked. */
+  private void refuseImpossible(WorkState work, LeaseBook leases) {
+    if (leases.all().isEmpty() || work.offered) {
       return;
     }
-    for (List<TaskState> tasks : work.steps) {
-      if (!PlacementPolicy.possible(upstreams, tasks.getFirst())) {
-        refuse(work, "no upstream can run it", AdmissionRule.RETRY_MILLIS);
-        return;
-      }
+    if (!possible(work, leases.all())) {
+      refuse(work, "no upstream can run it", AdmissionRule.RETRY_MILLIS);
+    } else if (!possible(work, leases.inScope())) {
+      refuse(work, "no upstream of the shard can run it", AdmissionRule.RETRY_MILLIS);
     }
   }
 
+  private static boolean possible(WorkState work, Collection<UpstreamLease> upstreams) {
+    return work.steps.stream()
+        .allMatch(tasks -> PlacementPolicy.possible(upstreams, tasks.getFirst()));
+  }
+
   void abandon(String entryHost, String workId) {
     WorkState work = works.get(workId);
     if (work == null) {
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseDispatcherTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseDispatcherTest.java
@@ -12,6 +12,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import org.burdockbay.core.fleet.UpstreamNotice;
+import org.burdockbay.core.shard.ShardId;
 import org.burdockbay.core.work.RunId;
 import org.burdockbay.core.work.TaskId;
 import org.burdockbay.core.work.TaskSize;
@@ -27,6 +28,8 @@
   private static final TaskSize HALF = new TaskSize(16_000, 64, 0);
   private static final long TOKEN = 1_000;
   private static final long CLOCK = 500_000;
+  private static final ShardId OWN_SHARD = new ShardId("north", 0);
+  private static final ShardId OTHER_SHARD = new ShardId("south", 0);
 
   private final Map<String, LeaseEffect.Renew> openRenewals = new HashMap<>();
   private LeaseDispatcher dispatcher;
@@ -519,6 +522,65 @@
     return effects;
   }
 
+  /** A host that owns one shard renewed leases on all upstreams, and had no time left for it. */
+  @Test
+  public void keepsLeasesInItsShardOnly() {
+    scope(OTHER_SHARD, OWN_SHARD);
+    assertTrue(renewals(handle(new LeaseEvent.Announced(notice("u1", 1, false)))).isEmpty());
+    assertEquals(renewals(scope(OWN_SHARD, OTHER_SHARD)).size(), 1, "taken over at once");
+  }
+
+  /** A job was given up as impossible, though an upstream of another shard could run it. */
+  @Test
+  public void leavesWorkThatOnlyOtherShardsCanRunToThem() {
+    scope(OTHER_SHARD, OWN_SHARD);
+    handle(new LeaseEvent.Announced(notice("u1", 1, false)));
+    WorkOutcome refusal = reports(submit("w", 1, HALF)).getFirst().outcome();
+    assertEquals(((WorkOutcome.NotRun) refusal).reason(), "no upstream of the shard can run it");
+  }
+
+  /**
+   * An upstream goes to another shard while a run is there. The run ends in peace and is answered;
+   * nothing more starts there, and its lease is made no longer.
+   */
+  @Test
+  public void letsRunsEndOnUpstreamsThatLeaveTheShard() {
+    UpstreamNotice upstream = join("u1");
+    RunId run = starts(submit("w", 1, HALF)).getFirst().run();
+    scope(OTHER_SHARD, OWN_SHARD);
+    assertTrue(starts(submit("v", 1, HALF)).isEmpty());
+    LeaseEffect.Renew reading = renewals(list(upstream, List.of(run), List.of())).getFirst();
+    assertEquals(reading.deadlineMillis(), 0);
+    List<LeaseEffect> effects = end(upstream, run, 1, RunEnd.Cause.DONE);
+    assertEquals(reports(effects).getFirst().outcome(), new WorkOutcome.Completed());
+    assertTrue(renewals(effects).isEmpty(), "nothing is left to read");
+  }
+
+  /**
+   * The other shard's dispatcher has taken the upstream over, and refuses are as they should be.
+   * Counted, they made this host give its whole shard up for a higher token.
+   */
+  @Test
+  public void countsNoRefusalsOfUpstreamsThatLeftTheShard() {
+    UpstreamNotice upstream = join("u1");
+    submit("w", 1, HALF);
+    scope(OTHER_SHARD, OWN_SHARD);
+    List<LeaseEffect> effects = new ArrayList<>();
+    LeaseEffect.Renew open = openRenewals.getOrDefault("u1", firstRenewal(upstream));
+    effects.addAll(answer(open, OrderResult.FENCED, List.of(), List.of()));
+    for (int i = 0; i < 30; i++) {
+      now += 200;
+      effects.addAll(handle(new LeaseEvent.Tick()));
+    }
+    assertTrue(renewals(effects).isEmpty());
+    assertTrue(only(effects, LeaseEffect.Outranked.class).isEmpty());
+    assertEquals(notes(effects, "lease-over").size(), 1, "the run is over with its lease");
+  }
+
+  private List<LeaseEffect> scope(ShardId own, ShardId other) {
+    return handle(new LeaseEvent.ScopeChanged(own, Set.of(own, other)));
+  }
+
   private long clock() {
     return CLOCK + now + clockAhead;
   }
