Callers' work goes to one shard of several, and cancellations are reliable

With several dispatchers an entry host has to choose one for each job, and a job that comes again 1,300 ms after its connection broke may reach another shard than the one that runs it.

Choice: two shards by a hash of the job's id, of them the one whose dispatcher told of more free cores; one of the own domain if both have room. The shard is kept: its successor gets the job with today's quiet time, now by when each host was heard. With no dispatcher there for 500 ms another shard gets it with the same quiet time. A refused job is offered to two more shards at most that told of room and whose hosts weren't asked. An undivided fleet has one shard and does as before.

Reports name their host: "not run" and "given up" count only from the dispatcher that was asked last, "completed" and "failed" from any, and the one that has the job now is then told to drop it.

Cancellations are kept for 1,500 ms and sent again to a host whose connection is new. A job whose callers have all left keeps its shard for as long.

Proof: LeaseFuzzTest has a divided mode with one or two shards a domain, hosts of a shard electing among them by the real Membership. New faults in all modes: connections between hosts are reset, swallow messages and are then told as new; connections of callers break. A connection that lost a message in a cut is a new one afterwards, as its order couldn't be kept else; without that the model lost a cancellation in a cut.

--- a/burdockbay-core/src/main/java/org/burdockbay/core/intake/WorkIntake.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/intake/WorkIntake.java
@@ -2,19 +2,22 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import org.burdockbay.core.shard.ShardId;
 import org.burdockbay.core.work.WorkOutcome;
-import org.burdockbay.core.work.WorkRequest;
 
 /**
  * Keeps callers' work at the entry host that they reached, and answers each caller once.
  *
- * <p>The work goes to the dispatcher of the moment, and again to its successor. Runs that the
- * earlier dispatcher started may go on for a while, so the successor is told for how long nothing
- * may start. Not safe for use by several threads.
+ * <p>The work goes to the dispatcher of a shard, and again to its successor. Runs that the earlier
+ * dispatcher started may go on for a while, so the successor is told for how long nothing may
+ * start. Work that a shard refuses is offered to others that have room. Not safe for use by several
+ * threads.
  */
 public final class WorkIntake {
 
@@ -27,12 +30,27 @@
   /** Longest wait for a dispatcher, in milliseconds: an election and a few heartbeats. */
   private static final long NO_DISPATCHER_MILLIS = 1_000;
 
+  /** Longest wait for the dispatcher of one shard while others have one, in milliseconds. */
+  private static final long NO_SUCCESSOR_MILLIS = NO_DISPATCHER_MILLIS / 2;
+
+  /** Work is offered to so many further shards at most after it was refused. */
+  private static final int MOST_SPILLS = 2;
+
+  /**
+   * How long cancellations and what is known of answered work are kept, in milliseconds: longer
+   * than a caller whose connection broke takes to come again.
+   */
+  private static final long KEPT_MILLIS = 1_500;
+
   private final String self;
   private final long runsOnMillis;
-  private final Map<Long, Pending> byTicket = new LinkedHashMap<>();
-  private final Map<String, List<Pending>> byWork = new HashMap<>();
-  private Optional<IntakeEvent.Dispatcher> dispatcher = Optional.empty();
-  private long heardAt;
+  private final ShardChoice choice;
+  private final Map<Long, PendingWork> byTicket = new LinkedHashMap<>();
+  private final Map<String, PendingWork> byWork = new LinkedHashMap<>();
+  private final Map<String, Long> heardAt = new HashMap<>();
+  private final Map<ShardId, Long> withoutSince = new HashMap<>();
+  private final Map<IntakeEffect.Cancel, Long> cancels = new LinkedHashMap<>();
+  private Map<ShardId, IntakeEvent.Dispatcher> dispatchers = Map.of();
   private List<IntakeEffect> effects = new ArrayList<>();
   private long now;
 
@@ -40,12 +58,14 @@
    * Creates an intake that knows no dispatcher yet.
    *
    * @param self the id of this host
+   * @param domain the failure domain of this host
    * @param runsOnMillis for how long a dispatcher that this host doesn't hear any more may keep
    *     runs of its work alive, in milliseconds
    */
-  public WorkIntake(String self, long runsOnMillis) {
+  public WorkIntake(String self, String domain, long runsOnMillis) {
     this.self = self;
     this.runsOnMillis = runsOnMillis;
+    this.choice = new ShardChoice(domain);
   }
 
   /** Handles an event and returns what is to be done. */
@@ -54,12 +74,9 @@
     switch (event) {
       case IntakeEvent.Opened opened -> opened(opened);
       case IntakeEvent.Left left -> left(left.ticket());
-      case IntakeEvent.Reported reported -> reported(reported.workId(), reported.outcome());
-      case IntakeEvent.DispatchersChanged changed ->
-          dispatcherChanged(changed.dispatchers().values().stream().findFirst());
-      case IntakeEvent.LoadTold told -> {
-        // One dispatcher gets all work, whatever room it has.
-      }
+      case IntakeEvent.Reported reported -> reported(reported);
+      case IntakeEvent.DispatchersChanged changed -> dispatchersChanged(changed.dispatchers());
+      case IntakeEvent.LoadTold told -> choice.loadTold(told.host(), told.load());
       case IntakeEvent.DispatcherHeard heard -> heard(heard.host());
       case IntakeEvent.PeerReset reset -> reset(reset.host());
       case IntakeEvent.Tick tick -> tick();
@@ -75,172 +92,257 @@
   }
 
   private void opened(IntakeEvent.Opened opened) {
-    Pending pending = new Pending(opened.ticket(), opened.request(), now);
-    byTicket.put(opened.ticket(), pending);
-    byWork.computeIfAbsent(opened.request().id(), id -> new ArrayList<>()).add(pending);
-    submit(pending);
+    PendingWork work = byWork.computeIfAbsent(opened.request().id(), PendingWork::new);
+    PendingWork.Caller caller = new PendingWork.Caller(opened.ticket(), opened.request(), now);
+    if (work.callers.isEmpty()) {
+      work.refusedBy.clear();
+    }
+    work.callers.put(opened.ticket(), caller);
+    byTicket.put(opened.ticket(), work);
+    submit(work, caller);
   }
 
   private void left(long ticket) {
-    Pending pending = byTicket.get(ticket);
-    if (pending == null) {
+    PendingWork work = byTicket.get(ticket);
+    if (work == null) {
       return;
     }
-    remove(pending);
-    note("caller-left", pending, "");
-    if (!byWork.containsKey(pending.request.id())) {
-      pending.submittedTo.ifPresent(
-          earlier -> effects.add(new IntakeEffect.Cancel(earlier, pending.request.id())));
+    note("caller-left", work, work.callers.get(ticket), "");
+    remove(work, ticket);
+    if (work.callers.isEmpty()) {
+      cancel(work);
     }
   }
 
-  private void reported(String workId, WorkOutcome outcome) {
-    for (Pending pending : List.copyOf(byWork.getOrDefault(workId, List.of()))) {
-      answer(pending, truthful(pending, outcome));
+  private void reported(IntakeEvent.Reported reported) {
+    PendingWork work = byWork.get(reported.workId());
+    if (work == null || work.callers.isEmpty()) {
+      return;
+    }
+    boolean askedLast =
+        work.submittedTo
+            .map(IntakeEvent.Dispatcher::host)
+            .filter(reported.from()::equals)
+            .isPresent();
+    switch (reported.outcome()) {
+      case WorkOutcome.NotRun notRun when askedLast -> refused(work, notRun);
+      case WorkOutcome.GivenUp givenUp when askedLast -> answerAll(work, givenUp);
+      case WorkOutcome.Completed completed -> decided(work, completed, askedLast);
+      case WorkOutcome.Failed failed -> decided(work, failed, askedLast);
+      case WorkOutcome.NotRun late -> noteLate(work, reported.from());
+      case WorkOutcome.GivenUp late -> noteLate(work, reported.from());
     }
   }
 
-  /** Claims that nothing has run only where no earlier dispatcher may have run something. */
-  private static WorkOutcome truthful(Pending pending, WorkOutcome outcome) {
-    if (outcome instanceof WorkOutcome.NotRun notRun && pending.mayHaveRun) {
-      return new WorkOutcome.GivenUp(notRun.reason());
+  /** Takes an outcome that holds whichever dispatcher tells it. */
+  private void decided(PendingWork work, WorkOutcome outcome, boolean askedLast) {
+    if (!askedLast) {
+      cancel(work);
+    }
+    answerAll(work, outcome);
+  }
+
+  /** What an earlier dispatcher doesn't run may run under the one that has the work now. */
+  private void noteLate(PendingWork work, String from) {
+    note("report-outdated", work, work.callers.values().iterator().next(), " from=" + from);
+  }
+
+  /** Offers refused work to another shard; the caller is refused once none is left. */
+  private void refused(PendingWork work, WorkOutcome.NotRun notRun) {
+    PendingWork.Caller first = work.callers.values().iterator().next();
+    work.submittedTo.map(IntakeEvent.Dispatcher::host).ifPresent(work.refusedBy::add);
+    Optional<ShardId> next =
+        work.refusedBy.size() <= MOST_SPILLS
+            ? choice.next(first.request, work.refusedBy)
+            : Optional.empty();
+    if (next.isEmpty()) {
+      answerAll(work, truthful(work, notRun));
+      return;
     }
-    return outcome;
+    note("work-spilled", work, first, " to=" + next.get());
+    work.submittedTo = Optional.empty();
+    work.shard = next;
+    submitAll(work);
+  }
+
+  /** Claims that nothing has run only where no earlier dispatcher may have run something. */
+  private static WorkOutcome truthful(PendingWork work, WorkOutcome.NotRun notRun) {
+    return work.mayHaveRun ? new WorkOutcome.GivenUp(notRun.reason()) : notRun;
   }
 
-  private void dispatcherChanged(Optional<IntakeEvent.Dispatcher> changed) {
-    if (changed.equals(dispatcher)) {
+  private void dispatchersChanged(Map<ShardId, IntakeEvent.Dispatcher> changed) {
+    if (changed.equals(dispatchers)) {
       return;
     }
     noteHeard();
-    dispatcher = changed;
-    changed.ifPresent(
-        next -> {
-          heardAt = now;
-          byTicket.values().forEach(this::submit);
-        });
+    Set<IntakeEvent.Dispatcher> appeared = new HashSet<>(changed.values());
+    appeared.removeAll(dispatchers.values());
+    appeared.forEach(dispatcher -> heardAt.put(dispatcher.host(), now));
+    dispatchers.keySet().forEach(shard -> withoutSince.putIfAbsent(shard, now));
+    withoutSince.keySet().removeAll(changed.keySet());
+    dispatchers = changed;
+    choice.dispatchersChanged(changed);
+    byWork.values().stream().filter(this::newlyRouted).forEach(this::submitAll);
+  }
+
+  /** Returns whether the dispatcher that is to have the work isn't the one that has it. */
+  private boolean newlyRouted(PendingWork work) {
+    return work.shard.isEmpty() || !work.submittedTo.equals(dispatcherOf(work));
+  }
+
+  private Optional<IntakeEvent.Dispatcher> dispatcherOf(PendingWork work) {
+    return work.shard.map(dispatchers::get);
   }
 
   private void heard(String host) {
-    if (dispatcher.map(IntakeEvent.Dispatcher::host).filter(host::equals).isPresent()) {
-      heardAt = now;
-    }
+    heardAt.put(host, now);
   }
 
   /**
-   * Notes when the dispatcher was heard last for the work that it has; this host hears itself all
+   * Notes when each dispatcher was heard last for the work that it has; this host hears itself all
    * the time.
    */
   private void noteHeard() {
-    if (dispatcher.map(IntakeEvent.Dispatcher::host).filter(self::equals).isPresent()) {
-      heardAt = now;
-    }
-    for (Pending pending : byTicket.values()) {
-      if (pending.submittedTo.equals(dispatcher)) {
-        pending.heardAt = heardAt;
+    heardAt.put(self, now);
+    for (PendingWork work : byWork.values()) {
+      if (work.submittedTo.isPresent() && work.submittedTo.equals(dispatcherOf(work))) {
+        work.heardAt = heardAt.getOrDefault(work.submittedTo.get().host(), work.heardAt);
       }
     }
   }
 
+  /** Repeats what the earlier connection to a host may have lost. */
   private void reset(String host) {
-    if (dispatcher.map(IntakeEvent.Dispatcher::host).filter(host::equals).isPresent()) {
-      byTicket.values().forEach(this::submit);
-    }
+    cancels.keySet().stream()
+        .filter(cancel -> cancel.to().host().equals(host))
+        .forEach(effects::add);
+    byWork.values().stream()
+        .filter(work -> dispatcherOf(work).filter(it -> it.host().equals(host)).isPresent())
+        .forEach(this::submitAll);
   }
 
-  private void submit(Pending pending) {
-    if (dispatcher.isEmpty()) {
-      return;
+  private void submitAll(PendingWork work) {
+    work.callers.values().forEach(caller -> submit(work, caller));
+  }
+
+  private void submit(PendingWork work, PendingWork.Caller caller) {
+    if (work.shard.isEmpty() || withoutDispatcherForLong(work)) {
+      work.shard = choice.first(caller.request).or(() -> work.shard);
     }
-    IntakeEvent.Dispatcher target = dispatcher.get();
-    if (pending.submittedTo.isPresent() && !pending.submittedTo.get().equals(target)) {
-      pending.quietUntil = Math.max(pending.quietUntil, pending.heardAt + runsOnMillis);
-      pending.mayHaveRun = true;
-      // In a cut of one direction the earlier dispatcher may hear this host and go on.
-      effects.add(new IntakeEffect.Cancel(pending.submittedTo.get(), pending.request.id()));
-      note("work-moved", pending, " to=" + target.host() + " token=" + target.token());
+    dispatcherOf(work).ifPresent(target -> submitTo(target, work, caller));
+  }
+
+  private boolean withoutDispatcherForLong(PendingWork work) {
+    Long since = work.shard.map(withoutSince::get).orElse(null);
+    return since != null && (now - since >= NO_SUCCESSOR_MILLIS || ofOtherLayout(work));
+  }
+
+  /** Returns whether the fleet was divided, or united, since the work got its shard. */
+  private boolean ofOtherLayout(PendingWork work) {
+    return work.shard.filter(ShardId.WHOLE_FLEET::equals).isPresent()
+        || dispatchers.containsKey(ShardId.WHOLE_FLEET);
+  }
+
+  private void submitTo(
+      IntakeEvent.Dispatcher target, PendingWork work, PendingWork.Caller caller) {
+    if (work.submittedTo.isPresent() && !work.submittedTo.get().equals(target)) {
+      move(work, caller, target);
     }
-    pending.submittedTo = dispatcher;
-    pending.submittedAt = now;
+    work.submittedTo = Optional.of(target);
+    cancels.remove(new IntakeEffect.Cancel(target, work.id));
+    caller.submittedAt = now;
     effects.add(
         new IntakeEffect.Submit(
             target,
-            pending.ticket,
-            pending.request,
-            now - pending.arrivedAt,
-            Math.max(0, pending.quietUntil - now)));
+            caller.ticket,
+            caller.request,
+            now - caller.arrivedAt,
+            Math.max(0, work.quietUntil - now)));
+  }
+
+  private void move(PendingWork work, PendingWork.Caller caller, IntakeEvent.Dispatcher target) {
+    work.quietUntil = Math.max(work.quietUntil, work.heardAt + runsOnMillis);
+    work.mayHaveRun = true;
+    // In a cut of one direction the earlier dispatcher may hear this host and go on.
+    cancel(work);
+    note("work-moved", work, caller, " to=" + target.host() + " token=" + target.token());
+  }
+
+  /**
+   * Tells the dispatcher that has the work to drop it.
+   *
+   * <p>The caller may come again at another host, which may ask another shard. So this is repeated
+   * if the connection breaks that may have lost it.
+   */
+  private void cancel(PendingWork work) {
+    work.submittedTo.ifPresent(
+        to -> {
+          IntakeEffect.Cancel cancel = new IntakeEffect.Cancel(to, work.id);
+          cancels.put(cancel, now);
+          effects.add(cancel);
+        });
   }
 
   private void tick() {
     noteHeard();
-    for (Pending pending : List.copyOf(byTicket.values())) {
-      long age = now - pending.arrivedAt;
-      if (age >= pending.request.budgetMillis()) {
-        giveUp(pending, "no outcome in time");
-      } else if (dispatcher.isEmpty() && age >= NO_DISPATCHER_MILLIS) {
-        giveUp(pending, "no dispatcher");
-      } else if (now - pending.submittedAt >= AGAIN_MILLIS) {
-        submit(pending);
-      }
+    cancels.values().removeIf(at -> now - at > KEPT_MILLIS);
+    byWork.values().removeIf(work -> work.callers.isEmpty() && now - work.idleSince > KEPT_MILLIS);
+    for (PendingWork work : List.copyOf(byWork.values())) {
+      List.copyOf(work.callers.values()).forEach(caller -> attend(work, caller));
     }
   }
 
-  private void giveUp(Pending pending, String reason) {
-    boolean neverLeft = pending.submittedTo.isEmpty();
-    pending.submittedTo.ifPresent(
-        earlier -> effects.add(new IntakeEffect.Cancel(earlier, pending.request.id())));
+  private void attend(PendingWork work, PendingWork.Caller caller) {
+    long age = now - caller.arrivedAt;
+    if (age >= caller.request.budgetMillis()) {
+      giveUp(work, caller, "no outcome in time");
+    } else if (dispatchers.isEmpty() && age >= NO_DISPATCHER_MILLIS) {
+      giveUp(work, caller, "no dispatcher");
+    } else if (now - caller.submittedAt >= AGAIN_MILLIS) {
+      submit(work, caller);
+    }
+  }
+
+  private void giveUp(PendingWork work, PendingWork.Caller caller, String reason) {
+    boolean neverLeft = work.submittedTo.isEmpty() && !work.mayHaveRun;
     answer(
-        pending,
+        work,
+        caller,
         neverLeft ? new WorkOutcome.NotRun(reason, RETRY_MILLIS) : new WorkOutcome.GivenUp(reason));
+    if (work.callers.isEmpty()) {
+      cancel(work);
+    }
   }
 
-  private void answer(Pending pending, WorkOutcome outcome) {
-    remove(pending);
+  private void answerAll(PendingWork work, WorkOutcome outcome) {
+    List.copyOf(work.callers.values()).forEach(caller -> answer(work, caller, outcome));
+    if (outcome instanceof WorkOutcome.NotRun) {
+      byWork.remove(work.id);
+    }
+  }
+
+  private void answer(PendingWork work, PendingWork.Caller caller, WorkOutcome outcome) {
+    remove(work, caller.ticket);
     effects.add(
-        new IntakeEffect.Answer(pending.ticket, pending.request, now - pending.arrivedAt, outcome));
+        new IntakeEffect.Answer(caller.ticket, caller.request, now - caller.arrivedAt, outcome));
   }
 
-  private void remove(Pending pending) {
-    byTicket.remove(pending.ticket);
-    byWork.computeIfPresent(
-        pending.request.id(),
-        (id, waiting) -> {
-          waiting.remove(pending);
-          return waiting.isEmpty() ? null : waiting;
-        });
+  private void remove(PendingWork work, long ticket) {
+    byTicket.remove(ticket);
+    work.callers.remove(ticket);
+    work.idleSince = now;
   }
 
-  private void note(String event, Pending pending, String fields) {
+  private void note(String event, PendingWork work, PendingWork.Caller caller, String fields) {
     effects.add(
         new IntakeEffect.Note(
             event,
             "work="
-                + pending.request.id()
+                + work.id
                 + " age="
-                + (now - pending.arrivedAt)
+                + (now - caller.arrivedAt)
                 + " submitted="
-                + pending.submittedTo.map(IntakeEvent.Dispatcher::host).orElse("none")
+                + work.submittedTo.map(IntakeEvent.Dispatcher::host).orElse("none")
                 + fields));
   }
-
-  private static final class Pending {
-
-    private final long ticket;
-    private final WorkRequest request;
-    private final long arrivedAt;
-    private Optional<IntakeEvent.Dispatcher> submittedTo = Optional.empty();
-
-    /** When the dispatcher that has the work was heard last. */
-    private long heardAt;
-
-    private long submittedAt;
-    private long quietUntil;
-    private boolean mayHaveRun;
-
-    Pending(long ticket, WorkRequest request, long arrivedAt) {
-      this.ticket = ticket;
-      this.request = request;
-      this.arrivedAt = arrivedAt;
-    }
-  }
 }
--- a/burdockbay-core/src/test/java/org/burdockbay/core/intake/WorkIntakeTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/intake/WorkIntakeTest.java
@@ -5,6 +5,7 @@
 
 import java.util.List;
 import java.util.Map;
+import org.burdockbay.core.dispatch.DomainLoad;
 import org.burdockbay.core.shard.ShardId;
 import org.burdockbay.core.work.TaskSize;
 import org.burdockbay.core.work.WorkOutcome;
@@ -19,6 +20,8 @@
   private static final long RUNS_ON = 1_200;
   private static final IntakeEvent.Dispatcher FIRST = new IntakeEvent.Dispatcher("a", 1);
   private static final IntakeEvent.Dispatcher SECOND = new IntakeEvent.Dispatcher("b", 2);
+  private static final ShardId NORTH = new ShardId("north", 0);
+  private static final ShardId SOUTH = new ShardId("south", 0);
   private static final WorkRequest WORK =
       new WorkRequest(
           "w",
@@ -38,7 +41,7 @@
   /** Creates an intake without a dispatcher. */
   @BeforeMethod
   public void setUp() {
-    intake = new WorkIntake("self", RUNS_ON);
+    intake = new WorkIntake("self", "north", RUNS_ON);
     now = 1_000;
   }
 
@@ -142,10 +145,125 @@
     assertEquals(cancels(effects).size(), 1);
   }
 
+  /**
+   * A connection broke just as a caller had left, and its job went on at the first shard while the
+   * caller, back elsewhere, had it run at a second one.
+   */
+  @Test
+  public void repeatsCancellationsThatConnectionsMayHaveLost() {
+    change(FIRST);
+    handle(new IntakeEvent.Opened(1, WORK));
+    handle(new IntakeEvent.Left(1));
+    now += 1_400;
+    assertEquals(cancels(handle(new IntakeEvent.PeerReset("a"))).getFirst().to(), FIRST);
+    now += 200;
+    handle(new IntakeEvent.Tick());
+    assertTrue(cancels(handle(new IntakeEvent.PeerReset("a"))).isEmpty());
+  }
+
+  /** A caller was back at once, and a cancellation that was repeated dropped its new submission. */
+  @Test
+  public void cancelsNothingThatWasSubmittedAgain() {
+    change(FIRST);
+    handle(new IntakeEvent.Opened(1, WORK));
+    handle(new IntakeEvent.Left(1));
+    handle(new IntakeEvent.Opened(2, WORK));
+    assertTrue(cancels(handle(new IntakeEvent.PeerReset("a"))).isEmpty());
+  }
+
+  /** All entry hosts took the first of the shards, while the others had room. */
+  @Test
+  public void choosesTheRoomierOfTwoShards() {
+    divide(Map.of(NORTH, FIRST, SOUTH, SECOND));
+    tellRoom("a", 0);
+    tellRoom("b", 40);
+    assertEquals(submits(handle(new IntakeEvent.Opened(1, WORK))).getFirst().to(), SECOND);
+  }
+
+  /** A job crossed the network between domains, though its own domain had room. */
+  @Test
+  public void prefersTheOwnDomainWhileItHasRoom() {
+    divide(Map.of(NORTH, FIRST, SOUTH, SECOND));
+    tellRoom("a", 10);
+    tellRoom("b", 40);
+    assertEquals(submits(handle(new IntakeEvent.Opened(1, WORK))).getFirst().to(), FIRST);
+  }
+
+  /** A caller was refused by a full shard, while another one had room. */
+  @Test
+  public void offersRefusedWorkToShardsWithRoom() {
+    divide(Map.of(NORTH, FIRST, SOUTH, SECOND));
+    tellRoom("a", 10);
+    handle(new IntakeEvent.Opened(1, WORK));
+    tellRoom("b", 10);
+    IntakeEffect.Submit spilled = submits(refuse("a")).getFirst();
+    assertEquals(spilled.to(), SECOND);
+    assertEquals(spilled.quietMillis(), 0);
+    assertTrue(refuse("a").stream().allMatch(IntakeEffect.Note.class::isInstance), "a late copy");
+    IntakeEffect.Answer answer = answers(refuse("b")).getFirst();
+    assertTrue(answer.outcome() instanceof WorkOutcome.NotRun);
+  }
+
+  /** A caller heard "not run" of a job that the next shard had just begun. */
+  @Test
+  public void takesNoLateRefusalOfAnEarlierShard() {
+    divide(Map.of(NORTH, FIRST, SOUTH, SECOND));
+    tellRoom("a", 10);
+    handle(new IntakeEvent.Opened(1, WORK));
+    divide(Map.of(SOUTH, SECOND));
+    now += 500;
+    IntakeEffect.Submit moved = submits(handle(new IntakeEvent.Tick())).getFirst();
+    assertEquals(moved.to(), SECOND);
+    assertTrue(moved.quietMillis() > 0, "the first shard's runs may go on");
+    assertTrue(answers(refuse("a")).isEmpty());
+    assertTrue(answers(refuse("b")).getFirst().outcome() instanceof WorkOutcome.GivenUp);
+  }
+
+  /** The first shard has done the job after all: the caller hears so, and the second one stops. */
+  @Test
+  public void takesCompletionsOfEveryShardThatHadTheWork() {
+    divide(Map.of(NORTH, FIRST, SOUTH, SECOND));
+    tellRoom("a", 10);
+    handle(new IntakeEvent.Opened(1, WORK));
+    divide(Map.of(SOUTH, SECOND));
+    now += 500;
+    handle(new IntakeEvent.Tick());
+    List<IntakeEffect> effects =
+        handle(new IntakeEvent.Reported("a", "w", new WorkOutcome.Completed()));
+    assertEquals(answers(effects).size(), 1);
+    assertEquals(cancels(effects).getFirst().to(), SECOND);
+  }
+
+  /** A shard lost its dispatcher for a moment, and its jobs went elsewhere and had to wait. */
+  @Test
+  public void keepsWorkAtItsShardUntilTheSuccessorComes() {
+    divide(Map.of(NORTH, FIRST, SOUTH, SECOND));
+    tellRoom("a", 10);
+    handle(new IntakeEvent.Opened(1, WORK));
+    divide(Map.of(SOUTH, SECOND));
+    now += 400;
+    assertTrue(submits(handle(new IntakeEvent.Tick())).isEmpty());
+    IntakeEvent.Dispatcher successor = new IntakeEvent.Dispatcher("c", 3);
+    List<IntakeEffect> effects = divide(Map.of(NORTH, successor, SOUTH, SECOND));
+    assertEquals(submits(effects).getFirst().to(), successor);
+  }
+
   private List<IntakeEffect> handle(IntakeEvent event) {
     return intake.handle(event, now);
   }
 
+  private List<IntakeEffect> divide(Map<ShardId, IntakeEvent.Dispatcher> dispatchers) {
+    return handle(new IntakeEvent.DispatchersChanged(dispatchers));
+  }
+
+  private void tellRoom(String host, int freeCores) {
+    handle(new IntakeEvent.LoadTold(host, new DomainLoad(freeCores, 0)));
+  }
+
+  private List<IntakeEffect> refuse(String host) {
+    return handle(new IntakeEvent.Reported(host, "w", new WorkOutcome.NotRun("no room", 1_000)));
+  }
+
   private List<IntakeEffect> change(IntakeEvent.Dispatcher dispatcher) {
     return handle(new IntakeEvent.DispatchersChanged(Map.of(ShardId.WHOLE_FLEET, dispatcher)));
   }
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseFuzzTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseFuzzTest.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import org.burdockbay.core.FuzzDepth;
+import org.burdockbay.core.shard.ShardLayout;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.Test;
 
@@ -20,7 +21,7 @@
    */
   @Test
   public void overlapsNoTwoRunsOfTaskThroughFaults() {
-    playAll(LeaseModel.Network.SPACED);
+    playAll(LeaseModel.Network.SPACED, false);
   }
 
   /**
@@ -30,15 +31,31 @@
    */
   @Test
   public void overlapsNoTwoRunsOfTaskWhereEventsFallTogether() {
-    playAll(LeaseModel.Network.TIED);
+    playAll(LeaseModel.Network.TIED, false);
   }
 
-  private static void playAll(LeaseModel.Network network) {
+  /**
+   * The same in a fleet that is divided among several dispatchers. Besides, work that comes again
+   * may reach another shard than the one that had it, dispatchers take upstreams over from each
+   * other, and hosts disagree for a while on whose an upstream is.
+   */
+  @Test
+  public void overlapsNoTwoRunsOfTaskInDividedFleet() {
+    playAll(LeaseModel.Network.SPACED, true);
+  }
+
+  /** The same in a divided fleet, where events fall together. */
+  @Test
+  public void overlapsNoTwoRunsOfTaskInDividedFleetWhereEventsFallTogether() {
+    playAll(LeaseModel.Network.TIED, true);
+  }
+
+  private static void playAll(LeaseModel.Network network, boolean divided) {
     int runs = FuzzDepth.examples(RUNS);
     for (int run = 0; run < runs; run++) {
       long seed = FuzzDepth.seed() + run;
       try {
-        play(seed, network);
+        play(seed, network, divided ? divided(seed) : ShardLayout.UNDIVIDED, true);
       } catch (AssertionError e) {
         throw new AssertionError("seed " + seed + ": " + e.getMessage(), e);
       }
@@ -61,10 +78,10 @@
   @Test
   public void keepsHoldingForSeedsThatOnceFailed() {
     for (long seed : new long[] {20261204, 20261206, 20261210, 20261221, 255, 20261340, 20261417}) {
-      play(seed, LeaseModel.Network.SPACED);
+      playAsFound(seed, LeaseModel.Network.SPACED);
     }
-    play(20261278, LeaseModel.Network.TIED);
-    play(20261504, LeaseModel.Network.TIED);
+    playAsFound(20261278, LeaseModel.Network.TIED);
+    playAsFound(20261504, LeaseModel.Network.TIED);
   }
 
   /** Prints the figures of the run. */
@@ -73,8 +90,20 @@
     System.out.println(FuzzDepth.figures("lease"));
   }
 
-  private static void play(long seed, LeaseModel.Network network) {
-    LeaseModel model = new LeaseModel(seed, network, 2, 3);
+  /** Plays a seed with the faults that there were when it showed one. */
+  private static void playAsFound(long seed, LeaseModel.Network network) {
+    play(seed, network, ShardLayout.UNDIVIDED, false);
+  }
+
+  /** Returns a layout of one or two shards in each domain. */
+  private static ShardLayout divided(long seed) {
+    return new ShardLayout(1 + (int) (seed & 1));
+  }
+
+  private static void play(
+      long seed, LeaseModel.Network network, ShardLayout layout, boolean connectionsBreak) {
+    LeaseModel model = new LeaseModel(seed, network, layout, 2 + layout.shardsPerDomain() / 2, 3);
+    model.connectionsBreak = connectionsBreak;
     SplittableRandom random = new SplittableRandom(~seed);
     for (int step = 0; step < STEPS; step++) {
       int burst = 1 + random.nextInt(3);
@@ -84,12 +113,31 @@
       if (random.nextInt(4) == 0) {
         disturb(model, random);
       }
+      if (connectionsBreak) {
+        breakConnections(model);
+      }
       model.advance(20 + random.nextLong(300));
     }
     model.heal();
     FuzzDepth.count("lease", model.starts, model.answers);
   }
 
+  /** Resets the connections between two hosts, and those of callers, some of them meanwhile. */
+  private static void breakConnections(LeaseModel model) {
+    SplittableRandom random = model.faults();
+    if (random.nextInt(6) == 0) {
+      ModelEntryHost one = host(model, random);
+      ModelEntryHost other = host(model, random);
+      if (one != other) {
+        model.resetConnections(one, other, random.nextLong(600));
+        model.after(random.nextLong(300), one::loseCaller);
+      }
+    }
+    if (random.nextInt(4) == 0) {
+      host(model, random).loseCaller();
+    }
+  }
+
   private static void disturb(LeaseModel model, SplittableRandom random) {
     ModelEntryHost host = host(model, random);
     ModelUpstream upstream = model.upstreams.get(random.nextInt(model.upstreams.size()));
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseModel.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseModel.java
@@ -4,11 +4,14 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.SplittableRandom;
+import org.burdockbay.core.shard.ShardId;
+import org.burdockbay.core.shard.ShardLayout;
 import org.burdockbay.core.work.RunId;
 import org.burdockbay.core.work.TaskId;
 import org.burdockbay.core.work.TaskSize;
@@ -25,12 +28,19 @@
 
   static final int TASK_CPU = 14_000;
 
+  private static final List<String> DOMAINS = List.of("north", "south", "east");
+  private static final long FAULTS_SEED = 0x5DEECE66DL;
+
   private static final long RESEND_MILLIS = 1_300;
   private static final long PATIENCE_MILLIS = 2_500;
+  private static final long RECONNECT_MILLIS = 100;
   private static final long LONGEST_WORK_MILLIS = 900;
 
   private final SplittableRandom random;
+  private final SplittableRandom faults;
   private final Network network;
+  private final ShardLayout layout;
+  private final Map<Set<ModelEntryHost>, Link> links = new HashMap<>();
   private final PriorityQueue<Timed> queue = new PriorityQueue<>();
   private final Map<TaskId, ModelUpstream> runningOn = new HashMap<>();
   private final Map<TaskId, Integer> finished = new HashMap<>();
@@ -44,6 +54,9 @@
   final List<ModelUpstream> upstreams = new ArrayList<>();
   final Set<String> cutDomains = new HashSet<>();
 
+  /** Whether connections between hosts break, and hosts are told. */
+  boolean connectionsBreak;
+
   /** Share of calls to upstreams that aren't answered and carried out seconds later. */
   double heldUp;
 
@@ -57,14 +70,19 @@
   private long order;
   private int works;
 
-  LeaseModel(long seed, Network network, int hostsInDomain, int upstreamsInDomain) {
+  LeaseModel(
+      long seed, Network network, ShardLayout layout, int hostsInDomain, int upstreamsInDomain) {
     random = new SplittableRandom(seed);
+    faults = new SplittableRandom(seed ^ FAULTS_SEED);
     this.network = network;
+    this.layout = layout;
     int number = 0;
-    for (String domain : List.of("north", "south", "east")) {
+    for (String domain : DOMAINS) {
       for (int i = 0; i < hostsInDomain; i++) {
         number++;
-        ModelEntryHost host = new ModelEntryHost(this, "10.0.0." + number, domain);
+        List<ShardId> shards = layout.shards(domain);
+        ShardId shard = shards.get(i % shards.size());
+        ModelEntryHost host = new ModelEntryHost(this, "10.0.0." + number, domain, shard);
         hosts.put(host.name, host);
       }
       for (int i = 0; i < upstreamsInDomain; i++) {
@@ -85,6 +103,50 @@
     return random;
   }
 
+  /** Random numbers of the faults that came later, so that earlier plays stay as they were. */
+  SplittableRandom faults() {
+    return faults;
+  }
+
+  Set<ShardId> shards() {
+    Set<ShardId> shards = new LinkedHashSet<>();
+    DOMAINS.forEach(domain -> shards.addAll(layout.shards(domain)));
+    return shards;
+  }
+
+  Link link(ModelEntryHost one, ModelEntryHost other) {
+    return links.computeIfAbsent(Set.of(one, other), pair -> new Link());
+  }
+
+  /** Resets the connections between two hosts; what is on its way is lost. */
+  void resetConnections(ModelEntryHost one, ModelEntryHost other, long millis) {
+    Link link = link(one, other);
+    if (!link.down) {
+      trace("faults", "reset " + one.name + " " + other.name + " millis=" + millis);
+      link.down = true;
+      link.generation++;
+      after(millis, () -> connectAgain(link, one, other));
+    }
+  }
+
+  /** A connection that has lost a message in a cut is a new one once the cut is over. */
+  void renewIfLossy(Link link, ModelEntryHost one, ModelEntryHost other) {
+    if (connectionsBreak && link.lossy && !link.down) {
+      link.lossy = false;
+      connectAgain(link, one, other);
+    }
+  }
+
+  private void connectAgain(Link link, ModelEntryHost one, ModelEntryHost other) {
+    if (!connected(one.domain, other.domain)) {
+      after(RECONNECT_MILLIS, () -> connectAgain(link, one, other));
+      return;
+    }
+    link.down = false;
+    one.reset(other);
+    other.reset(one);
+  }
+
   long workMillis() {
     return 20 + random.nextLong(LONGEST_WORK_MILLIS);
   }
@@ -265,6 +327,17 @@
     TIED
   }
 
+  /** The connections between two hosts. */
+  static final class Link {
+
+    boolean down;
+
+    /** Whether a message was lost in a cut. */
+    boolean lossy;
+
+    long generation;
+  }
+
   private record Timed(long at, long order, Runnable action) implements Comparable<Timed> {
 
     @Override
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelEntryHost.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelEntryHost.java
@@ -4,8 +4,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import org.burdockbay.core.dispatch.DomainLoad;
 import org.burdockbay.core.fleet.UpstreamNotice;
 import org.burdockbay.core.intake.IntakeEffect;
@@ -21,13 +21,13 @@
 /** One host of a {@link LeaseModel}: membership, intake and dispatch, wired as a process does. */
 final class ModelEntryHost {
 
-  private static final String GROUP = "entry";
   private static final long LOST_MILLIS = 450;
   private static final long HEARTBEAT_MILLIS = 150;
   private static final long TICK_MILLIS = 25;
 
   final String name;
   final String domain;
+  private final ShardId shard;
   private final LeaseModel model;
   private final Map<Long, WorkRequest> callers = new HashMap<>();
   private final Map<String, Long> incarnations = new HashMap<>();
@@ -46,10 +46,11 @@
   private WorkIntake intake;
   private LeaseDispatcher dispatcher;
 
-  ModelEntryHost(LeaseModel model, String name, String domain) {
+  ModelEntryHost(LeaseModel model, String name, String domain, ShardId shard) {
     this.model = model;
     this.name = name;
     this.domain = domain;
+    this.shard = shard;
   }
 
   void start() {
@@ -61,10 +62,14 @@
     inbox.clear();
     membership =
         Membership.growing(
-            name, GROUP, MembershipTerms.ofAddress(name, LOST_MILLIS, true), clock());
-    model.hosts.keySet().forEach(host -> membership.admit(host, GROUP, clock()));
-    intake = new WorkIntake(name, LOST_MILLIS + LeaseTerms.DEFAULT.longestMillis());
+            name, shard.toString(), MembershipTerms.ofAddress(name, LOST_MILLIS, true), clock());
+    model
+        .hosts
+        .values()
+        .forEach(host -> membership.admit(host.name, host.shard.toString(), clock()));
+    intake = new WorkIntake(name, domain, LOST_MILLIS + LeaseTerms.DEFAULT.longestMillis());
     dispatcher = new LeaseDispatcher(name, LeaseTerms.DEFAULT);
+    scope(Set.of());
     incarnations.clear();
     long started = life;
     model.after(model.random().nextLong(TICK_MILLIS), () -> tick(started));
@@ -219,7 +224,7 @@
     HostStatus status =
         new HostStatus(
             name,
-            GROUP,
+            shard.toString(),
             incarnation,
             0,
             1,
@@ -228,14 +233,39 @@
             membership.draining(),
             "",
             new DomainLoad(0, 0));
+    DomainLoad load = dispatcher.load();
+    intake(new IntakeEvent.LoadTold(name, load));
     for (ModelEntryHost other : model.hosts.values()) {
       if (other != this) {
-        send(other, () -> other.heard(status));
+        send(other, () -> other.heard(status, load));
       }
     }
   }
 
-  private void heard(HostStatus status) {
+  /** The connection to another host is new. */
+  void reset(ModelEntryHost other) {
+    deliver(
+        0,
+        () -> {
+          heartbeat();
+          intake(new IntakeEvent.PeerReset(other.name));
+        });
+  }
+
+  /** The connection of a caller that waits here breaks; it asks again elsewhere. */
+  void loseCaller() {
+    if (!up || frozen || callers.isEmpty()) {
+      return;
+    }
+    List<Long> tickets = List.copyOf(callers.keySet());
+    long ticket = tickets.get(model.faults().nextInt(tickets.size()));
+    WorkRequest request = callers.remove(ticket);
+    model.trace(name, "lost the caller of " + request.id());
+    model.brokenConnection(request);
+    deliver(0, () -> intake(new IntakeEvent.Left(ticket)));
+  }
+
+  private void heard(HostStatus status, DomainLoad load) {
     Long before = incarnations.put(status.host(), status.incarnation());
     if (before != null && before < status.incarnation()) {
       dispatch(new LeaseEvent.EntryLost(status.host()));
@@ -243,16 +273,42 @@
     run(membership.heartbeat(status, clock()));
     dispatch(new LeaseEvent.EntryHeard(status.host()));
     intake(new IntakeEvent.DispatcherHeard(status.host()));
+    intake(new IntakeEvent.LoadTold(status.host(), load));
   }
 
   private void send(ModelEntryHost other, Runnable action) {
     if (other == this) {
       deliver(0, action);
-    } else if (model.connected(domain, other.domain)) {
-      other.deliver(model.oneWayMillis(domain, other.domain), action);
+      return;
+    }
+    LeaseModel.Link link = model.link(this, other);
+    if (!model.connected(domain, other.domain)) {
+      link.lossy = true;
+    } else {
+      model.renewIfLossy(link, this, other);
+      if (!link.down) {
+        other.deliverOver(link, model.oneWayMillis(domain, other.domain), action);
+      }
     }
   }
 
+  /** Runs an action unless the connection that brings it is reset meanwhile. */
+  private void deliverOver(LeaseModel.Link link, long delay, Runnable action) {
+    long meant = life;
+    long sentOver = link.generation;
+    model.after(
+        delay,
+        () -> {
+          if (link.generation == sentOver) {
+            arrive(meant, action);
+          }
+        });
+  }
+
+  private void scope(Set<ShardId> live) {
+    dispatch(new LeaseEvent.ScopeChanged(shard, live));
+  }
+
   private void run(List<MembershipEffect> effects) {
     for (MembershipEffect effect : effects) {
       switch (effect) {
@@ -265,14 +321,16 @@
           heartbeat();
         }
         case MembershipEffect.Routes routes -> {
-          Optional<IntakeEvent.Dispatcher> known =
-              routes
-                  .view()
-                  .dispatcher(GROUP)
-                  .map(found -> new IntakeEvent.Dispatcher(found.host(), found.epoch()));
-          intake(
-              new IntakeEvent.DispatchersChanged(
-                  known.map(it -> Map.of(ShardId.WHOLE_FLEET, it)).orElse(Map.of())));
+          Map<ShardId, IntakeEvent.Dispatcher> known = new HashMap<>();
+          for (ShardId each : model.shards()) {
+            routes
+                .view()
+                .dispatcher(each.toString())
+                .map(found -> new IntakeEvent.Dispatcher(found.host(), found.epoch()))
+                .ifPresent(found -> known.put(each, found));
+          }
+          scope(known.keySet());
+          intake(new IntakeEvent.DispatchersChanged(known));
         }
         case MembershipEffect.HostLost lost -> {
           // The dispatcher finds out by itself.
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/WorkDesk.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/WorkDesk.java
@@ -47,6 +47,7 @@
     this.intake =
         new WorkIntake(
             parts.settings().host(),
+            parts.settings().card().domain(),
             LeaseTerms.ENTRY_LOST_MILLIS + LeaseTerms.DEFAULT.longestMillis());
     this.clock = parts.clock();
     this.log = parts.log();
