--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/TotalRestartTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/TotalRestartTest.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertEquals;
 
+import org.burdockbay.core.shard.ShardLayout;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -79,7 +80,7 @@
   }
 
   private static LeaseModel model(long seed) {
-    LeaseModel model = new LeaseModel(seed, LeaseModel.Network.SPACED, 2, 3, BEGINS_AT_MILLIS);
+    LeaseModel model = new LeaseModel(seed, LeaseModel.Network.SPACED, ShardLayout.UNDIVIDED, 2, 3, BEGINS_AT_MILLIS);
     submitFor(model, 1_000);
     return model;
   }
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/WorkDesk.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/WorkDesk.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
 import org.burdockbay.core.clock.Clock;
+import org.burdockbay.core.dispatch.DomainLoad;
 import org.burdockbay.core.intake.IntakeEffect;
 import org.burdockbay.core.intake.IntakeEvent;
 import org.burdockbay.core.intake.WorkIntake;
@@ -45,6 +46,7 @@
     this.intake =
         new WorkIntake(
             parts.settings().host(),
+            parts.settings().card().domain(),
             LeaseTerms.ENTRY_LOST_MILLIS + LeaseTerms.DEFAULT.longestMillis());
     this.clock = parts.clock();
     this.log = parts.log();
@@ -74,6 +76,11 @@
     return intake.waiting() + dispatcher.unanswered();
   }
 
+  /** Returns how much room there is on the upstreams that this host dispatches to. */
+  DomainLoad load() {
+    return dispatcher.load();
+  }
+
   void tick() {
     dispatch(new LeaseEvent.Tick());
     intake(new IntakeEvent.Tick());
