Control goes before work: configuration and heartbeats don't wait behind dispatch

What callers saw: requests answered under an old configuration on hosts that have or had the role; hosts that worked were called lost and the role went round.

Cause: one queue for everything that the control thread does, handled in batches of up to 1,001 tasks without a tick between them. Heartbeats and a configuration's text waited behind every queued submission and answer of an upstream, and this host's own heartbeats behind a whole batch.

Why it works: the thread has two lanes. Control tasks (agreement, heartbeats, configuration, host lists, news of upstreams, reports, own proposals) go before work (submissions, cancellations, answers of upstreams, callers' requests). Slices end after 25 ms, with a flush, and a tick when it is due, between them.

The order between a pair of hosts, where it mattered: - Work of an entry host's earlier life that still waits when a heartbeat shows the restart is dropped by its arrival time; else it would be taken up after EntryLost and nobody would cancel it. - Cancellations are handled at once and again behind the submission that they may have overtaken. - Reports stay in order with changes of the dispatcher, so they are control. - RoleLost and RoleGained before queued submissions are safe by the token, which is compared when a submission is handled; answers of upstreams by the number of the renewal and the run. - News of an entry host (submission, heartbeat) counts from its arrival, and so does an upstream's clock, which makes leases given after a wait as long as they should be. A list still counts as fresh when it is handled: a lease that it lets grow is covered by coveredUntil, and growth ends 450 ms after the last list. - The 250 ms gap that shows a stalled process is measured between events as they are handled. Ticks come between slices, so the gap doesn't grow with the lane, and a frozen process shows as before.

Not done: a caller's request counts its age from when it is handled here, as before; the lane's wait isn't part of it.

--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/DispatchContext.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/DispatchContext.java
@@ -8,6 +8,7 @@
 
   private List<LeaseEffect> effects = new ArrayList<>();
   private long now;
+  private long arrivedAt;
   private long token;
   private long lastOrder;
 
@@ -16,9 +17,25 @@
     return now;
   }
 
+  /**
+   * Returns when what is handled arrived at this host, in milliseconds.
+   *
+   * <p>Where the host is behind with its work, this shows how old a message is, and {@link #now}
+   * doesn't.
+   */
+  long arrivedAt() {
+    return arrivedAt;
+  }
+
   /** Lets time pass; it never goes back. */
   void advance(long time) {
     now = Math.max(now, time);
+    arrivedAt = now;
+  }
+
+  /** Notes that what is handled arrived earlier. */
+  void arrived(long time) {
+    arrivedAt = Math.min(now, time);
   }
 
   /**
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseBook.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseBook.java
@@ -135,7 +135,7 @@
     if (upstream == null) {
       return;
     }
-    upstream.clockRead(answered.clockMillis(), context.now());
+    upstream.clockRead(answered.clockMillis(), context.arrivedAt());
     LeasedRun run = upstream.runs.get(answered.run());
     if (answered.result() == OrderResult.OTHER_LIFE) {
       lifeOver(upstream, "other-life");
@@ -185,7 +185,7 @@
     if (upstream == null) {
       return;
     }
-    upstream.clockRead(answered.clockMillis(), context.now());
+    upstream.clockRead(answered.clockMillis(), context.arrivedAt());
     if (answered.result() == OrderResult.OTHER_LIFE) {
       lifeOver(upstream, "other-life");
       return;
@@ -215,7 +215,9 @@
         upstream != null
             && upstream.renewal == answered.renewal()
             && answered.clockMillis().isPresent();
-    return readable ? upstream.clockJump(answered.clockMillis().getAsLong(), context.now()) : 0;
+    return readable
+        ? upstream.clockJump(answered.clockMillis().getAsLong(), context.arrivedAt())
+        : 0;
   }
 
   void renewalAnswered(LeaseEvent.RenewalAnswered answered) {
@@ -224,7 +226,7 @@
       return;
     }
     upstream.renewalOpen = false;
-    upstream.clockRead(answered.clockMillis(), context.now());
+    upstream.clockRead(answered.clockMillis(), context.arrivedAt());
     switch (answered.result()) {
       case DONE -> listed(upstream, answered);
       case FENCED -> outranked(upstream);
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseDispatcher.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseDispatcher.java
@@ -44,13 +44,25 @@
 
   /** Handles an event and returns what is to be done; {@link #place} starts what can start. */
   public List<LeaseEffect> handle(LeaseEvent event, long time) {
+    return handle(event, time, time);
+  }
+
+  /**
+   * Handles an event that has waited.
+   *
+   * @param arrivedAt when it reached this host, in milliseconds
+   * @param time the time of handling; a gap between two events shows that the process stood still,
+   *     so ticks have to be handled in time, however many events wait
+   */
+  public List<LeaseEffect> handle(LeaseEvent event, long arrivedAt, long time) {
     observe(time);
+    context.arrived(arrivedAt);
     route(event);
     return context.takeEffects();
   }
 
   /**
-   * Starts the tasks that can start now; call it once all events that wait have been handled.
+   * Starts the tasks that can start now; call it once a number of events have been handled.
    *
    * <p>A round looks at all waiting work. One for each event costs most when the most events come:
    * an overloaded host falls behind, its heartbeats come late, and others take its role.
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/WorkBook.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/WorkBook.java
@@ -54,12 +54,12 @@
 
   /** Notes that an entry host is alive. */
   void entryHeard(String entryHost) {
-    entriesHeard.put(entryHost, context.now());
+    entriesHeard.merge(entryHost, context.arrivedAt(), Math::max);
   }
 
   void submitted(LeaseEvent.Submitted submitted, Collection<UpstreamLease> upstreams) {
     String id = submitted.request().id();
-    entriesHeard.put(submitted.entryHost(), context.now());
+    entryHeard(submitted.entryHost());
     KeptOutcome kept = outcomes.get(id);
     if (kept != null && context.now() - kept.at <= KEPT_OUTCOME_MILLIS) {
       report(submitted.entryHost(), id, kept.outcome);
@@ -79,7 +79,8 @@
       known.tickets.put(submitted.entryHost(), submitted.ticket());
       return;
     }
-    WorkState work = new WorkState(submitted.request(), context.now() - submitted.ageMillis());
+    WorkState work =
+        new WorkState(submitted.request(), context.arrivedAt() - submitted.ageMillis());
     work.tickets.put(submitted.entryHost(), submitted.ticket());
     work.quietUntil = context.now() + submitted.quietMillis();
     // Dropped before, for an entry host that was lost and is back, or run by another dispatcher:
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseDispatcherTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseDispatcherTest.java
@@ -513,6 +513,21 @@
     list(upstream, List.of(), List.of());
   }
 
+  /** Work of a dead entry host that had waited here would run on until its caller came again. */
+  @Test
+  public void countsSilenceOfEntryHostsFromArrivalOfTheirWork() {
+    join("u1");
+    long arrivedAt = now;
+    now += 200;
+    dispatcher.handle(submitted(1, request("w", 1, HALF), 0), arrivedAt, now);
+    assertEquals(starts(dispatcher.place(now)).size(), 1);
+    now = arrivedAt + LeaseTerms.ENTRY_LOST_MILLIS;
+    handle(new LeaseEvent.Tick());
+    assertEquals(dispatcher.unanswered(), 1);
+    now++;
+    assertEquals(stops(handle(new LeaseEvent.Tick())).size(), 1);
+  }
+
   private List<LeaseEffect> handle(LeaseEvent event) {
     List<LeaseEffect> effects = new ArrayList<>(dispatcher.handle(event, now));
     effects.addAll(dispatcher.place(now));
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseFuzzTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseFuzzTest.java
@@ -33,6 +33,15 @@
     playAll(LeaseModel.Network.TIED);
   }
 
+  /**
+   * The same where work waits at hosts that are behind, and heartbeats and changes of the role go
+   * before it. The cause would be old work or an old answer that is taken for fresh.
+   */
+  @Test
+  public void overlapsNoTwoRunsOfTaskWhereControlOvertakesWork() {
+    playAll(LeaseModel.Network.LAGGING);
+  }
+
   private static void playAll(LeaseModel.Network network) {
     int runs = FuzzDepth.examples(RUNS);
     for (int run = 0; run < runs; run++) {
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseModel.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseModel.java
@@ -28,6 +28,7 @@
   private static final long RESEND_MILLIS = 1_300;
   private static final long PATIENCE_MILLIS = 2_500;
   private static final long LONGEST_WORK_MILLIS = 900;
+  private static final long MOST_HANDLING_MILLIS = 80;
 
   private final SplittableRandom random;
   private final Network network;
@@ -118,6 +119,16 @@
     return busy ? 1 + random.nextLong(6) : 0;
   }
 
+  /** Returns how long a host needs for a piece of work beyond what it has queued. */
+  long handlingMillis() {
+    return random.nextInt(4) == 0 ? random.nextLong(MOST_HANDLING_MILLIS) : 0;
+  }
+
+  /** Returns whether work waits at hosts that are behind. */
+  boolean lags() {
+    return network == Network.LAGGING;
+  }
+
   boolean batches() {
     return network == Network.TIED;
   }
@@ -262,7 +273,9 @@
      * Messages within a domain may arrive in the millisecond in which they were sent, what happens
      * in one millisecond happens in any order, and a host handles what has gathered as one batch.
      */
-    TIED
+    TIED,
+    /** Work waits at a host that is behind, and control messages overtake it. */
+    LAGGING
   }
 
   private record Timed(long at, long order, Runnable action) implements Comparable<Timed> {
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelEntryHost.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelEntryHost.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.LongConsumer;
 import org.burdockbay.core.dispatch.DomainLoad;
 import org.burdockbay.core.fleet.UpstreamNotice;
 import org.burdockbay.core.intake.IntakeEffect;
@@ -24,12 +25,14 @@
   private static final long LOST_MILLIS = 450;
   private static final long HEARTBEAT_MILLIS = 150;
   private static final long TICK_MILLIS = 25;
+  private static final long MOST_LAG_MILLIS = 250;
 
   final String name;
   final String domain;
   private final LeaseModel model;
   private final Map<Long, WorkRequest> callers = new HashMap<>();
   private final Map<String, Long> incarnations = new HashMap<>();
+  private final Map<String, Long> restartSeenAt = new HashMap<>();
   private final List<Runnable> held = new ArrayList<>();
   private final List<Runnable> inbox = new ArrayList<>();
   boolean up;
@@ -41,6 +44,7 @@
   private long frozenAt;
   private boolean clockStops;
   private boolean placing;
+  private long workUntil;
   private Membership membership;
   private WorkIntake intake;
   private LeaseDispatcher dispatcher;
@@ -58,6 +62,8 @@
     incarnation = model.now();
     placing = false;
     inbox.clear();
+    workUntil = 0;
+    restartSeenAt.clear();
     membership =
         Membership.growing(
             name, GROUP, MembershipTerms.ofAddress(name, LOST_MILLIS, true), clock());
@@ -131,9 +137,9 @@
       model.brokenConnection(request);
       return;
     }
-    deliver(
+    deliverWork(
         1,
-        () -> {
+        arrivedAt -> {
           lastTicket++;
           callers.put(lastTicket, request);
           intake(new IntakeEvent.Opened(lastTicket, request));
@@ -150,6 +156,22 @@
     model.after(delay, () -> arrive(meant, action));
   }
 
+  /** Runs a task of the work, which waits while the host is behind; it gets the arrival time. */
+  private void deliverWork(long delay, LongConsumer action) {
+    deliver(
+        delay,
+        () -> {
+          long arrivedAt = clock();
+          if (!model.lags()) {
+            action.accept(arrivedAt);
+            return;
+          }
+          workUntil = Math.max(workUntil, model.now()) + model.handlingMillis();
+          workUntil = Math.min(workUntil, model.now() + MOST_LAG_MILLIS);
+          deliver(workUntil - model.now(), () -> action.accept(arrivedAt));
+        });
+  }
+
   private void arrive(long meant, Runnable action) {
     if (!up || meant != life) {
       return;
@@ -237,6 +259,7 @@
   private void heard(HostStatus status) {
     Long before = incarnations.put(status.host(), status.incarnation());
     if (before != null && before < status.incarnation()) {
+      restartSeenAt.put(status.host(), clock());
       dispatch(new LeaseEvent.EntryLost(status.host()));
     }
     run(membership.heartbeat(status, clock()));
@@ -252,6 +275,14 @@
     }
   }
 
+  private void sendWork(ModelEntryHost other, LongConsumer action) {
+    if (other == this) {
+      deliverWork(0, action);
+    } else if (model.connected(domain, other.domain)) {
+      other.deliverWork(model.oneWayMillis(domain, other.domain), action);
+    }
+  }
+
   private void run(List<MembershipEffect> effects) {
     for (MembershipEffect effect : effects) {
       switch (effect) {
@@ -289,25 +320,24 @@
       switch (effect) {
         case IntakeEffect.Submit submit -> {
           ModelEntryHost target = model.hosts.get(submit.to().host());
-          send(
+          sendWork(
               target,
-              () ->
-                  target.dispatch(
+              arrivedAt ->
+                  target.submitted(
                       new LeaseEvent.Submitted(
                           name,
                           submit.to().token(),
                           submit.ticket(),
                           submit.request(),
                           submit.ageMillis(),
-                          submit.quietMillis())));
+                          submit.quietMillis()),
+                      arrivedAt));
         }
         case IntakeEffect.Cancel cancel -> {
           ModelEntryHost target = model.hosts.get(cancel.to().host());
-          send(
-              target,
-              () ->
-                  target.dispatch(
-                      new LeaseEvent.Cancelled(name, cancel.to().token(), cancel.workId())));
+          LeaseEvent cancelled =
+              new LeaseEvent.Cancelled(name, cancel.to().token(), cancel.workId());
+          sendWork(target, arrivedAt -> target.dispatch(cancelled, arrivedAt));
         }
         case IntakeEffect.Answer answer -> {
           WorkRequest request = callers.remove(answer.ticket());
@@ -320,8 +350,18 @@
     }
   }
 
+  private void submitted(LeaseEvent.Submitted event, long arrivedAt) {
+    if (arrivedAt > restartSeenAt.getOrDefault(event.entryHost(), Long.MIN_VALUE)) {
+      dispatch(event, arrivedAt);
+    }
+  }
+
   private void dispatch(LeaseEvent event) {
-    carryOut(dispatcher.handle(event, clock()));
+    dispatch(event, clock());
+  }
+
+  private void dispatch(LeaseEvent event, long arrivedAt) {
+    carryOut(dispatcher.handle(event, arrivedAt, clock()));
     if (!placing) {
       carryOut(dispatcher.place(clock()));
     }
@@ -440,20 +480,21 @@
     private boolean done;
 
     Call(LeaseEvent unanswered, long timeoutMillis) {
-      deliver(timeoutMillis, () -> finish(unanswered));
+      deliverWork(timeoutMillis, arrivedAt -> finish(unanswered, arrivedAt));
     }
 
     void answer(LeaseEvent answer, ModelUpstream upstream) {
       boolean lost = model.random().nextDouble() < model.answerLost;
       if (!lost && model.connected(domain, upstream.domain)) {
-        deliver(model.oneWayMillis(upstream.domain, domain), () -> finish(answer));
+        deliverWork(
+            model.oneWayMillis(upstream.domain, domain), arrivedAt -> finish(answer, arrivedAt));
       }
     }
 
-    private void finish(LeaseEvent event) {
+    private void finish(LeaseEvent event, long arrivedAt) {
       if (!done) {
         done = true;
-        dispatch(event);
+        dispatch(event, arrivedAt);
       }
     }
   }
--- a/burdockbay-server/src/main/java/org/burdockbay/server/host/ControlThread.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/host/ControlThread.java
@@ -1,11 +1,12 @@
 package org.burdockbay.server.host;
 
 import com.codahale.metrics.MetricRegistry;
-import java.util.ArrayList;
-import java.util.List;
+import java.util.Comparator;
+import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.PriorityBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.burdockbay.core.clock.Clock;
 import org.burdockbay.server.logging.EventLog;
 import org.burdockbay.server.metrics.WaitMeter;
@@ -13,20 +14,25 @@
 /**
  * The one thread that owns all control state.
  *
- * <p>Other threads hand it tasks. It runs what has queued up as one batch and then flushes, so that
- * proposals that arrive together share a message and a sync.
+ * <p>Other threads hand it tasks in two lanes, each of which keeps its order. A control task goes
+ * before all work, so that configuration, roles and liveness don't depend on how much work there
+ * is. The thread runs what waits in slices and flushes after each one, so that proposals that
+ * arrive together share a message and a sync.
  */
 public final class ControlThread implements AutoCloseable {
 
   /** Time between two ticks, in milliseconds. */
   public static final long TICK_MILLIS = 25;
 
-  private static final int BATCH = 1_000;
+  /** Longest time for tasks before the next flush, in milliseconds; a small part of a heartbeat. */
+  private static final long SLICE_MILLIS = 25;
 
   private final Clock clock;
   private final EventLog log;
-  private final WaitMeter waits;
-  private final BlockingQueue<Task> queue = new LinkedBlockingQueue<>();
+  private final WaitMeter controlWaits;
+  private final WaitMeter workWaits;
+  private final AtomicLong lastNumber = new AtomicLong();
+  private final BlockingQueue<Task> queue = new PriorityBlockingQueue<>();
   private final Thread thread;
   private volatile boolean stopped;
   private Runnable tick = () -> {};
@@ -36,20 +42,26 @@
   public ControlThread(Clock clock, EventLog log, MetricRegistry registry) {
     this.clock = clock;
     this.log = log;
-    this.waits = new WaitMeter(registry, "control.wait", log, "control-late");
+    this.controlWaits = new WaitMeter(registry, "control.wait", log, "control-late");
+    this.workWaits = new WaitMeter(registry, "work.wait", log, "work-late");
     this.thread = Thread.ofPlatform().name("control").unstarted(this::run);
   }
 
-  /** Starts the thread with what it does at each tick and after each batch. */
-  public void start(Runnable onTick, Runnable afterBatch) {
+  /** Starts the thread with what it does at each tick and after each slice. */
+  public void start(Runnable onTick, Runnable afterSlice) {
     tick = onTick;
-    flush = afterBatch;
+    flush = afterSlice;
     thread.start();
   }
 
-  /** Runs a task on the thread, later. */
+  /** Runs a control task on the thread, later; it has to be short. */
   public void execute(Runnable task) {
-    queue.add(new Task(task, clock.millis()));
+    add(Lane.CONTROL, task);
+  }
+
+  /** Runs a task of the work on the thread, once no control task waits. */
+  public void executeWork(Runnable task) {
+    add(Lane.WORK, task);
   }
 
   /** Returns the number of tasks that wait. */
@@ -68,37 +80,45 @@
     }
   }
 
+  private void add(Lane lane, Runnable body) {
+    queue.add(new Task(lane, lastNumber.incrementAndGet(), clock.millis(), body));
+  }
+
   private void run() {
     long nextTick = clock.millis();
-    List<Task> batch = new ArrayList<>();
     while (!stopped) {
       long now = clock.millis();
       if (now >= nextTick) {
         guarded(tick);
         nextTick = now + TICK_MILLIS;
       }
-      collect(batch, nextTick - now);
-      batch.forEach(this::begin);
-      batch.clear();
+      runSlice(nextTick - now);
       guarded(flush);
     }
   }
 
-  private void collect(List<Task> batch, long waitMillis) {
+  private void runSlice(long waitMillis) {
+    Optional<Task> next = await(waitMillis);
+    long end = clock.millis() + SLICE_MILLIS;
+    while (next.isPresent()) {
+      begin(next.get());
+      next = clock.millis() < end ? Optional.ofNullable(queue.poll()) : Optional.empty();
+    }
+  }
+
+  private Optional<Task> await(long waitMillis) {
     try {
-      Task first = queue.poll(Math.max(0, waitMillis), TimeUnit.MILLISECONDS);
-      if (first != null) {
-        batch.add(first);
-        queue.drainTo(batch, BATCH);
-      }
+      return Optional.ofNullable(queue.poll(Math.max(0, waitMillis), TimeUnit.MILLISECONDS));
     } catch (InterruptedException e) {
       stopped = true;
       Thread.currentThread().interrupt();
+      return Optional.empty();
     }
   }
 
   private void begin(Task task) {
     long now = clock.millis();
+    WaitMeter waits = task.lane == Lane.CONTROL ? controlWaits : workWaits;
     waits.waited(now - task.queuedAt, queue.size(), now);
     guarded(task.body);
   }
@@ -112,5 +132,21 @@
     }
   }
 
-  private record Task(Runnable body, long queuedAt) {}
+  /** The lanes, the first one first. */
+  private enum Lane {
+    CONTROL,
+    WORK
+  }
+
+  private record Task(Lane lane, long number, long queuedAt, Runnable body)
+      implements Comparable<Task> {
+
+    private static final Comparator<Task> ORDER =
+        Comparator.comparing(Task::lane).thenComparingLong(Task::number);
+
+    @Override
+    public int compareTo(Task other) {
+      return ORDER.compare(this, other);
+    }
+  }
 }
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
@@ -91,6 +91,10 @@
   private final Optional<AgreementDriver> agreement;
   private final long storageIncarnation;
   private final Map<String, Long> incarnations = new HashMap<>();
+
+  /** When the first heartbeat of a host's present life arrived, if an earlier life was heard. */
+  private final Map<String, Long> restartSeenAt = new HashMap<>();
+
   private final AtomicLong lastTicket;
   private volatile boolean dispatcherKnown;
   private volatile boolean draining;
@@ -123,7 +127,9 @@
             MembershipTerms.ofAddress(settings.host(), LOST_MILLIS, settings.mayDispatch()),
             now);
     this.directory = new HostDirectory(settings.card());
-    this.desk = new WorkDesk(parts, this::send, this::onControl, this::outranked, this::startOver);
+    this.desk =
+        new WorkDesk(
+            parts, this::send, this::onControl, this::onWork, this::outranked, this::startOver);
     this.fleet = new Fleet(desk::dispatch, this::broadcast);
     Optional<AgreementStorage> storage = openStorage();
     this.storageIncarnation = storage.map(AgreementStorage::incarnation).orElse(0L);
@@ -153,13 +159,13 @@
    */
   public long submit(WorkRequest request, Consumer<WorkOutcome> answer) {
     long ticket = lastTicket.incrementAndGet();
-    onControl(() -> desk.open(ticket, request, answer));
+    onWork(() -> desk.open(ticket, request, answer));
     return ticket;
   }
 
   /** Notes that the caller of a ticket no longer waits. */
   public void leave(long ticket) {
-    onControl(() -> desk.leave(ticket));
+    onWork(() -> desk.leave(ticket));
   }
 
   /** Takes the announcement of an upstream that reached this host itself. */
@@ -221,7 +227,12 @@
 
   @Override
   public void received(String host, PeerMessage message) {
-    onControl(() -> handle(host, message));
+    long arrivedAt = clock.millis();
+    switch (message) {
+      case PeerMessage.SubmitWork submit -> onWork(() -> submitted(host, submit, arrivedAt));
+      case PeerMessage.CancelWork cancel -> cancelled(host, cancel, arrivedAt);
+      default -> onControl(() -> handle(host, message, arrivedAt));
+    }
   }
 
   @Override
@@ -303,7 +314,8 @@
 
   private <T> CompletableFuture<T> call(Supplier<T> question) {
     CompletableFuture<T> answer = new CompletableFuture<>();
-    onControl(() -> answer.complete(question.get()));
+    // Behind the callers whose requests still wait, so that they are counted.
+    onWork(() -> answer.complete(question.get()));
     return answer;
   }
 
@@ -311,24 +323,51 @@
     parts.thread().execute(task);
   }
 
-  private void handle(String host, PeerMessage message) {
+  private void onWork(Runnable task) {
+    parts.thread().executeWork(task);
+  }
+
+  /** Hands work to the dispatcher, unless its entry host was restarted since it sent it. */
+  private void submitted(String host, PeerMessage.SubmitWork submit, long arrivedAt) {
+    directory.heard(host, arrivedAt);
+    if (arrivedAt <= restartSeenAt.getOrDefault(host, Long.MIN_VALUE)) {
+      log.info("submission-outdated", "work=" + submit.request().id() + " from=" + host);
+      return;
+    }
+    desk.dispatch(
+        new LeaseEvent.Submitted(
+            host,
+            submit.token(),
+            submit.ticket(),
+            submit.request(),
+            submit.ageMillis(),
+            submit.quietMillis()),
+        arrivedAt);
+  }
+
+  /**
+   * Hands a cancellation to the dispatcher at once, and again behind the submission that it may
+   * have overtaken.
+   */
+  private void cancelled(String host, PeerMessage.CancelWork cancel, long arrivedAt) {
+    LeaseEvent event = new LeaseEvent.Cancelled(host, cancel.token(), cancel.workId());
+    onControl(() -> desk.dispatch(event, arrivedAt));
+    onWork(() -> desk.dispatch(event, arrivedAt));
+  }
+
+  /**
+   * Handles a control message.
+   *
+   * <p>A report is one too: taken after a change of the dispatcher that it came before, it would
+   * answer a caller whose work the next dispatcher goes on with.
+   */
+  private void handle(String host, PeerMessage message, long arrivedAt) {
     long now = clock.millis();
-    directory.heard(host, now);
+    directory.heard(host, arrivedAt);
     switch (message) {
-      case PeerMessage.Heartbeat heartbeat -> heard(heartbeat, now);
+      case PeerMessage.Heartbeat heartbeat -> heard(heartbeat, arrivedAt, now);
       case PeerMessage.KnownHosts known -> known.hosts().forEach(card -> learn(card, now));
       case PeerMessage.UpstreamNews news -> fleet.told(news, now);
-      case PeerMessage.SubmitWork submit ->
-          desk.dispatch(
-              new LeaseEvent.Submitted(
-                  host,
-                  submit.token(),
-                  submit.ticket(),
-                  submit.request(),
-                  submit.ageMillis(),
-                  submit.quietMillis()));
-      case PeerMessage.CancelWork cancel ->
-          desk.dispatch(new LeaseEvent.Cancelled(host, cancel.token(), cancel.workId()));
       case PeerMessage.ReportWork report ->
           desk.intake(new IntakeEvent.Reported(report.workId(), report.outcome()));
       case PeerMessage.Agreement received ->
@@ -350,16 +389,18 @@
     }
   }
 
-  private void heard(PeerMessage.Heartbeat heartbeat, long now) {
+  private void heard(PeerMessage.Heartbeat heartbeat, long arrivedAt, long now) {
     HostStatus status = heartbeat.status();
     renewIfUnheard(status.host(), heartbeat.heardAgoMillis());
     Long before = incarnations.put(status.host(), status.incarnation());
     if (before != null && before < status.incarnation()) {
-      // The process was restarted within the time that its loss would have shown by silence.
+      // The process was restarted within the time that its loss would have shown by silence. Work
+      // of its earlier life that still waits here is nobody's any more.
+      restartSeenAt.put(status.host(), arrivedAt);
       desk.dispatch(new LeaseEvent.EntryLost(status.host()));
     }
     run(membership.heartbeat(status, now));
-    desk.dispatch(new LeaseEvent.EntryHeard(status.host()));
+    desk.dispatch(new LeaseEvent.EntryHeard(status.host()), arrivedAt);
     desk.intake(new IntakeEvent.DispatcherHeard(status.host()));
     if (catalog.heard(status.configurationVersion(), now) && now >= fetchAt) {
       fetchAt = now + FETCH_MILLIS;
@@ -581,7 +622,7 @@
   /** Sends a message to a host; to this one without the network. */
   private void send(String host, PeerMessage message) {
     if (host.equals(settings.host())) {
-      onControl(() -> handle(host, message));
+      received(host, message);
     } else {
       parts.transport().send(host, message);
     }
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/WorkDesk.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/WorkDesk.java
@@ -33,6 +33,7 @@
   private final HostMetrics metrics;
   private final PeerSender sender;
   private final Executor control;
+  private final Executor work;
   private final LongConsumer outranked;
   private final Runnable startOver;
 
@@ -40,6 +41,7 @@
       NodeParts parts,
       PeerSender sender,
       Executor control,
+      Executor work,
       LongConsumer outranked,
       Runnable startOver) {
     this.dispatcher = new LeaseDispatcher(parts.settings().host(), LeaseTerms.DEFAULT);
@@ -53,6 +55,7 @@
     this.metrics = parts.metrics();
     this.sender = sender;
     this.control = control;
+    this.work = work;
     this.outranked = outranked;
     this.startOver = startOver;
   }
@@ -106,7 +109,12 @@
     carryOut(dispatcher.handle(event, clock.millis()));
   }
 
-  /** Starts what can start; called when no event waits. */
+  /** Takes an event that arrived some time ago. */
+  void dispatch(LeaseEvent event, long arrivedAt) {
+    carryOut(dispatcher.handle(event, arrivedAt, clock.millis()));
+  }
+
+  /** Starts what can start; called after some events. */
   void place() {
     carryOut(dispatcher.place(clock.millis()));
   }
@@ -131,7 +139,8 @@
   }
 
   private void answered(LeaseEvent event) {
-    control.execute(() -> dispatch(event));
+    long arrivedAt = clock.millis();
+    work.execute(() -> dispatch(event, arrivedAt));
   }
 
   private void answer(IntakeEffect.Answer answer) {
