--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseFuzzTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseFuzzTest.java
@@ -34,6 +34,15 @@
     playAll(LeaseModel.Network.TIED, false);
   }
 
+  /**
+   * The same where work waits at hosts that are behind, and heartbeats and changes of the role go
+   * before it. The cause would be old work or an old answer that is taken for fresh.
+   */
+  @Test
+  public void overlapsNoTwoRunsOfTaskWhereControlOvertakesWork() {
+    playAll(LeaseModel.Network.LAGGING, false);
+  }
+
   /**
    * The same in a fleet that is divided among several dispatchers. Besides, work that comes again
    * may reach another shard than the one that had it, dispatchers take upstreams over from each
