--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseBook.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseBook.java
@@ -161,7 +161,7 @@
     }
     // What it ran may go on until the lease is over, although it said that it has left.
     known.notice = leaving(known.notice);
-    if (known.runs.isEmpty()) {
+    if (known.runs.isEmpty() && !runs.unclaimedOn(known)) {
       upstreams.remove(notice.id());
       context.note("upstream-left", "upstream=" + notice.id());
     } else {
@@ -193,7 +193,8 @@
       lifeOver(upstream, "other-life");
       return;
     }
-    if (run == null) {
+    if (run == null || run.startsSent == 0) {
+      // The order of an earlier role of this host; its run may have been adopted since.
       return;
     }
     run.startsOpen--;
@@ -243,7 +244,7 @@
       return;
     }
     LeasedRun run = upstream.runs.get(answered.run());
-    if (run == null) {
+    if (run == null || run.stopsSent == 0) {
       return;
     }
     switch (answered.result()) {
@@ -327,7 +328,7 @@
 
   /** Gives a run of an earlier dispatcher to the work that it belongs to, now or once it comes. */
   private void found(RunId id, UpstreamLease upstream) {
-    // The earlier dispatcher's lease may have been renewed a moment ago.
+    // The earlier dispatcher may have renewed the lease just before this one took over.
     upstream.covered(terms, context.now());
     TaskState task = works.task(id.task());
     if (task != null && task.waits() && !runs.open(id.task())) {
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseDispatcherTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseDispatcherTest.java
@@ -346,6 +346,73 @@
     assertEquals(dispatcher.unanswered(), 1);
   }
 
+  /**
+   * A task would run twice: a dispatcher claims its role again and takes its own run over, and then
+   * an answer to its earlier role comes, late, that a copy of the start was refused.
+   */
+  @Test
+  public void keepsRunsThatAnswersToItsEarlierRoleRefuse() {
+    UpstreamNotice first = join("u1");
+    WorkRequest request = request("w", 1, HALF);
+    RunId run = starts(handle(submitted(1, request, 0))).getFirst().run();
+    UpstreamNotice second = join("u2");
+    handle(new LeaseEvent.RoleLost());
+    List<LeaseEffect> claimed = handle(new LeaseEvent.RoleGained(TOKEN + 1));
+    renewals(claimed).forEach(renew -> openRenewals.put(renew.upstream().id(), renew));
+    list(first, List.of(run), List.of());
+    list(second, List.of(), List.of());
+    handle(new LeaseEvent.Submitted("entry", TOKEN + 1, 1, request, 0, 50));
+    now += 100;
+    list(first, List.of(run), List.of());
+    List<LeaseEffect> effects =
+        handle(
+            new LeaseEvent.StartAnswered(first, run, OrderResult.FENCED, OptionalLong.of(clock())));
+    effects.addAll(
+        handle(
+            new LeaseEvent.StopAnswered(first, run, OrderResult.FENCED, OptionalLong.of(clock()))));
+    assertTrue(starts(effects).isEmpty(), "the run goes on at " + first.id());
+    assertTrue(notes(effects, "outranked").isEmpty(), first.id() + " obeys the new token");
+  }
+
+  /**
+   * A caller would wait in vain: an upstream leaves before anybody has claimed what runs there, and
+   * nothing tells when a run on a forgotten upstream is over.
+   */
+  @Test
+  public void startsElsewhereWhatRanOnAnUpstreamThatLeftUnclaimed() {
+    UpstreamNotice notice = notice("u1", 1, false);
+    handle(new LeaseEvent.Announced(notice));
+    RunId run = new RunId(new TaskId("w", 0, 0), 3);
+    list(notice, List.of(run), List.of());
+    final long leaseEnd = now + LeaseTerms.DEFAULT.longestMillis();
+    handle(new LeaseEvent.Departed(notice));
+    final List<LeaseEffect> effects = new ArrayList<>(submit("w", 1, HALF));
+    join("u2");
+    while (now <= leaseEnd) {
+      assertTrue(starts(effects).isEmpty(), "the lease of u1 may last");
+      now += 100;
+      effects.addAll(handle(new LeaseEvent.EntryHeard("entry")));
+      effects.addAll(handle(new LeaseEvent.Tick()));
+    }
+    assertEquals(starts(effects).size(), 1);
+  }
+
+  /**
+   * A task would run twice: a second entry host submits work that is known, and says that another
+   * dispatcher may go on with it for a while.
+   */
+  @Test
+  public void waitsForTheLongestQuietTimeOfAllThatSubmitTheWork() {
+    UpstreamNotice upstream = notice("u1", 1, false);
+    handle(new LeaseEvent.Announced(upstream));
+    WorkRequest request = request("w", 1, HALF);
+    handle(submitted(1, request, 0));
+    handle(new LeaseEvent.Submitted("other", TOKEN, 1, request, 0, 200));
+    assertTrue(starts(list(upstream, List.of(), List.of())).isEmpty());
+    now += 200;
+    assertEquals(starts(handle(new LeaseEvent.Tick())).size(), 1);
+  }
+
   /** A run that no entry host claims is stopped, and the lease isn't renewed until it is. */
   @Test
   public void stopsRunsThatNobodyClaims() {
