--- a/burdockbay-server/src/main/java/org/burdockbay/server/web/WebClient.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/web/WebClient.java
@@ -3,7 +3,6 @@
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
 import io.netty.bootstrap.Bootstrap;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -14,15 +13,10 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.EnumMap;
@@ -78,7 +72,7 @@
                     channel
                         .pipeline()
                         .addLast(new ByteCounter())
-                        .addLast(new HttpClientCodec())
+                        .addLast(new HttpResponseDecoder())
                         .addLast(new HttpObjectAggregator(LARGEST_ANSWER))
                         .addLast(new Connection());
                   }
@@ -116,7 +110,7 @@
     pending.timer =
         loop.schedule(pending::timedOut, pending.call.timeoutMillis(), TimeUnit.MILLISECONDS);
     Endpoint endpoint =
-        endpoints.computeIfAbsent(pending.call.address(), address -> new Endpoint());
+        endpoints.computeIfAbsent(pending.call.head().address(), address -> new Endpoint());
     Connection connection = endpoint.idle.pollLast();
     if (connection != null) {
       connection.send(pending);
@@ -129,7 +123,7 @@
     connected.get(endpoint.reason).inc();
     endpoint.reason = Reason.BUSY;
     bootstrap
-        .connect(pending.call.address().socket())
+        .connect(pending.call.head().address().socket())
         .addListener(
             (ChannelFuture attempt) -> {
               if (!attempt.isSuccess()) {
@@ -143,22 +137,6 @@
             });
   }
 
-  private static FullHttpRequest request(WebCall call) {
-    FullHttpRequest request =
-        new DefaultFullHttpRequest(
-            HttpVersion.HTTP_1_1,
-            HttpMethod.valueOf(call.method()),
-            call.path(),
-            Unpooled.wrappedBuffer(call.body().toArray()));
-    request
-        .headers()
-        .set(HttpHeaderNames.HOST, call.address().toString())
-        .set(HttpHeaderNames.CONTENT_TYPE, "application/json")
-        .set(HttpHeaderNames.CONTENT_LENGTH, call.body().size());
-    call.headers().forEach((name, value) -> request.headers().set(name, value));
-    return request;
-  }
-
   /** Why a connection was opened. */
   private enum Reason {
     /** There was none before. */
@@ -254,7 +232,7 @@
     void send(Pending next) {
       pending = next;
       next.connection = this;
-      channel().writeAndFlush(request(next.call));
+      channel().writeAndFlush(next.call.head().request(next.call.body()));
     }
 
     @Override
