A host that stood still tells successors to wait for what it submits then

What callers saw: a task ran twice at a time.

Cause: a host stood still for seconds. On going on it took a caller's new work, submitted it to the dispatcher that it knew, and in the same millisecond heard of another dispatcher, to which it moved the work. The quiet time counted from when the first one was heard last, seconds before, and so was over; but the first one was alive on the other side of a partition that had just healed, and started the work too.

Where work was submitted to a dispatcher that wasn't heard for longer than a lost one is kept (600 ms), the quiet time counts from the submission. In an ordinary loss nothing changes: the dispatcher is replaced before that.

--- a/burdockbay-core/src/main/java/org/burdockbay/core/intake/WorkIntake.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/intake/WorkIntake.java
@@ -27,6 +27,12 @@
   /** Longest wait for a dispatcher, in milliseconds: an election and a few heartbeats. */
   private static final long NO_DISPATCHER_MILLIS = 1_000;
 
+  /**
+   * A dispatcher that isn't heard for longer is replaced, unless this host stood still; in
+   * milliseconds. The time after which a host counts as lost, and a few ticks.
+   */
+  private static final long LONGEST_UNHEARD_MILLIS = 600;
+
   private final String self;
   private final long runsOnMillis;
   private final Map<Long, Pending> byTicket = new LinkedHashMap<>();
@@ -150,7 +156,7 @@
     }
     IntakeEvent.Dispatcher target = dispatcher.get();
     if (pending.submittedTo.isPresent() && !pending.submittedTo.get().equals(target)) {
-      pending.quietUntil = Math.max(pending.quietUntil, pending.heardAt + runsOnMillis);
+      pending.quietUntil = Math.max(pending.quietUntil, heldSince(pending) + runsOnMillis);
       pending.mayHaveRun = true;
       // In a cut of one direction the earlier dispatcher may hear this host and go on.
       effects.add(new IntakeEffect.Cancel(pending.submittedTo.get(), pending.request.id()));
@@ -167,6 +173,18 @@
             Math.max(0, pending.quietUntil - now)));
   }
 
+  /**
+   * Returns from when on the dispatcher that has the work may have missed this host, in
+   * milliseconds.
+   *
+   * <p>Usually that is when it was heard last. A host that stood still submits, before it learns
+   * what has changed, to a dispatcher that it hasn't heard for long and that may be alive.
+   */
+  private long heldSince(Pending pending) {
+    boolean longUnheard = pending.submittedAt - pending.heardAt > LONGEST_UNHEARD_MILLIS;
+    return longUnheard ? pending.submittedAt : pending.heardAt;
+  }
+
   private void tick() {
     noteHeard();
     for (Pending pending : List.copyOf(byTicket.values())) {
--- a/burdockbay-core/src/test/java/org/burdockbay/core/intake/WorkIntakeTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/intake/WorkIntakeTest.java
@@ -76,6 +76,18 @@
     assertEquals(moved.quietMillis(), RUNS_ON - 500);
   }
 
+  /**
+   * A task ran twice: a host that had stood still submitted new work to the dispatcher that it
+   * knew, and in the same millisecond heard of another one, which started the work at once as well.
+   */
+  @Test
+  public void tellsSuccessorsToWaitForWhatWasSubmittedAfterStandstill() {
+    change(FIRST);
+    now += 3_000;
+    handle(new IntakeEvent.Opened(1, WORK));
+    assertEquals(submits(change(SECOND)).getFirst().quietMillis(), RUNS_ON);
+  }
+
   /** A host that dispatched by itself hears itself until the moment at which it gives way. */
   @Test
   public void countsTheOwnDispatcherAsHeard() {
