Upstreams on which nothing runs are polled every 600 ms

What callers saw: a large fleet takes its dispatcher's whole share, and list calls are most of it: one every 150 ms for each upstream, whether anything runs there or not.

An upstream on which nothing runs needs no lease, and so no renewal before its poll of 150 ms is over. There the poll waits 600 ms and gives no lease. A task that starts meanwhile has the lease of its start, and its end is told by the poll that waits. Beside that poll a renewal goes out, and takes its place, once a run is 300 ms old, a start isn't answered in 40 ms, or an order needs a list that was asked for after it. The answer of the poll before has another number and counts for nothing, so a list still proves a run over only if it was asked for after the confirmation. A start that was answered counts as having heard the upstream, as an answered renewal does.

What it costs: an idle upstream that falls silent without its connection breaking is noticed after 640 ms for 190, unless a task starts there; then after about 100 ms. Such a task waits for its lease as before. A longer poll saves little more (1.7 calls a second for 6.7 now) and lengthens that.

--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeasedRun.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeasedRun.java
@@ -71,4 +71,13 @@
     this.sentAt = foundAt;
     this.startSentAt = foundAt;
   }
+
+  /** Returns whether lists have to come as often as where tasks run for long. */
+  boolean needsList(LeaseTerms terms, long now) {
+    return switch (phase) {
+      case STARTING -> now - sentAt >= terms.resendMillis();
+      case RUNNING -> now - sentAt >= terms.startCoversMillis();
+      case UNSURE, STOPPING -> true;
+    };
+  }
 }
