Hosts are told what is new of others, and all only rarely

What callers saw: nothing yet; a host list is 45 bytes a host and went to every host every 2 s, and whole to all hosts for each host that was learnt. At 34 hosts each sends 25 KB/s of it, at 100 hosts 222 KB/s (worked out from 1,514 and 4,484 bytes a list).

A message is lost only together with its connection, and the next one begins with all. A changed card of a host that was known is passed on too; the list every 2 s did that before.

--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
@@ -62,7 +62,7 @@
   private static final long UNHEARD_MILLIS = 350;
 
   private static final long MEMBERSHIP_MILLIS = 25;
-  private static final long KNOWN_HOSTS_MILLIS = 2_000;
+  private static final long FORGET_MILLIS = 2_000;
 
   /** How far the time of day must leap ahead to show a suspension, in milliseconds. */
   private static final long SUSPENDED_MILLIS = 250;
@@ -83,6 +83,7 @@
   private final CatalogKeeper catalog;
   private final Membership membership;
   private final HostDirectory directory;
+  private final HostGossip gossip;
   private final Fleet fleet;
   private final WorkDesk desk;
   private final ProposalClient proposals;
@@ -98,7 +99,7 @@
   private long aheadBefore;
   private long membershipAt;
   private long heartbeatAt;
-  private long knownHostsAt;
+  private long forgetAt;
   private long reconcileAt;
   private long fetchAt;
 
@@ -123,6 +124,7 @@
             MembershipTerms.ofAddress(settings.host(), LOST_MILLIS, settings.mayDispatch()),
             now);
     this.directory = new HostDirectory(settings.card());
+    this.gossip = new HostGossip(directory, this::send);
     this.desk = new WorkDesk(parts, this::send, this::onControl, this::outranked, this::startOver);
     this.fleet = new Fleet(desk::dispatch, this::broadcast);
     Optional<AgreementStorage> storage = openStorage();
@@ -228,7 +230,7 @@
   public void reset(String host) {
     onControl(
         () -> {
-          send(host, new PeerMessage.KnownHosts(directory.cards()));
+          gossip.connected(host);
           send(host, heartbeatTo(host, status()));
           fleet.tellAll(clock.millis()).ifPresent(news -> send(host, news));
           desk.intake(new IntakeEvent.PeerReset(host));
@@ -419,8 +421,8 @@
       log.info("host-learnt", "host=" + card.id() + " group=" + card.group());
       if (!connected) {
         connect(card);
-        broadcast(new PeerMessage.KnownHosts(directory.cards()));
       }
+      gossip.learnt(card);
     }
   }
 
@@ -498,9 +500,9 @@
     if (now >= heartbeatAt) {
       heartbeat();
     }
-    if (now >= knownHostsAt) {
-      knownHostsAt = now + KNOWN_HOSTS_MILLIS;
-      broadcast(new PeerMessage.KnownHosts(directory.cards()));
+    gossip.tick(now);
+    if (now >= forgetAt) {
+      forgetAt = now + FORGET_MILLIS;
       directory.forget(now).forEach(card -> parts.transport().disconnect(card.id()));
     }
     if (now >= reconcileAt) {
--- /dev/null
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/node/HostGossipTest.java
@@ -0,0 +1,58 @@
+package org.burdockbay.server.node;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.burdockbay.core.membership.HostCard;
+import org.burdockbay.core.message.PeerMessage;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Which hosts others are told of. */
+public class HostGossipTest {
+
+  private static final HostCard SELF = card("10.0.0.1");
+  private static final HostCard OLD = card("10.0.0.2");
+  private static final HostCard NEW = card("10.0.0.3");
+
+  private final Map<String, PeerMessage> told = new TreeMap<>();
+  private HostDirectory directory;
+  private HostGossip gossip;
+
+  /** Makes the gossip of a host that knows one other and has told it all. */
+  @BeforeMethod
+  public void setUp() {
+    directory = new HostDirectory(SELF);
+    directory.add(OLD, 0);
+    gossip = new HostGossip(directory, told::put);
+    gossip.tick(0);
+    told.clear();
+  }
+
+  /** Whole lists to all hosts every two seconds filled links as fleets grew. */
+  @Test
+  public void tellsHostsOnlyWhatIsNewOfOthers() {
+    directory.add(NEW, 5);
+    gossip.learnt(NEW);
+    assertEquals(told.get(OLD.id()), new PeerMessage.KnownHosts(List.of(NEW)));
+    told.clear();
+    gossip.tick(HostGossip.ALL_MILLIS - 1);
+    assertTrue(told.isEmpty());
+  }
+
+  /** A host whose connection broke may have missed news. */
+  @Test
+  public void tellsAllOnNewConnectionsAndNowAndThen() {
+    gossip.connected(OLD.id());
+    assertEquals(told.remove(OLD.id()), new PeerMessage.KnownHosts(List.of(SELF, OLD)));
+    gossip.tick(HostGossip.ALL_MILLIS);
+    assertEquals(told.get(OLD.id()), new PeerMessage.KnownHosts(List.of(SELF, OLD)));
+  }
+
+  private static HostCard card(String ip) {
+    return new HostCard(ip, "g", "north", ip + ":1");
+  }
+}
