--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LargeFleetTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LargeFleetTest.java
@@ -25,7 +25,12 @@
   @Test
   public void servesCallersThoughOneHostsProcessorIsTooSmallForTheFleet() {
     LeaseModel model =
-        new LeaseModel(1, LeaseModel.Network.SPACED, ShardLayout.of(DOMAINS * UPSTREAMS_IN_DOMAIN, DOMAINS), HOSTS_IN_DOMAIN, UPSTREAMS_IN_DOMAIN);
+        new LeaseModel(
+            1,
+            LeaseModel.Network.SPACED,
+            ShardLayout.of(DOMAINS * UPSTREAMS_IN_DOMAIN, DOMAINS),
+            HOSTS_IN_DOMAIN,
+            UPSTREAMS_IN_DOMAIN);
     model.eventMicros = EVENT_MICROS;
     SplittableRandom random = new SplittableRandom(1);
     play(model, random, SECOND_MILLIS);
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelEntryHost.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelEntryHost.java
@@ -58,6 +58,7 @@
 
   /** Until when the processor is busy with what has arrived, in microseconds. */
   private long busyUntilMicros;
+
   private long workUntil;
   private Membership membership;
   private WorkIntake intake;
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/TotalRestartTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/TotalRestartTest.java
@@ -80,7 +80,9 @@
   }
 
   private static LeaseModel model(long seed) {
-    LeaseModel model = new LeaseModel(seed, LeaseModel.Network.SPACED, ShardLayout.UNDIVIDED, 2, 3, BEGINS_AT_MILLIS);
+    LeaseModel model =
+        new LeaseModel(
+            seed, LeaseModel.Network.SPACED, ShardLayout.UNDIVIDED, 2, 3, BEGINS_AT_MILLIS);
     submitFor(model, 1_000);
     return model;
   }
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
@@ -66,7 +66,7 @@
   private static final long UNHEARD_MILLIS = 350;
 
   private static final long MEMBERSHIP_MILLIS = 25;
-  private static final long KNOWN_HOSTS_MILLIS = 2_000;
+  private static final long FORGET_MILLIS = 2_000;
 
   /** How far the time of day must leap ahead to show a suspension, in milliseconds. */
   private static final long SUSPENDED_MILLIS = 250;
@@ -90,6 +90,7 @@
   private final CatalogKeeper catalog;
   private final Membership membership;
   private final HostDirectory directory;
+  private final HostGossip gossip;
   private final Fleet fleet;
   private final WorkDesk desk;
   private final ProposalClient proposals;
@@ -110,7 +111,7 @@
   private long aheadBefore;
   private long membershipAt;
   private long heartbeatAt;
-  private long knownHostsAt;
+  private long forgetAt;
   private long reconcileAt;
   private long fetchAt;
 
@@ -134,6 +135,7 @@
             MembershipTerms.ofAddress(settings.host(), LOST_MILLIS, settings.mayDispatch()),
             now);
     this.directory = new HostDirectory(settings.card());
+    this.gossip = new HostGossip(directory, this::send);
     this.desk =
         new WorkDesk(
             parts, this::send, this::onControl, this::onWork, this::outranked, this::startOver);
@@ -248,7 +250,7 @@
   public void reset(String host) {
     onControl(
         () -> {
-          send(host, new PeerMessage.KnownHosts(directory.cards()));
+          gossip.connected(host);
           send(host, heartbeatTo(host, status()));
           fleet.tellAll(clock.millis()).ifPresent(news -> send(host, news));
           desk.intake(new IntakeEvent.PeerReset(host));
@@ -472,8 +474,8 @@
       log.info("host-learnt", "host=" + card.id() + " group=" + card.group());
       if (!connected) {
         connect(card);
-        broadcast(new PeerMessage.KnownHosts(directory.cards()));
       }
+      gossip.learnt(card);
     }
   }
 
@@ -584,9 +586,9 @@
     if (now >= heartbeatAt) {
       heartbeat();
     }
-    if (now >= knownHostsAt) {
-      knownHostsAt = now + KNOWN_HOSTS_MILLIS;
-      broadcast(new PeerMessage.KnownHosts(directory.cards()));
+    gossip.tick(now);
+    if (now >= forgetAt) {
+      forgetAt = now + FORGET_MILLIS;
       directory.forget(now).forEach(card -> parts.transport().disconnect(card.id()));
     }
     if (now >= reconcileAt) {
