--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/UpstreamLease.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/UpstreamLease.java
@@ -88,7 +88,7 @@
 
   /** Returns whether it has answered a renewal under the present token. */
   boolean hasObeyed() {
-    return listedAt != 0;
+    return heardAt != 0;
   }
 
   TaskSize free() {
--- a/burdockbay-core/src/test/java/org/burdockbay/core/membership/ShardRolesTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/membership/ShardRolesTest.java
@@ -187,7 +187,7 @@
     suit("10.0.5.1", TWO);
     pass(1_000);
     Map<ShardId, RouteView.Dispatching> before = dispatchers();
-    before.forEach((shard, found) -> hosts.get(found.host()).outranked(found.epoch(), now));
+    before.forEach((shard, found) -> hosts.get(found.host()).outranked(found.epoch(), true, now));
     pass(1_000);
     dispatchers()
         .forEach(
