Answers to an earlier role say nothing about runs that were adopted

A task could run twice: a host loses the role and claims it again, finds its own run at the upstream and adopts it, and then an answer to its earlier role comes, that a copy of the start was refused. Run numbers were all that tied answers to starts. The adopted run counted as one whose only start was refused, so it was over and started elsewhere while it ran; the upstream, which obeys the new token, counted as outranked and got no task for 1.2 s.

It takes an answer that comes after the work's quiet time, so a control thread with a backlog of a second. LeaseFuzzTest doesn't show it, since its answers come or time out within 300 ms.

A run that this role hasn't ordered takes no answer to a start, nor to a stop before one was sent. Work that is dropped with the role keeps the number of its last run, as work that was dropped by itself did, so that a run of the new role never has the number of one of the old. For the same reason an adopted run doesn't lower the number.

--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseBook.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseBook.java
@@ -141,7 +141,8 @@
       lifeOver(upstream, "other-life");
       return;
     }
-    if (run == null) {
+    if (run == null || run.startsSent == 0) {
+      // The order of an earlier role of this host; its run may have been adopted since.
       return;
     }
     run.startsOpen--;
@@ -191,7 +192,7 @@
       return;
     }
     LeasedRun run = upstream.runs.get(answered.run());
-    if (run == null) {
+    if (run == null || run.stopsSent == 0) {
       return;
     }
     switch (answered.result()) {
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeasedRun.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeasedRun.java
@@ -33,6 +33,7 @@
   /** Whether it has taken much longer than expected. */
   boolean overdue;
 
+  /** Starts that this role has sent; 0 for a run of an earlier dispatcher. */
   int startsSent = 1;
 
   /** Starts that were neither answered nor given up. */
@@ -70,5 +71,7 @@
     this.size = TaskSize.ZERO;
     this.sentAt = foundAt;
     this.startSentAt = foundAt;
+    this.startsSent = 0;
+    this.startsOpen = 0;
   }
 }
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/RunBook.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/RunBook.java
@@ -138,9 +138,11 @@
   void adopt(TaskState task, UpstreamLease upstream, RunId id) {
     LeasedRun run = new LeasedRun(id, upstream, task, context.now());
     run.phase = LeasedRun.Phase.RUNNING;
+    run.startsSent = 0;
+    run.startsOpen = 0;
     run.confirmed = context.nextOrder();
     task.run = run;
-    task.lastRun = id.run();
+    task.lastRun = Math.max(task.lastRun, id.run());
     task.work.offered = true;
     upstream.add(run);
     openRuns.put(task.id, run);
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/WorkBook.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/WorkBook.java
@@ -45,7 +45,9 @@
     return works.values();
   }
 
+  /** Forgets everything but the numbers of runs: answers to them may still come. */
   void clear() {
+    works.values().forEach(this::keepRunNumber);
     works.clear();
     entriesHeard.clear();
     outcomes.clear();
@@ -195,10 +197,9 @@
   /** Forgets work and stops what runs of it. */
   private void drop(WorkState work) {
     works.remove(work.request.id());
-    long highest = 0;
+    keepRunNumber(work);
     for (List<TaskState> tasks : work.steps) {
       for (TaskState task : tasks) {
-        highest = Math.max(highest, task.lastRun);
         LeasedRun run = task.run;
         if (run != null) {
           run.task = null;
@@ -207,6 +208,16 @@
         }
       }
     }
+  }
+
+  /** Keeps the highest number of a run, so that no later run of the work gets the same one. */
+  private void keepRunNumber(WorkState work) {
+    long highest = 0;
+    for (List<TaskState> tasks : work.steps) {
+      for (TaskState task : tasks) {
+        highest = Math.max(highest, task.lastRun);
+      }
+    }
     if (highest > 0) {
       highestRuns.put(work.request.id(), highest);
     }
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseDispatcherTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseDispatcherTest.java
@@ -343,6 +343,34 @@
     assertEquals(dispatcher.unanswered(), 1);
   }
 
+  /**
+   * A task would run twice: a dispatcher claims its role again and takes its own run over, and then
+   * an answer to its earlier role comes, late, that a copy of the start was refused.
+   */
+  @Test
+  public void keepsRunsThatAnswersToItsEarlierRoleRefuse() {
+    UpstreamNotice first = join("u1");
+    WorkRequest request = request("w", 1, HALF);
+    RunId run = starts(handle(submitted(1, request, 0))).getFirst().run();
+    final UpstreamNotice second = join("u2");
+    handle(new LeaseEvent.RoleLost());
+    List<LeaseEffect> claimed = handle(new LeaseEvent.RoleGained(TOKEN + 1));
+    renewals(claimed).forEach(renew -> openRenewals.put(renew.upstream().id(), renew));
+    list(first, List.of(run), List.of());
+    list(second, List.of(), List.of());
+    handle(new LeaseEvent.Submitted("entry", TOKEN + 1, 1, request, 0, 50));
+    now += 100;
+    list(first, List.of(run), List.of());
+    List<LeaseEffect> effects =
+        handle(
+            new LeaseEvent.StartAnswered(first, run, OrderResult.FENCED, OptionalLong.of(clock())));
+    effects.addAll(
+        handle(
+            new LeaseEvent.StopAnswered(first, run, OrderResult.FENCED, OptionalLong.of(clock()))));
+    assertTrue(starts(effects).isEmpty(), "the run goes on at " + first.id());
+    assertTrue(notes(effects, "outranked").isEmpty(), first.id() + " obeys the new token");
+  }
+
   /** A run that no entry host claims is stopped, and the lease isn't renewed until it is. */
   @Test
   public void stopsRunsThatNobodyClaims() {
