An upstream that leaves is kept while runs there are unclaimed

A caller waited until it gave up: its task ran on an upstream under an earlier dispatcher, and the upstream said that it has left before the caller's work was submitted again. The dispatcher forgot the upstream, as it had no run of its own there, and kept the run that nobody had claimed. The work then adopted a run whose upstream nobody asks any more, so it never counted as over.

Kept until the run was claimed, the upstream would have counted as silent at once, with a lease that was over, since the time until which runs may go on was set by this dispatcher's own renewals only. A run that is found may have got its lease from the earlier dispatcher just before, so finding one sets that time too. Otherwise a task that isn't protected by a quiet time could start elsewhere while it runs.

The regression test in LeaseDispatcherTest waits for the start and failed before (no start by the end of the lease); it now asks for no start before the lease can be over and one after.

--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseBook.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseBook.java
@@ -109,7 +109,7 @@
     }
     // What it ran may go on until the lease is over, although it said that it has left.
     known.notice = leaving(known.notice);
-    if (known.runs.isEmpty()) {
+    if (known.runs.isEmpty() && !runs.unclaimedOn(known)) {
       upstreams.remove(notice.id());
       context.note("upstream-left", "upstream=" + notice.id());
     } else {
@@ -272,6 +272,8 @@
 
   /** Gives a run of an earlier dispatcher to the work that it belongs to, now or once it comes. */
   private void found(RunId id, UpstreamLease upstream) {
+    // The earlier dispatcher may have renewed the lease just before this one took over.
+    upstream.covered(terms, context.now());
     TaskState task = works.task(id.task());
     if (task != null && task.waits() && !runs.open(id.task())) {
       runs.adopt(task, upstream, id);
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/RunBook.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/RunBook.java
@@ -285,6 +285,11 @@
     takenOver.forget(upstream);
   }
 
+  /** Returns whether an upstream has runs of an earlier dispatcher that nobody has claimed yet. */
+  boolean unclaimedOn(UpstreamLease upstream) {
+    return takenOver.anyOn(upstream);
+  }
+
   /**
    * Takes runs that are overdue from their upstreams, where another one has room for the task.
    *
@@ -391,7 +396,7 @@
    * over; a longer one would let the two overlap.
    */
   boolean mayExtend(UpstreamLease upstream) {
-    return !takenOver.anyOn(upstream)
+    return !unclaimedOn(upstream)
         && upstream.runs.values().stream()
             .noneMatch(run -> run.phase == LeasedRun.Phase.STOPPING && run.confirmed == 0);
   }
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseDispatcherTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseDispatcherTest.java
@@ -371,6 +371,29 @@
     assertTrue(notes(effects, "outranked").isEmpty(), first.id() + " obeys the new token");
   }
 
+  /**
+   * A caller would wait in vain: an upstream leaves before anybody has claimed what runs there, and
+   * nothing tells when a run on a forgotten upstream is over.
+   */
+  @Test
+  public void startsElsewhereWhatRanOnAnUpstreamThatLeftUnclaimed() {
+    UpstreamNotice notice = notice("u1", 1, false);
+    handle(new LeaseEvent.Announced(notice));
+    RunId run = new RunId(new TaskId("w", 0, 0), 3);
+    list(notice, List.of(run), List.of());
+    final long leaseEnd = now + LeaseTerms.DEFAULT.longestMillis();
+    handle(new LeaseEvent.Departed(notice));
+    final List<LeaseEffect> effects = new ArrayList<>(submit("w", 1, HALF));
+    join("u2");
+    while (now <= leaseEnd) {
+      assertTrue(starts(effects).isEmpty(), "the lease of u1 may last");
+      now += 100;
+      effects.addAll(handle(new LeaseEvent.EntryHeard("entry")));
+      effects.addAll(handle(new LeaseEvent.Tick()));
+    }
+    assertEquals(starts(effects).size(), 1);
+  }
+
   /** A run that no entry host claims is stopped, and the lease isn't renewed until it is. */
   @Test
   public void stopsRunsThatNobodyClaims() {
