Work waits for the longest quiet time of all that submit it

A task could run twice: work that is known is submitted by a second entry host, which had it at another dispatcher and says for how long that one may go on. The dispatcher noted who waits and dropped the quiet time, so tasks that were still waiting started at once.

Found by review; the regression test in LeaseDispatcherTest saw the start before and sees it after the quiet time now. An entry host's repetitions name the same end of the quiet time each, so they don't prolong it by more than their time on the way.

--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/WorkBook.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/WorkBook.java
@@ -79,6 +79,8 @@
     if (known != null) {
       // The same work again, from this or another entry host: it joins what is under way.
       known.tickets.put(submitted.entryHost(), submitted.ticket());
+      known.quietUntil = Math.max(known.quietUntil, context.now() + submitted.quietMillis());
+      known.offered |= submitted.quietMillis() > 0;
       return;
     }
     WorkState work = new WorkState(submitted.request(), context.now() - submitted.ageMillis());
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseDispatcherTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseDispatcherTest.java
@@ -394,6 +394,22 @@
     assertEquals(starts(effects).size(), 1);
   }
 
+  /**
+   * A task would run twice: a second entry host submits work that is known, and says that another
+   * dispatcher may go on with it for a while.
+   */
+  @Test
+  public void waitsForTheLongestQuietTimeOfAllThatSubmitTheWork() {
+    UpstreamNotice upstream = notice("u1", 1, false);
+    handle(new LeaseEvent.Announced(upstream));
+    WorkRequest request = request("w", 1, HALF);
+    handle(submitted(1, request, 0));
+    handle(new LeaseEvent.Submitted("other", TOKEN, 1, request, 0, 200));
+    assertTrue(starts(list(upstream, List.of(), List.of())).isEmpty());
+    now += 200;
+    assertEquals(starts(handle(new LeaseEvent.Tick())).size(), 1);
+  }
+
   /** A run that no entry host claims is stopped, and the lease isn't renewed until it is. */
   @Test
   public void stopsRunsThatNobodyClaims() {
