Large fleets are divided among several dispatchers

Each host now divides the fleet at least as far as suits the upstreams that it knows of, every 500 ms, and tells the others in its heartbeats.

--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
@@ -549,6 +549,7 @@
     }
     if (now >= reconcileAt) {
       reconcileAt = now + RECONCILE_MILLIS;
+      run(membership.suits(fleet.suitedLayout(), now));
       agreement
           .filter(AgreementDriver::leads)
           .ifPresent(driver -> voters.reconcile(driver.node(), voterStatuses(), now));
