--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/UpstreamLease.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/UpstreamLease.java
@@ -77,6 +77,11 @@
     return owned && clockKnown && unanswered == 0 && !notice.leaving() && now >= pausedUntil;
   }
 
+  /** Returns whether it has answered a renewal or taken a start under the present token. */
+  boolean hasObeyed() {
+    return heardAt != 0;
+  }
+
   TaskSize free() {
     return notice.capacity().minus(used);
   }
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseModel.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseModel.java
@@ -26,7 +26,11 @@
   static final int TASK_CPU = 14_000;
 
   private static final long RESEND_MILLIS = 1_300;
-  private static final long PATIENCE_MILLIS = 2_500;
+  static final long PATIENCE_MILLIS = 2_500;
+
+  /** Time after the last fault by which callers are served again, by the stated aim. */
+  static final long RECOVERY_MILLIS = 12_000;
+
   private static final long LONGEST_WORK_MILLIS = 900;
 
   private final SplittableRandom random;
@@ -50,14 +54,24 @@
   /** Share of calls to upstreams that are carried out and whose answer is lost. */
   double answerLost;
 
+  /** What handling an event takes of a host's processor, in microseconds; 0 for no limit. */
+  long eventMicros;
+
   int answers;
   int completed;
   int starts;
-  private long now = 1_000_000;
+  private long now;
   private long order;
   private int works;
 
   LeaseModel(long seed, Network network, int hostsInDomain, int upstreamsInDomain) {
+    this(seed, network, hostsInDomain, upstreamsInDomain, 1_000_000);
+  }
+
+  /** Creates a model that begins at a time of day, in milliseconds since 1970. */
+  LeaseModel(
+      long seed, Network network, int hostsInDomain, int upstreamsInDomain, long beginsAtMillis) {
+    now = beginsAtMillis;
     random = new SplittableRandom(seed);
     this.network = network;
     int number = 0;
@@ -206,7 +220,7 @@
             upstream.restart();
           }
         });
-    advance(20_000);
+    advance(RECOVERY_MILLIS);
     for (ModelEntryHost host : hosts.values()) {
       check(host.waiting() == 0, host.name + " owes " + host.waiting() + " answers");
     }
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelEntryHost.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelEntryHost.java
@@ -24,6 +24,7 @@
   private static final long LOST_MILLIS = 450;
   private static final long HEARTBEAT_MILLIS = 150;
   private static final long TICK_MILLIS = 25;
+  private static final long MICROS_PER_MILLI = 1_000;
 
   final String name;
   final String domain;
@@ -34,6 +35,15 @@
   private final List<Runnable> inbox = new ArrayList<>();
   boolean up;
   boolean frozen;
+
+  /** By how much its time of day is ahead when its process starts, in milliseconds. */
+  long aheadAtStart;
+
+  /** Whether it has a disk, from which the process recalls the highest epoch. */
+  boolean keepsEpoch;
+
+  private long savedEpoch;
+  private long aheadMillis;
   private long life;
   private long incarnation;
   private long lastTicket;
@@ -41,6 +51,10 @@
   private long frozenAt;
   private boolean clockStops;
   private boolean placing;
+
+  /** Until when the processor is busy with what has arrived, in microseconds. */
+  private long busyUntilMicros;
+
   private Membership membership;
   private WorkIntake intake;
   private LeaseDispatcher dispatcher;
@@ -55,13 +69,15 @@
     up = true;
     frozen = false;
     life++;
-    incarnation = model.now();
+    aheadMillis = aheadAtStart;
+    incarnation = clock();
     placing = false;
     inbox.clear();
     membership =
         Membership.growing(
             name, GROUP, MembershipTerms.ofAddress(name, LOST_MILLIS, true), clock());
     model.hosts.keySet().forEach(host -> membership.admit(host, GROUP, clock()));
+    membership.recall(savedEpoch);
     intake = new WorkIntake(name, LOST_MILLIS + LeaseTerms.DEFAULT.longestMillis());
     dispatcher = new LeaseDispatcher(name, LeaseTerms.DEFAULT);
     incarnations.clear();
@@ -156,6 +172,8 @@
     }
     if (frozen) {
       held.add(() -> arrive(meant, action));
+    } else if (model.eventMicros > 0) {
+      takeTurn(model.eventMicros, action);
     } else if (model.batches()) {
       gather(action);
     } else {
@@ -163,6 +181,29 @@
     }
   }
 
+  /** Does what is due, behind what has arrived before if the processor is limited. */
+  private void inTurn(Runnable action) {
+    if (model.eventMicros > 0) {
+      takeTurn(0, action);
+    } else {
+      action.run();
+    }
+  }
+
+  /** Handles an event once the processor is done with all that arrived before. */
+  private void takeTurn(long micros, Runnable action) {
+    long meant = life;
+    long nowMicros = model.now() * MICROS_PER_MILLI;
+    busyUntilMicros = Math.max(busyUntilMicros, nowMicros) + micros;
+    model.after(
+        (busyUntilMicros - nowMicros) / MICROS_PER_MILLI,
+        () -> {
+          if (up && meant == life) {
+            action.run();
+          }
+        });
+  }
+
   /** Handles what arrives while the control thread is busy as one batch. */
   private void gather(Runnable action) {
     inbox.add(action);
@@ -189,7 +230,7 @@
   }
 
   private long clock() {
-    return model.now() - suspendedMillis;
+    return model.now() + aheadMillis - suspendedMillis;
   }
 
   private void tick(long meant) {
@@ -197,19 +238,24 @@
       return;
     }
     if (!frozen) {
-      run(membership.tick(clock()));
-      dispatch(new LeaseEvent.Tick());
-      intake(new IntakeEvent.Tick());
+      inTurn(this::timePasses);
     }
     model.after(TICK_MILLIS, () -> tick(meant));
   }
 
+  private void timePasses() {
+    run(membership.tick(clock()));
+    savedEpoch = keepsEpoch ? membership.highestEpoch() : 0;
+    dispatch(new LeaseEvent.Tick());
+    intake(new IntakeEvent.Tick());
+  }
+
   private void beat(long meant) {
     if (!up || meant != life) {
       return;
     }
     if (!frozen) {
-      heartbeat();
+      inTurn(this::heartbeat);
     }
     model.after(HEARTBEAT_MILLIS, () -> beat(meant));
   }
@@ -360,7 +406,12 @@
               () -> target.intake(new IntakeEvent.Reported(report.workId(), report.outcome())));
         }
         case LeaseEffect.Outranked outranked ->
-            deliver(0, () -> run(membership.outranked(outranked.token(), clock())));
+            deliver(
+                0,
+                () ->
+                    run(
+                        membership.outranked(
+                            outranked.token(), outranked.obeyedBefore(), clock())));
         case LeaseEffect.Stalled stalled -> deliver(0, () -> run(membership.startOver(clock())));
         case LeaseEffect.Note note -> model.trace(name, note.event() + " " + note.fields());
       }
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
@@ -20,6 +20,7 @@
 import org.burdockbay.core.dispatch.DomainLoad;
 import org.burdockbay.core.fleet.UpstreamNotice;
 import org.burdockbay.core.intake.IntakeEvent;
+import org.burdockbay.core.lease.LeaseEffect;
 import org.burdockbay.core.lease.LeaseEvent;
 import org.burdockbay.core.lease.LeaseTerms;
 import org.burdockbay.core.membership.HostCard;
@@ -290,7 +291,7 @@
   private void useAgreedCatalog() {
     agreedCatalog.ifPresent(
         document -> {
-          if (catalog.offer(document.version(), document.text(), "log")) {
+          if (catalog.offer(document.version(), document.text(), "log", clock.millis())) {
             heartbeat();
           }
         });
@@ -342,7 +343,7 @@
           proposals.answered(proposed.requestId(), proposed.reply());
       case PeerMessage.FetchConfiguration fetch -> fetched(host, fetch.haveVersion());
       case PeerMessage.ConfigurationText text -> {
-        if (catalog.offer(text.version(), text.text(), host)) {
+        if (catalog.offer(text.version(), text.text(), host, now)) {
           heartbeat();
         }
       }
@@ -363,7 +364,7 @@
     run(membership.heartbeat(status, now));
     desk.dispatch(new LeaseEvent.EntryHeard(status.host()));
     desk.intake(new IntakeEvent.DispatcherHeard(status.host()));
-    if (status.configurationVersion() > catalog.current().version() && now >= fetchAt) {
+    if (catalog.heard(status.configurationVersion(), now) && now >= fetchAt) {
       fetchAt = now + FETCH_MILLIS;
       send(status.host(), new PeerMessage.FetchConfiguration(catalog.current().version()));
     }
@@ -462,8 +463,8 @@
   }
 
   /** Claims the role anew with a higher token, or leaves it to a host that is heard with one. */
-  private void outranked(long token) {
-    run(membership.outranked(token, clock.millis()));
+  private void outranked(LeaseEffect.Outranked lost) {
+    run(membership.outranked(lost.token(), lost.obeyedBefore(), clock.millis()));
   }
 
   private void startOver() {
