--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseDispatcher.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseDispatcher.java
@@ -1,6 +1,7 @@
 package org.burdockbay.core.lease;
 
 import java.util.List;
+import org.burdockbay.core.dispatch.DomainLoad;
 
 /**
  * Dispatches sized tasks to leased upstreams, while this host has the role.
@@ -9,6 +10,9 @@
  * entry host submits is answered by exactly one {@link LeaseEffect.Report} for each entry host that
  * waits, unless the role or the entry host is lost.
  *
+ * <p>In a divided fleet it keeps leases on the upstreams of its shard only, and knows all others: a
+ * task that none of them can run is refused as impossible.
+ *
  * <p>No two runs of a task overlap: a task starts only when every earlier run of it that this
  * dispatcher knows of is over, and an earlier dispatcher's runs are over when the work's quiet time
  * is. Not safe for use by several threads.
@@ -21,6 +25,8 @@
    */
   private static final long STALL_MILLIS = 250;
 
+  private static final int MILLICORES = 1_000;
+
   private final DispatchContext context = new DispatchContext();
   private final AdmissionRule admission = new AdmissionRule();
   private final StragglerRule stragglers = new StragglerRule();
@@ -44,13 +50,25 @@
 
   /** Handles an event and returns what is to be done; {@link #place} starts what can start. */
   public List<LeaseEffect> handle(LeaseEvent event, long time) {
+    return handle(event, time, time);
+  }
+
+  /**
+   * Handles an event that has waited.
+   *
+   * @param arrivedAt when it reached this host, in milliseconds
+   * @param time the time of handling; a gap between two events shows that the process stood still,
+   *     so ticks have to be handled in time, however many events wait
+   */
+  public List<LeaseEffect> handle(LeaseEvent event, long arrivedAt, long time) {
     observe(time);
+    context.arrived(arrivedAt);
     route(event);
     return context.takeEffects();
   }
 
   /**
-   * Starts the tasks that can start now; call it once all events that wait have been handled.
+   * Starts the tasks that can start now; call it once a number of events have been handled.
    *
    * <p>A round looks at all waiting work. One for each event costs most when the most events come:
    * an overloaded host falls behind, its heartbeats come late, and others take its role.
@@ -74,6 +92,18 @@
     return works.unanswered().size();
   }
 
+  /** Returns how much room the upstreams have on which tasks may start now. */
+  public DomainLoad load() {
+    List<UpstreamLease> open = leases.open();
+    Backlog backlog = new Backlog(open);
+    works.unanswered().forEach(backlog::add);
+    int freeCores =
+        open.stream()
+            .mapToInt(upstream -> Math.max(0, upstream.free().cpuMillicores()) / MILLICORES)
+            .sum();
+    return new DomainLoad(freeCores, Math.round(backlog.waitMillis()));
+  }
+
   private void observe(long time) {
     long gap = time - context.now();
     if (context.dispatches() && gap > STALL_MILLIS) {
@@ -88,6 +118,10 @@
       case LeaseEvent.RoleLost lost -> roleLost();
       case LeaseEvent.Announced announced -> leases.announced(announced.notice());
       case LeaseEvent.Departed departed -> leases.departed(departed.notice());
+      case LeaseEvent.ScopeChanged changed -> {
+        leases.scopeChanged(changed.own(), changed.live());
+        unplaced = true;
+      }
       case LeaseEvent.Stalled suspended -> {
         if (context.dispatches()) {
           stalled(suspended.millis());
@@ -118,7 +152,7 @@
 
   private void submitted(LeaseEvent.Submitted submitted) {
     if (meantForNow(submitted.token(), submitted.request().id())) {
-      works.submitted(submitted, leases.all());
+      works.submitted(submitted, leases);
     }
   }
 
@@ -167,7 +201,7 @@
 
   private void roleGained(long token) {
     context.hold(token);
-    context.note("role-gained", "token=" + token + " upstreams=" + leases.all().size());
+    context.note("role-gained", "token=" + token + " upstreams=" + leases.inScope().size());
     leases.takeOver();
   }
 
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/WorkBook.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/WorkBook.java
@@ -45,7 +45,9 @@
     return works.values();
   }
 
+  /** Forgets everything but the numbers of runs: answers to them may still come. */
   void clear() {
+    works.values().forEach(this::keepRunNumber);
     works.clear();
     entriesHeard.clear();
     outcomes.clear();
@@ -54,12 +56,12 @@
 
   /** Notes that an entry host is alive. */
   void entryHeard(String entryHost) {
-    entriesHeard.put(entryHost, context.now());
+    entriesHeard.merge(entryHost, context.arrivedAt(), Math::max);
   }
 
-  void submitted(LeaseEvent.Submitted submitted, Collection<UpstreamLease> upstreams) {
+  void submitted(LeaseEvent.Submitted submitted, LeaseBook leases) {
     String id = submitted.request().id();
-    entriesHeard.put(submitted.entryHost(), context.now());
+    entryHeard(submitted.entryHost());
     KeptOutcome kept = outcomes.get(id);
     if (kept != null && context.now() - kept.at <= KEPT_OUTCOME_MILLIS) {
       report(submitted.entryHost(), id, kept.outcome);
@@ -77,9 +79,12 @@
     if (known != null) {
       // The same work again, from this or another entry host: it joins what is under way.
       known.tickets.put(submitted.entryHost(), submitted.ticket());
+      known.quietUntil = Math.max(known.quietUntil, context.now() + submitted.quietMillis());
+      known.offered |= submitted.quietMillis() > 0;
       return;
     }
-    WorkState work = new WorkState(submitted.request(), context.now() - submitted.ageMillis());
+    WorkState work =
+        new WorkState(submitted.request(), context.arrivedAt() - submitted.ageMillis());
     work.tickets.put(submitted.entryHost(), submitted.ticket());
     work.quietUntil = context.now() + submitted.quietMillis();
     // Dropped before, for an entry host that was lost and is back, or run by another dispatcher:
@@ -92,22 +97,27 @@
     if (work.complete()) {
       answer(work, new WorkOutcome.Completed());
     } else {
-      refuseImpossible(work, upstreams);
+      refuseImpossible(work, leases);
     }
   }
 
-  private void refuseImpossible(WorkState work, Collection<UpstreamLease> upstreams) {
-    if (upstreams.isEmpty() || work.offered) {
+  /** Refuses at once what no upstream can run, or none of this shard; others may then be asked. */
+  private void refuseImpossible(WorkState work, LeaseBook leases) {
+    if (leases.all().isEmpty() || work.offered) {
       return;
     }
-    for (List<TaskState> tasks : work.steps) {
-      if (!PlacementPolicy.possible(upstreams, tasks.getFirst())) {
-        refuse(work, "no upstream can run it", AdmissionRule.RETRY_MILLIS);
-        return;
-      }
+    if (!possible(work, leases.all())) {
+      refuse(work, "no upstream can run it", AdmissionRule.RETRY_MILLIS);
+    } else if (!possible(work, leases.inScope())) {
+      refuse(work, "no upstream of the shard can run it", AdmissionRule.RETRY_MILLIS);
     }
   }
 
+  private static boolean possible(WorkState work, Collection<UpstreamLease> upstreams) {
+    return work.steps.stream()
+        .allMatch(tasks -> PlacementPolicy.possible(upstreams, tasks.getFirst()));
+  }
+
   void abandon(String entryHost, String workId) {
     WorkState work = works.get(workId);
     if (work == null) {
@@ -195,10 +205,9 @@
   /** Forgets work and stops what runs of it. */
   private void drop(WorkState work) {
     works.remove(work.request.id());
-    long highest = 0;
+    keepRunNumber(work);
     for (List<TaskState> tasks : work.steps) {
       for (TaskState task : tasks) {
-        highest = Math.max(highest, task.lastRun);
         LeasedRun run = task.run;
         if (run != null) {
           run.task = null;
@@ -207,6 +216,16 @@
         }
       }
     }
+  }
+
+  /** Keeps the highest number of a run, so that no later run of the work gets the same one. */
+  private void keepRunNumber(WorkState work) {
+    long highest = 0;
+    for (List<TaskState> tasks : work.steps) {
+      for (TaskState task : tasks) {
+        highest = Math.max(highest, task.lastRun);
+      }
+    }
     if (highest > 0) {
       highestRuns.put(work.request.id(), highest);
     }
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LargeFleetTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LargeFleetTest.java
@@ -3,11 +3,13 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.SplittableRandom;
+import org.burdockbay.core.shard.ShardLayout;
 import org.testng.annotations.Test;
 
 /** What callers get from a fleet whose events take more than one host's processor. */
 public class LargeFleetTest {
 
+  private static final int DOMAINS = 3;
   private static final int HOSTS_IN_DOMAIN = 4;
   private static final int UPSTREAMS_IN_DOMAIN = 30;
 
@@ -23,7 +25,12 @@
   @Test
   public void servesCallersThoughOneHostsProcessorIsTooSmallForTheFleet() {
     LeaseModel model =
-        new LeaseModel(1, LeaseModel.Network.SPACED, HOSTS_IN_DOMAIN, UPSTREAMS_IN_DOMAIN);
+        new LeaseModel(
+            1,
+            LeaseModel.Network.SPACED,
+            ShardLayout.of(DOMAINS * UPSTREAMS_IN_DOMAIN, DOMAINS),
+            HOSTS_IN_DOMAIN,
+            UPSTREAMS_IN_DOMAIN);
     model.eventMicros = EVENT_MICROS;
     SplittableRandom random = new SplittableRandom(1);
     play(model, random, SECOND_MILLIS);
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseDispatcherTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseDispatcherTest.java
@@ -12,6 +12,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import org.burdockbay.core.fleet.UpstreamNotice;
+import org.burdockbay.core.shard.ShardId;
 import org.burdockbay.core.work.RunId;
 import org.burdockbay.core.work.TaskId;
 import org.burdockbay.core.work.TaskSize;
@@ -27,6 +28,8 @@
   private static final TaskSize HALF = new TaskSize(16_000, 64, 0);
   private static final long TOKEN = 1_000;
   private static final long CLOCK = 500_000;
+  private static final ShardId OWN_SHARD = new ShardId("north", 0);
+  private static final ShardId OTHER_SHARD = new ShardId("south", 0);
 
   private final Map<String, LeaseEffect.Renew> openRenewals = new HashMap<>();
   private LeaseDispatcher dispatcher;
@@ -343,6 +346,73 @@
     assertEquals(dispatcher.unanswered(), 1);
   }
 
+  /**
+   * A task would run twice: a dispatcher claims its role again and takes its own run over, and then
+   * an answer to its earlier role comes, late, that a copy of the start was refused.
+   */
+  @Test
+  public void keepsRunsThatAnswersToItsEarlierRoleRefuse() {
+    UpstreamNotice first = join("u1");
+    WorkRequest request = request("w", 1, HALF);
+    RunId run = starts(handle(submitted(1, request, 0))).getFirst().run();
+    final UpstreamNotice second = join("u2");
+    handle(new LeaseEvent.RoleLost());
+    List<LeaseEffect> claimed = handle(new LeaseEvent.RoleGained(TOKEN + 1));
+    renewals(claimed).forEach(renew -> openRenewals.put(renew.upstream().id(), renew));
+    list(first, List.of(run), List.of());
+    list(second, List.of(), List.of());
+    handle(new LeaseEvent.Submitted("entry", TOKEN + 1, 1, request, 0, 50));
+    now += 100;
+    list(first, List.of(run), List.of());
+    List<LeaseEffect> effects =
+        handle(
+            new LeaseEvent.StartAnswered(first, run, OrderResult.FENCED, OptionalLong.of(clock())));
+    effects.addAll(
+        handle(
+            new LeaseEvent.StopAnswered(first, run, OrderResult.FENCED, OptionalLong.of(clock()))));
+    assertTrue(starts(effects).isEmpty(), "the run goes on at " + first.id());
+    assertTrue(notes(effects, "outranked").isEmpty(), first.id() + " obeys the new token");
+  }
+
+  /**
+   * A caller would wait in vain: an upstream leaves before anybody has claimed what runs there, and
+   * nothing tells when a run on a forgotten upstream is over.
+   */
+  @Test
+  public void startsElsewhereWhatRanOnAnUpstreamThatLeftUnclaimed() {
+    UpstreamNotice notice = notice("u1", 1, false);
+    handle(new LeaseEvent.Announced(notice));
+    RunId run = new RunId(new TaskId("w", 0, 0), 3);
+    list(notice, List.of(run), List.of());
+    final long leaseEnd = now + LeaseTerms.DEFAULT.longestMillis();
+    handle(new LeaseEvent.Departed(notice));
+    final List<LeaseEffect> effects = new ArrayList<>(submit("w", 1, HALF));
+    join("u2");
+    while (now <= leaseEnd) {
+      assertTrue(starts(effects).isEmpty(), "the lease of u1 may last");
+      now += 100;
+      effects.addAll(handle(new LeaseEvent.EntryHeard("entry")));
+      effects.addAll(handle(new LeaseEvent.Tick()));
+    }
+    assertEquals(starts(effects).size(), 1);
+  }
+
+  /**
+   * A task would run twice: a second entry host submits work that is known, and says that another
+   * dispatcher may go on with it for a while.
+   */
+  @Test
+  public void waitsForTheLongestQuietTimeOfAllThatSubmitTheWork() {
+    UpstreamNotice upstream = notice("u1", 1, false);
+    handle(new LeaseEvent.Announced(upstream));
+    WorkRequest request = request("w", 1, HALF);
+    handle(submitted(1, request, 0));
+    handle(new LeaseEvent.Submitted("other", TOKEN, 1, request, 0, 200));
+    assertTrue(starts(list(upstream, List.of(), List.of())).isEmpty());
+    now += 200;
+    assertEquals(starts(handle(new LeaseEvent.Tick())).size(), 1);
+  }
+
   /**
    * Nothing runs, so the renewal waits for long and gives no lease. A task that starts meanwhile
    * would be cut short when the lease that its start gave is over.
@@ -556,12 +626,86 @@
     list(upstream, List.of(), List.of());
   }
 
+  /** Work of a dead entry host that had waited here would run on until its caller came again. */
+  @Test
+  public void countsSilenceOfEntryHostsFromArrivalOfTheirWork() {
+    join("u1");
+    long arrivedAt = now;
+    now += 200;
+    dispatcher.handle(submitted(1, request("w", 1, HALF), 0), arrivedAt, now);
+    assertEquals(starts(dispatcher.place(now)).size(), 1);
+    now = arrivedAt + LeaseTerms.ENTRY_LOST_MILLIS;
+    handle(new LeaseEvent.Tick());
+    assertEquals(dispatcher.unanswered(), 1);
+    now++;
+    assertEquals(stops(handle(new LeaseEvent.Tick())).size(), 1);
+  }
+
   private List<LeaseEffect> handle(LeaseEvent event) {
     List<LeaseEffect> effects = new ArrayList<>(dispatcher.handle(event, now));
     effects.addAll(dispatcher.place(now));
     return effects;
   }
 
+  /** A host that owns one shard renewed leases on all upstreams, and had no time left for it. */
+  @Test
+  public void keepsLeasesInItsShardOnly() {
+    scope(OTHER_SHARD, OWN_SHARD);
+    assertTrue(renewals(handle(new LeaseEvent.Announced(notice("u1", 1, false)))).isEmpty());
+    assertEquals(renewals(scope(OWN_SHARD, OTHER_SHARD)).size(), 1, "taken over at once");
+  }
+
+  /** A job was given up as impossible, though an upstream of another shard could run it. */
+  @Test
+  public void leavesWorkThatOnlyOtherShardsCanRunToThem() {
+    scope(OTHER_SHARD, OWN_SHARD);
+    handle(new LeaseEvent.Announced(notice("u1", 1, false)));
+    WorkOutcome refusal = reports(submit("w", 1, HALF)).getFirst().outcome();
+    assertEquals(((WorkOutcome.NotRun) refusal).reason(), "no upstream of the shard can run it");
+  }
+
+  /**
+   * An upstream goes to another shard while a run is there. The run ends in peace and is answered;
+   * nothing more starts there, and its lease is made no longer.
+   */
+  @Test
+  public void letsRunsEndOnUpstreamsThatLeaveTheShard() {
+    UpstreamNotice upstream = join("u1");
+    RunId run = starts(submit("w", 1, HALF)).getFirst().run();
+    scope(OTHER_SHARD, OWN_SHARD);
+    assertTrue(starts(submit("v", 1, HALF)).isEmpty());
+    LeaseEffect.Renew reading = renewals(list(upstream, List.of(run), List.of())).getFirst();
+    assertEquals(reading.deadlineMillis(), 0);
+    List<LeaseEffect> effects = end(upstream, run, 1, RunEnd.Cause.DONE);
+    assertEquals(reports(effects).getFirst().outcome(), new WorkOutcome.Completed());
+    assertTrue(renewals(effects).isEmpty(), "nothing is left to read");
+  }
+
+  /**
+   * The other shard's dispatcher has taken the upstream over, and refuses are as they should be.
+   * Counted, they made this host give its whole shard up for a higher token.
+   */
+  @Test
+  public void countsNoRefusalsOfUpstreamsThatLeftTheShard() {
+    UpstreamNotice upstream = join("u1");
+    submit("w", 1, HALF);
+    scope(OTHER_SHARD, OWN_SHARD);
+    List<LeaseEffect> effects = new ArrayList<>();
+    LeaseEffect.Renew open = openRenewals.getOrDefault("u1", firstRenewal(upstream));
+    effects.addAll(answer(open, OrderResult.FENCED, List.of(), List.of()));
+    for (int i = 0; i < 30; i++) {
+      now += 200;
+      effects.addAll(handle(new LeaseEvent.Tick()));
+    }
+    assertTrue(renewals(effects).isEmpty());
+    assertTrue(only(effects, LeaseEffect.Outranked.class).isEmpty());
+    assertEquals(notes(effects, "lease-over").size(), 1, "the run is over with its lease");
+  }
+
+  private List<LeaseEffect> scope(ShardId own, ShardId other) {
+    return handle(new LeaseEvent.ScopeChanged(own, Set.of(own, other)));
+  }
+
   private long clock() {
     return CLOCK + now + clockAhead;
   }
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelEntryHost.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelEntryHost.java
@@ -4,8 +4,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
+import java.util.function.LongConsumer;
 import org.burdockbay.core.dispatch.DomainLoad;
 import org.burdockbay.core.fleet.UpstreamNotice;
 import org.burdockbay.core.intake.IntakeEffect;
@@ -15,22 +16,25 @@
 import org.burdockbay.core.membership.Membership;
 import org.burdockbay.core.membership.MembershipEffect;
 import org.burdockbay.core.membership.MembershipTerms;
+import org.burdockbay.core.shard.ShardId;
 import org.burdockbay.core.work.WorkRequest;
 
 /** One host of a {@link LeaseModel}: membership, intake and dispatch, wired as a process does. */
 final class ModelEntryHost {
 
-  private static final String GROUP = "entry";
   private static final long LOST_MILLIS = 450;
   private static final long HEARTBEAT_MILLIS = 150;
   private static final long TICK_MILLIS = 25;
   private static final long MICROS_PER_MILLI = 1_000;
+  private static final long MOST_LAG_MILLIS = 250;
 
   final String name;
   final String domain;
+  private final ShardId shard;
   private final LeaseModel model;
   private final Map<Long, WorkRequest> callers = new HashMap<>();
   private final Map<String, Long> incarnations = new HashMap<>();
+  private final Map<String, Long> restartSeenAt = new HashMap<>();
   private final List<Runnable> held = new ArrayList<>();
   private final List<Runnable> inbox = new ArrayList<>();
   boolean up;
@@ -55,14 +59,16 @@
   /** Until when the processor is busy with what has arrived, in microseconds. */
   private long busyUntilMicros;
 
+  private long workUntil;
   private Membership membership;
   private WorkIntake intake;
   private LeaseDispatcher dispatcher;
 
-  ModelEntryHost(LeaseModel model, String name, String domain) {
+  ModelEntryHost(LeaseModel model, String name, String domain, ShardId shard) {
     this.model = model;
     this.name = name;
     this.domain = domain;
+    this.shard = shard;
   }
 
   void start() {
@@ -73,13 +79,19 @@
     incarnation = clock();
     placing = false;
     inbox.clear();
+    workUntil = 0;
+    restartSeenAt.clear();
     membership =
         Membership.growing(
-            name, GROUP, MembershipTerms.ofAddress(name, LOST_MILLIS, true), clock());
-    model.hosts.keySet().forEach(host -> membership.admit(host, GROUP, clock()));
+            name, shard.toString(), MembershipTerms.ofAddress(name, LOST_MILLIS, true), clock());
+    model
+        .hosts
+        .values()
+        .forEach(host -> membership.admit(host.name, host.shard.toString(), clock()));
     membership.recall(savedEpoch);
-    intake = new WorkIntake(name, LOST_MILLIS + LeaseTerms.DEFAULT.longestMillis());
+    intake = new WorkIntake(name, domain, LOST_MILLIS + LeaseTerms.DEFAULT.longestMillis());
     dispatcher = new LeaseDispatcher(name, LeaseTerms.DEFAULT);
+    scope(Set.of());
     incarnations.clear();
     long started = life;
     model.after(model.random().nextLong(TICK_MILLIS), () -> tick(started));
@@ -147,9 +159,9 @@
       model.brokenConnection(request);
       return;
     }
-    deliver(
+    deliverWork(
         1,
-        () -> {
+        arrivedAt -> {
           lastTicket++;
           callers.put(lastTicket, request);
           intake(new IntakeEvent.Opened(lastTicket, request));
@@ -166,6 +178,22 @@
     model.after(delay, () -> arrive(meant, action));
   }
 
+  /** Runs a task of the work, which waits while the host is behind; it gets the arrival time. */
+  private void deliverWork(long delay, LongConsumer action) {
+    deliver(
+        delay,
+        () -> {
+          long arrivedAt = clock();
+          if (!model.lags()) {
+            action.accept(arrivedAt);
+            return;
+          }
+          workUntil = Math.max(workUntil, model.now()) + model.handlingMillis();
+          workUntil = Math.min(workUntil, model.now() + MOST_LAG_MILLIS);
+          deliver(workUntil - model.now(), () -> action.accept(arrivedAt));
+        });
+  }
+
   private void arrive(long meant, Runnable action) {
     if (!up || meant != life) {
       return;
@@ -264,7 +292,7 @@
     HostStatus status =
         new HostStatus(
             name,
-            GROUP,
+            shard.toString(),
             incarnation,
             0,
             1,
@@ -273,28 +301,88 @@
             membership.draining(),
             "",
             new DomainLoad(0, 0));
+    DomainLoad load = dispatcher.load();
+    intake(new IntakeEvent.LoadTold(name, load));
     for (ModelEntryHost other : model.hosts.values()) {
       if (other != this) {
-        send(other, () -> other.heard(status));
+        send(other, () -> other.heard(status, load));
       }
     }
   }
 
-  private void heard(HostStatus status) {
+  /** The connection to another host is new. */
+  void reset(ModelEntryHost other) {
+    deliver(
+        0,
+        () -> {
+          heartbeat();
+          intake(new IntakeEvent.PeerReset(other.name));
+        });
+  }
+
+  /** The connection of a caller that waits here breaks; it asks again elsewhere. */
+  void loseCaller() {
+    if (!up || frozen || callers.isEmpty()) {
+      return;
+    }
+    List<Long> tickets = List.copyOf(callers.keySet());
+    long ticket = tickets.get(model.faults().nextInt(tickets.size()));
+    WorkRequest request = callers.remove(ticket);
+    model.trace(name, "lost the caller of " + request.id());
+    model.brokenConnection(request);
+    deliver(0, () -> intake(new IntakeEvent.Left(ticket)));
+  }
+
+  private void heard(HostStatus status, DomainLoad load) {
     Long before = incarnations.put(status.host(), status.incarnation());
     if (before != null && before < status.incarnation()) {
+      restartSeenAt.put(status.host(), clock());
       dispatch(new LeaseEvent.EntryLost(status.host()));
     }
     run(membership.heartbeat(status, clock()));
     dispatch(new LeaseEvent.EntryHeard(status.host()));
     intake(new IntakeEvent.DispatcherHeard(status.host()));
+    intake(new IntakeEvent.LoadTold(status.host(), load));
   }
 
   private void send(ModelEntryHost other, Runnable action) {
     if (other == this) {
       deliver(0, action);
+      return;
+    }
+    LeaseModel.Link link = model.link(this, other);
+    if (!model.connected(domain, other.domain)) {
+      link.lossy = true;
+    } else {
+      model.renewIfLossy(link, this, other);
+      if (!link.down) {
+        other.deliverOver(link, model.oneWayMillis(domain, other.domain), action);
+      }
+    }
+  }
+
+  /** Runs an action unless the connection that brings it is reset meanwhile. */
+  private void deliverOver(LeaseModel.Link link, long delay, Runnable action) {
+    long meant = life;
+    long sentOver = link.generation;
+    model.after(
+        delay,
+        () -> {
+          if (link.generation == sentOver) {
+            arrive(meant, action);
+          }
+        });
+  }
+
+  private void scope(Set<ShardId> live) {
+    dispatch(new LeaseEvent.ScopeChanged(shard, live));
+  }
+
+  private void sendWork(ModelEntryHost other, LongConsumer action) {
+    if (other == this) {
+      deliverWork(0, action);
     } else if (model.connected(domain, other.domain)) {
-      other.deliver(model.oneWayMillis(domain, other.domain), action);
+      other.deliverWork(model.oneWayMillis(domain, other.domain), action);
     }
   }
 
@@ -310,13 +398,18 @@
           heartbeat();
         }
         case MembershipEffect.Routes routes -> {
-          Optional<IntakeEvent.Dispatcher> known =
-              routes
-                  .view()
-                  .dispatcher(GROUP)
-                  .map(found -> new IntakeEvent.Dispatcher(found.host(), found.epoch()));
-          intake(new IntakeEvent.DispatcherChanged(known));
+          Map<ShardId, IntakeEvent.Dispatcher> known = new HashMap<>();
+          for (ShardId each : model.shards()) {
+            routes
+                .view()
+                .dispatcher(each.toString())
+                .map(found -> new IntakeEvent.Dispatcher(found.host(), found.epoch()))
+                .ifPresent(found -> known.put(each, found));
+          }
+          scope(known.keySet());
+          intake(new IntakeEvent.DispatchersChanged(known));
         }
+        case MembershipEffect.LayoutChanged changed -> {}
         case MembershipEffect.HostLost lost -> {
           // The dispatcher finds out by itself.
         }
@@ -328,32 +421,31 @@
   }
 
   private void intake(IntakeEvent event) {
-    if (event instanceof IntakeEvent.DispatcherChanged changed) {
-      model.trace(name, "dispatcher=" + changed.dispatcher());
+    if (event instanceof IntakeEvent.DispatchersChanged changed) {
+      model.trace(name, "dispatchers=" + changed.dispatchers());
     }
     for (IntakeEffect effect : intake.handle(event, clock())) {
       switch (effect) {
         case IntakeEffect.Submit submit -> {
           ModelEntryHost target = model.hosts.get(submit.to().host());
-          send(
+          sendWork(
               target,
-              () ->
-                  target.dispatch(
+              arrivedAt ->
+                  target.submitted(
                       new LeaseEvent.Submitted(
                           name,
                           submit.to().token(),
                           submit.ticket(),
                           submit.request(),
                           submit.ageMillis(),
-                          submit.quietMillis())));
+                          submit.quietMillis()),
+                      arrivedAt));
         }
         case IntakeEffect.Cancel cancel -> {
           ModelEntryHost target = model.hosts.get(cancel.to().host());
-          send(
-              target,
-              () ->
-                  target.dispatch(
-                      new LeaseEvent.Cancelled(name, cancel.to().token(), cancel.workId())));
+          LeaseEvent cancelled =
+              new LeaseEvent.Cancelled(name, cancel.to().token(), cancel.workId());
+          sendWork(target, arrivedAt -> target.dispatch(cancelled, arrivedAt));
         }
         case IntakeEffect.Answer answer -> {
           WorkRequest request = callers.remove(answer.ticket());
@@ -366,8 +458,18 @@
     }
   }
 
+  private void submitted(LeaseEvent.Submitted event, long arrivedAt) {
+    if (arrivedAt > restartSeenAt.getOrDefault(event.entryHost(), Long.MIN_VALUE)) {
+      dispatch(event, arrivedAt);
+    }
+  }
+
   private void dispatch(LeaseEvent event) {
-    carryOut(dispatcher.handle(event, clock()));
+    dispatch(event, clock());
+  }
+
+  private void dispatch(LeaseEvent event, long arrivedAt) {
+    carryOut(dispatcher.handle(event, arrivedAt, clock()));
     if (!placing) {
       carryOut(dispatcher.place(clock()));
     }
@@ -403,7 +505,8 @@
           ModelEntryHost target = model.hosts.get(report.entryHost());
           send(
               target,
-              () -> target.intake(new IntakeEvent.Reported(report.workId(), report.outcome())));
+              () ->
+                  target.intake(new IntakeEvent.Reported(name, report.workId(), report.outcome())));
         }
         case LeaseEffect.Outranked outranked ->
             deliver(
@@ -491,20 +594,21 @@
     private boolean done;
 
     Call(LeaseEvent unanswered, long timeoutMillis) {
-      deliver(timeoutMillis, () -> finish(unanswered));
+      deliverWork(timeoutMillis, arrivedAt -> finish(unanswered, arrivedAt));
     }
 
     void answer(LeaseEvent answer, ModelUpstream upstream) {
       boolean lost = model.random().nextDouble() < model.answerLost;
       if (!lost && model.connected(domain, upstream.domain)) {
-        deliver(model.oneWayMillis(upstream.domain, domain), () -> finish(answer));
+        deliverWork(
+            model.oneWayMillis(upstream.domain, domain), arrivedAt -> finish(answer, arrivedAt));
       }
     }
 
-    private void finish(LeaseEvent event) {
+    private void finish(LeaseEvent event, long arrivedAt) {
       if (!done) {
         done = true;
-        dispatch(event);
+        dispatch(event, arrivedAt);
       }
     }
   }
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
@@ -6,6 +6,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
@@ -30,6 +32,7 @@
 import org.burdockbay.core.membership.MembershipTerms;
 import org.burdockbay.core.membership.RouteView;
 import org.burdockbay.core.message.PeerMessage;
+import org.burdockbay.core.shard.ShardId;
 import org.burdockbay.core.work.WorkOutcome;
 import org.burdockbay.core.work.WorkRequest;
 import org.burdockbay.server.ServerException;
@@ -68,6 +71,9 @@
   /** How far the time of day must leap ahead to show a suspension, in milliseconds. */
   private static final long SUSPENDED_MILLIS = 250;
 
+  /** What a host tells of its load that doesn't dispatch. */
+  private static final DomainLoad NO_LOAD = new DomainLoad(0, 0);
+
   private static final long RECONCILE_MILLIS = 500;
   private static final long FETCH_MILLIS = 250;
 
@@ -93,7 +99,12 @@
   private final Optional<AgreementDriver> agreement;
   private final long storageIncarnation;
   private final Map<String, Long> incarnations = new HashMap<>();
+
+  /** When the first heartbeat of a host's present life arrived, if an earlier life was heard. */
+  private final Map<String, Long> restartSeenAt = new HashMap<>();
+
   private final AtomicLong lastTicket;
+  private Map<ShardId, RouteView.Dispatching> dispatchers = Map.of();
   private volatile boolean dispatcherKnown;
   private volatile boolean draining;
   private Optional<ControlImage.CatalogDocument> agreedCatalog = Optional.empty();
@@ -120,19 +131,22 @@
     this.catalog = new CatalogKeeper(parts.catalogReader(), log);
     this.membership =
         Membership.growing(
-            settings.host(),
-            settings.card().group(),
+            settings.card(),
             MembershipTerms.ofAddress(settings.host(), LOST_MILLIS, settings.mayDispatch()),
             now);
     this.directory = new HostDirectory(settings.card());
     this.gossip = new HostGossip(directory, this::send);
-    this.desk = new WorkDesk(parts, this::send, this::onControl, this::outranked, this::startOver);
+    this.desk =
+        new WorkDesk(
+            parts, this::send, this::onControl, this::onWork, this::outranked, this::startOver);
     this.fleet = new Fleet(desk::dispatch, this::broadcast);
     Optional<AgreementStorage> storage = openStorage();
     this.storageIncarnation = storage.map(AgreementStorage::incarnation).orElse(0L);
     this.agreement = storage.map(this::driver);
     this.epochs = new EpochKeeper(settings.dataFolder().map(EpochFile::new), log);
-    membership.recall(epochs.recall());
+    EpochFile.Content recalled = epochs.recall();
+    membership.recall(recalled.epoch());
+    membership.recall(recalled.layout());
     this.proposals = new ProposalClient(clock, agreement, this::leader, this::send);
     this.voters = new VoterKeeper(VOTERS, this::replaceable, log);
   }
@@ -156,13 +170,13 @@
    */
   public long submit(WorkRequest request, Consumer<WorkOutcome> answer) {
     long ticket = lastTicket.incrementAndGet();
-    onControl(() -> desk.open(ticket, request, answer));
+    onWork(() -> desk.open(ticket, request, answer));
     return ticket;
   }
 
   /** Notes that the caller of a ticket no longer waits. */
   public void leave(long ticket) {
-    onControl(() -> desk.leave(ticket));
+    onWork(() -> desk.leave(ticket));
   }
 
   /** Takes the announcement of an upstream that reached this host itself. */
@@ -224,7 +238,12 @@
 
   @Override
   public void received(String host, PeerMessage message) {
-    onControl(() -> handle(host, message));
+    long arrivedAt = clock.millis();
+    switch (message) {
+      case PeerMessage.SubmitWork submit -> onWork(() -> submitted(host, submit, arrivedAt));
+      case PeerMessage.CancelWork cancel -> cancelled(host, cancel, arrivedAt);
+      default -> onControl(() -> handle(host, message, arrivedAt));
+    }
   }
 
   @Override
@@ -306,7 +325,8 @@
 
   private <T> CompletableFuture<T> call(Supplier<T> question) {
     CompletableFuture<T> answer = new CompletableFuture<>();
-    onControl(() -> answer.complete(question.get()));
+    // Behind the callers whose requests still wait, so that they are counted.
+    onWork(() -> answer.complete(question.get()));
     return answer;
   }
 
@@ -314,26 +334,53 @@
     parts.thread().execute(task);
   }
 
-  private void handle(String host, PeerMessage message) {
+  private void onWork(Runnable task) {
+    parts.thread().executeWork(task);
+  }
+
+  /** Hands work to the dispatcher, unless its entry host was restarted since it sent it. */
+  private void submitted(String host, PeerMessage.SubmitWork submit, long arrivedAt) {
+    directory.heard(host, arrivedAt);
+    if (arrivedAt <= restartSeenAt.getOrDefault(host, Long.MIN_VALUE)) {
+      log.info("submission-outdated", "work=" + submit.request().id() + " from=" + host);
+      return;
+    }
+    desk.dispatch(
+        new LeaseEvent.Submitted(
+            host,
+            submit.token(),
+            submit.ticket(),
+            submit.request(),
+            submit.ageMillis(),
+            submit.quietMillis()),
+        arrivedAt);
+  }
+
+  /**
+   * Hands a cancellation to the dispatcher at once, and again behind the submission that it may
+   * have overtaken.
+   */
+  private void cancelled(String host, PeerMessage.CancelWork cancel, long arrivedAt) {
+    LeaseEvent event = new LeaseEvent.Cancelled(host, cancel.token(), cancel.workId());
+    onControl(() -> desk.dispatch(event, arrivedAt));
+    onWork(() -> desk.dispatch(event, arrivedAt));
+  }
+
+  /**
+   * Handles a control message.
+   *
+   * <p>A report is one too: taken after a change of the dispatcher that it came before, it would
+   * answer a caller whose work the next dispatcher goes on with.
+   */
+  private void handle(String host, PeerMessage message, long arrivedAt) {
     long now = clock.millis();
-    directory.heard(host, now);
+    directory.heard(host, arrivedAt);
     switch (message) {
-      case PeerMessage.Heartbeat heartbeat -> heard(heartbeat, now);
+      case PeerMessage.Heartbeat heartbeat -> heard(heartbeat, arrivedAt, now);
       case PeerMessage.KnownHosts known -> known.hosts().forEach(card -> learn(card, now));
       case PeerMessage.UpstreamNews news -> fleet.told(news, now);
-      case PeerMessage.SubmitWork submit ->
-          desk.dispatch(
-              new LeaseEvent.Submitted(
-                  host,
-                  submit.token(),
-                  submit.ticket(),
-                  submit.request(),
-                  submit.ageMillis(),
-                  submit.quietMillis()));
-      case PeerMessage.CancelWork cancel ->
-          desk.dispatch(new LeaseEvent.Cancelled(host, cancel.token(), cancel.workId()));
       case PeerMessage.ReportWork report ->
-          desk.intake(new IntakeEvent.Reported(report.workId(), report.outcome()));
+          desk.intake(new IntakeEvent.Reported(host, report.workId(), report.outcome()));
       case PeerMessage.Agreement received ->
           agreement
               .filter(driver -> received.group().equals(GroupId.CONTROL))
@@ -353,16 +400,21 @@
     }
   }
 
-  private void heard(PeerMessage.Heartbeat heartbeat, long now) {
+  private void heard(PeerMessage.Heartbeat heartbeat, long arrivedAt, long now) {
     HostStatus status = heartbeat.status();
     renewIfUnheard(status.host(), heartbeat.heardAgoMillis());
     Long before = incarnations.put(status.host(), status.incarnation());
     if (before != null && before < status.incarnation()) {
-      // The process was restarted within the time that its loss would have shown by silence.
+      // The process was restarted within the time that its loss would have shown by silence. Work
+      // of its earlier life that still waits here is nobody's any more.
+      restartSeenAt.put(status.host(), arrivedAt);
       desk.dispatch(new LeaseEvent.EntryLost(status.host()));
     }
     run(membership.heartbeat(status, now));
-    desk.dispatch(new LeaseEvent.EntryHeard(status.host()));
+    if (status.dispatcherEpoch() != 0) {
+      desk.intake(new IntakeEvent.LoadTold(status.host(), status.load()));
+    }
+    desk.dispatch(new LeaseEvent.EntryHeard(status.host()), arrivedAt);
     desk.intake(new IntakeEvent.DispatcherHeard(status.host()));
     if (catalog.heard(status.configurationVersion(), now) && now >= fetchAt) {
       fetchAt = now + FETCH_MILLIS;
@@ -436,6 +488,8 @@
     for (MembershipEffect effect : effects) {
       switch (effect) {
         case MembershipEffect.Claim claim -> {
+          Set<ShardId> live = membership.routes().liveShards();
+          desk.dispatch(new LeaseEvent.ScopeChanged(claim.shard(), live));
           desk.dispatch(new LeaseEvent.RoleGained(claim.epoch()));
           heartbeat();
         }
@@ -444,6 +498,7 @@
           heartbeat();
         }
         case MembershipEffect.Routes routes -> routed(routes.view());
+        case MembershipEffect.LayoutChanged changed -> layoutChanged(changed);
         case MembershipEffect.HostLost lost ->
             log.warn("host-lost", "lost=" + lost.host() + " silence=" + LOST_MILLIS);
         case MembershipEffect.HostFound found -> log.info("host-found", "found=" + found.host());
@@ -451,15 +506,45 @@
     }
   }
 
-  private void routed(RouteView view) {
-    Optional<IntakeEvent.Dispatcher> dispatcher =
-        view.dispatcher(settings.card().group())
-            .map(found -> new IntakeEvent.Dispatcher(found.host(), found.epoch()));
-    dispatcherKnown = dispatcher.isPresent();
+  private void layoutChanged(MembershipEffect.LayoutChanged changed) {
     log.info(
-        "dispatcher",
-        dispatcher.map(it -> "dispatcher=" + it.host() + " token=" + it.token()).orElse("none"));
-    desk.intake(new IntakeEvent.DispatcherChanged(dispatcher));
+        "layout",
+        "before="
+            + changed.before().shardsPerDomain()
+            + " now="
+            + changed.now().shardsPerDomain()
+            + " upstreams="
+            + fleet.size());
+    heartbeat();
+  }
+
+  private void routed(RouteView view) {
+    logDispatchers(view.shards());
+    dispatchers = view.shards();
+    dispatcherKnown = !dispatchers.isEmpty();
+    membership
+        .claimedShard()
+        .ifPresent(own -> desk.dispatch(new LeaseEvent.ScopeChanged(own, view.liveShards())));
+    Map<ShardId, IntakeEvent.Dispatcher> known = new HashMap<>();
+    dispatchers.forEach(
+        (shard, found) ->
+            known.put(shard, new IntakeEvent.Dispatcher(found.host(), found.epoch())));
+    desk.intake(new IntakeEvent.DispatchersChanged(known));
+  }
+
+  private void logDispatchers(Map<ShardId, RouteView.Dispatching> now) {
+    Set<ShardId> shards = new TreeSet<>(now.keySet());
+    shards.addAll(dispatchers.keySet());
+    for (ShardId shard : shards) {
+      RouteView.Dispatching found = now.get(shard);
+      if (found == null) {
+        log.info("dispatcher", "shard=" + shard + " none");
+      } else if (!found.equals(dispatchers.get(shard))) {
+        log.info(
+            "dispatcher",
+            "shard=" + shard + " dispatcher=" + found.host() + " token=" + found.epoch());
+      }
+    }
   }
 
   /** Claims the role anew with a higher token, or leaves it to a host that is heard with one. */
@@ -493,7 +578,7 @@
     if (now >= membershipAt) {
       membershipAt = now + MEMBERSHIP_MILLIS;
       run(membership.tick(now));
-      epochs.remember(membership.highestEpoch());
+      epochs.remember(membership.highestEpoch(), membership.layout());
     }
     desk.tick();
     fleet.tick(now);
@@ -539,6 +624,9 @@
   private void heartbeat() {
     heartbeatAt = clock.millis() + HEARTBEAT_MILLIS;
     HostStatus status = status();
+    if (status.dispatcherEpoch() != 0) {
+      desk.intake(new IntakeEvent.LoadTold(status.host(), status.load()));
+    }
     directory.others().forEach(host -> parts.transport().send(host, heartbeatTo(host, status)));
   }
 
@@ -559,7 +647,10 @@
         membership.highestEpoch(),
         membership.draining(),
         leader().orElse(""),
-        new DomainLoad(0, 0));
+        membership.claimedEpoch() == 0 ? NO_LOAD : desk.load(),
+        settings.card().domain(),
+        membership.layout(),
+        membership.claimedShard().orElse(ShardId.WHOLE_FLEET));
   }
 
   private Optional<String> leader() {
@@ -584,7 +675,7 @@
   /** Sends a message to a host; to this one without the network. */
   private void send(String host, PeerMessage message) {
     if (host.equals(settings.host())) {
-      onControl(() -> handle(host, message));
+      received(host, message);
     } else {
       parts.transport().send(host, message);
     }
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/WorkDesk.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/WorkDesk.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
 import org.burdockbay.core.clock.Clock;
+import org.burdockbay.core.dispatch.DomainLoad;
 import org.burdockbay.core.intake.IntakeEffect;
 import org.burdockbay.core.intake.IntakeEvent;
 import org.burdockbay.core.intake.WorkIntake;
@@ -32,6 +33,7 @@
   private final HostMetrics metrics;
   private final PeerSender sender;
   private final Executor control;
+  private final Executor work;
   private final Consumer<LeaseEffect.Outranked> outranked;
   private final Runnable startOver;
 
@@ -39,12 +41,14 @@
       NodeParts parts,
       PeerSender sender,
       Executor control,
+      Executor work,
       Consumer<LeaseEffect.Outranked> outranked,
       Runnable startOver) {
     this.dispatcher = new LeaseDispatcher(parts.settings().host(), LeaseTerms.DEFAULT);
     this.intake =
         new WorkIntake(
             parts.settings().host(),
+            parts.settings().card().domain(),
             LeaseTerms.ENTRY_LOST_MILLIS + LeaseTerms.DEFAULT.longestMillis());
     this.clock = parts.clock();
     this.log = parts.log();
@@ -52,6 +56,7 @@
     this.metrics = parts.metrics();
     this.sender = sender;
     this.control = control;
+    this.work = work;
     this.outranked = outranked;
     this.startOver = startOver;
   }
@@ -74,6 +79,11 @@
     return intake.waiting() + dispatcher.unanswered();
   }
 
+  /** Returns how much room there is on the upstreams that this host dispatches to. */
+  DomainLoad load() {
+    return dispatcher.load();
+  }
+
   void tick() {
     dispatch(new LeaseEvent.Tick());
     intake(new IntakeEvent.Tick());
@@ -105,7 +115,12 @@
     carryOut(dispatcher.handle(event, clock.millis()));
   }
 
-  /** Starts what can start; called when no event waits. */
+  /** Takes an event that arrived some time ago. */
+  void dispatch(LeaseEvent event, long arrivedAt) {
+    carryOut(dispatcher.handle(event, arrivedAt, clock.millis()));
+  }
+
+  /** Starts what can start; called after some events. */
   void place() {
     carryOut(dispatcher.place(clock.millis()));
   }
@@ -130,7 +145,8 @@
   }
 
   private void answered(LeaseEvent event) {
-    control.execute(() -> dispatch(event));
+    long arrivedAt = clock.millis();
+    work.execute(() -> dispatch(event, arrivedAt));
   }
 
   private void answer(IntakeEffect.Answer answer) {
--- a/burdockbay-server/src/main/java/org/burdockbay/server/transport/OutboundConnection.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/transport/OutboundConnection.java
@@ -112,7 +112,7 @@
       counters.dropped(envelope);
       return;
     }
-    long waiting = bytesWaiting(channel);
+    long waiting = unsentBytes(channel);
     if (waiting > MANY_BYTES_WAITING) {
       noteBacklog(waiting);
     }
@@ -129,10 +129,10 @@
   /** Returns how many bytes wait on the connection. */
   long unsentBytes() {
     Channel channel = ready;
-    return channel == null ? 0 : bytesWaiting(channel);
+    return channel == null ? 0 : unsentBytes(channel);
   }
 
-  private static long bytesWaiting(Channel channel) {
+  private static long unsentBytes(Channel channel) {
     ChannelOutboundBuffer buffer = channel.unsafe().outboundBuffer();
     return buffer == null ? 0 : buffer.totalPendingWriteBytes();
   }
