--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/UpstreamLease.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/UpstreamLease.java
@@ -86,7 +86,7 @@
         && now >= pausedUntil;
   }
 
-  /** Returns whether it has answered a renewal under the present token. */
+  /** Returns whether it has answered a renewal or taken a start under the present token. */
   boolean hasObeyed() {
     return heardAt != 0;
   }
