Repeated announcements of upstreams are passed on rarely

What is new goes on at once; the rest every minute, a tenth of the time after which an upstream is forgotten. Run: FleetTest. The gain isn't measured apart.

--- a/burdockbay-core/src/main/java/org/burdockbay/core/fleet/UpstreamNotice.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/fleet/UpstreamNotice.java
@@ -42,4 +42,14 @@
   public boolean sameLife(UpstreamNotice other) {
     return id.equals(other.id) && bornMillis == other.bornMillis;
   }
+
+  /** Returns whether this announcement says the same as another one, but for its sequence. */
+  public boolean repeats(UpstreamNotice other) {
+    return equals(other.withSequence(sequence));
+  }
+
+  private UpstreamNotice withSequence(long number) {
+    return new UpstreamNotice(
+        id, bornMillis, number, service, address, domain, leaving, capacity, labels);
+  }
 }
--- a/burdockbay-core/src/main/java/org/burdockbay/core/fleet/UpstreamRegistry.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/fleet/UpstreamRegistry.java
@@ -78,6 +78,11 @@
     return lost;
   }
 
+  /** Returns the newest announcement of an upstream, if it is known. */
+  public Optional<UpstreamNotice> notice(String id) {
+    return Optional.ofNullable(entries.get(id)).map(entry -> entry.notice);
+  }
+
   /** Returns all that are known. */
   public Collection<UpstreamNotice> notices() {
     return entries.values().stream().map(entry -> entry.notice).toList();
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/Fleet.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/Fleet.java
@@ -2,7 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.burdockbay.core.fleet.UpstreamNotice;
@@ -32,6 +34,9 @@
    */
   static final long SILENCE_MILLIS = 600_000;
 
+  /** How often an announcement that says nothing new is passed on, in milliseconds. */
+  static final long TELL_AGAIN_MILLIS = SILENCE_MILLIS / 10;
+
   private final UpstreamRegistry registry = new UpstreamRegistry(SILENCE_MILLIS);
   private final Consumer<LeaseEvent> dispatcher;
   private final Consumer<PeerMessage> others;
@@ -39,14 +44,28 @@
   private List<UpstreamNotice> departed = new ArrayList<>();
   private long tellAt;
 
+  /** When an announcement of an upstream is passed on again although it says nothing new. */
+  private final Map<String, Long> tellAgainAt = new HashMap<>();
+
   Fleet(Consumer<LeaseEvent> dispatcher, Consumer<PeerMessage> others) {
     this.dispatcher = dispatcher;
     this.others = others;
   }
 
-  /** Takes an announcement that an upstream made to this host. */
+  /**
+   * Takes an announcement that an upstream made to this host.
+   *
+   * <p>It is passed on at once if it says anything new, and otherwise rarely, so that the others
+   * don't forget the upstream: most announcements only repeat the one before.
+   */
   void announcedHere(UpstreamNotice notice, long now) {
-    if (announced(notice, 0, now)) {
+    Optional<UpstreamNotice> before = registry.notice(notice.id());
+    if (!announced(notice, 0, now)) {
+      return;
+    }
+    boolean repeats = before.filter(notice::repeats).isPresent();
+    if (!repeats || now >= tellAgainAt.getOrDefault(notice.id(), 0L)) {
+      tellAgainAt.put(notice.id(), now + TELL_AGAIN_MILLIS);
       announced.add(new PeerMessage.UpstreamNews.Announced(notice, 0));
     }
   }
@@ -58,6 +77,7 @@
         .ifPresent(
             notice -> {
               dispatcher.accept(new LeaseEvent.Departed(notice));
+              tellAgainAt.remove(upstream);
               departed.add(notice);
             });
   }
@@ -104,7 +124,12 @@
       announced = new ArrayList<>();
       departed = new ArrayList<>();
     }
-    registry.expire(now).forEach(lost -> dispatcher.accept(new LeaseEvent.Departed(lost)));
+    registry.expire(now).forEach(this::expired);
+  }
+
+  private void expired(UpstreamNotice lost) {
+    tellAgainAt.remove(lost.id());
+    dispatcher.accept(new LeaseEvent.Departed(lost));
   }
 
   private boolean announced(UpstreamNotice notice, long ageMillis, long now) {
--- a/burdockbay-server/src/test/java/org/burdockbay/server/node/FleetTest.java
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/node/FleetTest.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import org.burdockbay.core.fleet.UpstreamNotice;
 import org.burdockbay.core.lease.LeaseEvent;
+import org.burdockbay.core.message.PeerMessage;
 import org.burdockbay.core.work.TaskSize;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -18,13 +19,15 @@
   private static final long MINUTE = 60_000;
 
   private List<LeaseEvent> events;
+  private List<PeerMessage> told;
   private Fleet fleet;
 
   /** Makes a fleet that knows no upstream. */
   @BeforeMethod
   public void makeFleet() {
     events = new ArrayList<>();
-    fleet = new Fleet(events::add, news -> {});
+    told = new ArrayList<>();
+    fleet = new Fleet(events::add, told::add);
   }
 
   /**
@@ -49,8 +52,41 @@
     assertTrue(events.getLast() instanceof LeaseEvent.Departed);
   }
 
+  /** Guards against bytes and processor time that grow with hosts times upstreams. */
+  @Test
+  public void passesOnRepeatedAnnouncementsRarely() {
+    for (int second = 0; second <= 60; second++) {
+      fleet.announcedHere(notice(1 + second, false), second * 1_000L);
+      fleet.tick(second * 1_000L);
+    }
+    assertEquals(told.size(), 2);
+  }
+
+  /** Guards against tasks that go to an upstream which has said that it leaves. */
+  @Test
+  public void passesOnAtOnceThatAnUpstreamLeaves() {
+    fleet.announcedHere(notice(), 0);
+    fleet.tick(0);
+    fleet.announcedHere(notice(2, true), 1_000);
+    fleet.tick(1_000);
+    PeerMessage.UpstreamNews last = (PeerMessage.UpstreamNews) told.getLast();
+    assertTrue(last.announced().getFirst().notice().leaving());
+  }
+
   private static UpstreamNotice notice() {
+    return notice(1, false);
+  }
+
+  private static UpstreamNotice notice(long sequence, boolean leaving) {
     return new UpstreamNotice(
-        "u1", 1, 1, "desk", "u1:1", "north", false, new TaskSize(32_000, 64_000, 0), Set.of());
+        "u1",
+        1,
+        sequence,
+        "desk",
+        "u1:1",
+        "north",
+        leaving,
+        new TaskSize(32_000, 64_000, 0),
+        Set.of());
   }
 }
