--- a/burdockbay-core/src/main/java/org/burdockbay/core/intake/PendingWork.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/intake/PendingWork.java
@@ -28,6 +28,9 @@
   /** When the dispatcher that has it was heard last, in milliseconds. */
   long heardAt;
 
+  /** When it was submitted last, by any of its callers, in milliseconds. */
+  long submittedAt;
+
   /** Until when runs that an earlier dispatcher started may go on, in milliseconds. */
   long quietUntil;
 
--- a/burdockbay-core/src/main/java/org/burdockbay/core/intake/WorkIntake.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/intake/WorkIntake.java
@@ -42,6 +42,12 @@
    */
   private static final long KEPT_MILLIS = 1_500;
 
+  /**
+   * A dispatcher that isn't heard for longer is replaced, unless this host stood still; in
+   * milliseconds. The time after which a host counts as lost, and a few ticks.
+   */
+  private static final long LONGEST_UNHEARD_MILLIS = 600;
+
   private final String self;
   private final long runsOnMillis;
   private final ShardChoice choice;
@@ -250,6 +256,7 @@
     }
     work.submittedTo = Optional.of(target);
     cancels.remove(new IntakeEffect.Cancel(target, work.id));
+    work.submittedAt = now;
     caller.submittedAt = now;
     effects.add(
         new IntakeEffect.Submit(
@@ -261,7 +268,7 @@
   }
 
   private void move(PendingWork work, PendingWork.Caller caller, IntakeEvent.Dispatcher target) {
-    work.quietUntil = Math.max(work.quietUntil, work.heardAt + runsOnMillis);
+    work.quietUntil = Math.max(work.quietUntil, heldSince(work) + runsOnMillis);
     work.mayHaveRun = true;
     // In a cut of one direction the earlier dispatcher may hear this host and go on.
     cancel(work);
@@ -283,6 +290,18 @@
         });
   }
 
+  /**
+   * Returns from when on the dispatcher that has the work may have missed this host, in
+   * milliseconds.
+   *
+   * <p>Usually that is when it was heard last. A host that stood still submits, before it learns
+   * what has changed, to a dispatcher that it hasn't heard for long and that may be alive.
+   */
+  private static long heldSince(PendingWork work) {
+    boolean longUnheard = work.submittedAt - work.heardAt > LONGEST_UNHEARD_MILLIS;
+    return longUnheard ? work.submittedAt : work.heardAt;
+  }
+
   private void tick() {
     noteHeard();
     cancels.values().removeIf(at -> now - at > KEPT_MILLIS);
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseBook.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseBook.java
@@ -161,7 +161,7 @@
     }
     // What it ran may go on until the lease is over, although it said that it has left.
     known.notice = leaving(known.notice);
-    if (known.runs.isEmpty()) {
+    if (known.runs.isEmpty() && !runs.unclaimedOn(known)) {
       upstreams.remove(notice.id());
       context.note("upstream-left", "upstream=" + notice.id());
     } else {
@@ -187,13 +187,14 @@
     if (upstream == null) {
       return;
     }
-    upstream.clockRead(answered.clockMillis(), context.now());
+    upstream.clockRead(answered.clockMillis(), context.arrivedAt());
     LeasedRun run = upstream.runs.get(answered.run());
     if (answered.result() == OrderResult.OTHER_LIFE) {
       lifeOver(upstream, "other-life");
       return;
     }
-    if (run == null) {
+    if (run == null || run.startsSent == 0) {
+      // The order of an earlier role of this host; its run may have been adopted since.
       return;
     }
     run.startsOpen--;
@@ -202,6 +203,7 @@
     }
     switch (answered.result()) {
       case DONE -> {
+        upstream.heardAt = context.now();
         if (run.startsSent == 1) {
           runs.answeredAfter(context.now() - run.startSentAt);
         }
@@ -237,13 +239,13 @@
     if (upstream == null) {
       return;
     }
-    upstream.clockRead(answered.clockMillis(), context.now());
+    upstream.clockRead(answered.clockMillis(), context.arrivedAt());
     if (answered.result() == OrderResult.OTHER_LIFE) {
       lifeOver(upstream, "other-life");
       return;
     }
     LeasedRun run = upstream.runs.get(answered.run());
-    if (run == null) {
+    if (run == null || run.stopsSent == 0) {
       return;
     }
     switch (answered.result()) {
@@ -267,7 +269,9 @@
         upstream != null
             && upstream.renewal == answered.renewal()
             && answered.clockMillis().isPresent();
-    return readable ? upstream.clockJump(answered.clockMillis().getAsLong(), context.now()) : 0;
+    return readable
+        ? upstream.clockJump(answered.clockMillis().getAsLong(), context.arrivedAt())
+        : 0;
   }
 
   void renewalAnswered(LeaseEvent.RenewalAnswered answered) {
@@ -276,7 +280,7 @@
       return;
     }
     upstream.renewalOpen = false;
-    upstream.clockRead(answered.clockMillis(), context.now());
+    upstream.clockRead(answered.clockMillis(), context.arrivedAt());
     switch (answered.result()) {
       case DONE -> listed(upstream, answered);
       case FENCED -> outranked(upstream);
@@ -298,7 +302,7 @@
       context.note("upstream-back", "upstream=" + upstream.notice.id());
     }
     upstream.owned = true;
-    upstream.listedAt = context.now();
+    upstream.heardAt = context.now();
     runs.answered(upstream.renewalSentAt);
     upstream.fencedTimes = 0;
     upstream.unanswered = 0;
@@ -325,7 +329,7 @@
 
   /** Gives a run of an earlier dispatcher to the work that it belongs to, now or once it comes. */
   private void found(RunId id, UpstreamLease upstream) {
-    // The earlier dispatcher's lease may have been renewed a moment ago.
+    // The earlier dispatcher may have renewed the lease just before this one took over.
     upstream.covered(terms, context.now());
     TaskState task = works.task(id.task());
     if (task != null && task.waits() && !runs.open(id.task())) {
@@ -422,7 +426,7 @@
             + upstream.fencedTimes);
     if (upstream.fencedTimes >= MOST_FENCED) {
       upstream.fencedTimes = 0;
-      context.emit(new LeaseEffect.Outranked(context.token()));
+      context.emit(new LeaseEffect.Outranked(context.token(), upstream.hasObeyed()));
     }
   }
 
@@ -430,6 +434,9 @@
     for (UpstreamLease upstream : List.copyOf(upstreams.values())) {
       if (!upstream.renewalOpen && context.now() >= upstream.renewAt && kept(upstream)) {
         renew(upstream, true);
+      } else if (upstream.outgrowsIdlePoll(terms, context.now())) {
+        // Beside the one that waits, whose answer no longer counts.
+        renew(upstream, false);
       }
       boolean silent = upstream.unanswered > 0 || (!upstream.inScope && !upstream.owned);
       if (silent && context.now() > upstream.coveredUntil && !upstream.runs.isEmpty()) {
@@ -455,13 +462,14 @@
   /**
    * Renews the lease of an upstream.
    *
-   * <p>Once no renewal was answered for {@link #EXTEND_MILLIS}, the lease isn't made longer: an
-   * upstream that receives and can't answer would otherwise never end its runs, and they couldn't
-   * start elsewhere.
+   * <p>Once no renewal or start was answered for {@link #EXTEND_MILLIS}, the lease isn't made
+   * longer: an upstream that receives and can't answer would otherwise never end its runs, and they
+   * couldn't start elsewhere.
    */
   private void renew(UpstreamLease upstream, boolean wait) {
-    boolean heard = context.now() - upstream.listedAt <= EXTEND_MILLIS;
-    boolean extend = upstream.inScope && heard && runs.mayExtend(upstream);
+    boolean heard = context.now() - upstream.heardAt <= EXTEND_MILLIS;
+    boolean idle = runs.idle(upstream);
+    boolean extend = upstream.inScope && heard && !idle && runs.mayExtend(upstream);
     long deadline = extend && upstream.owned ? upstream.deadline(terms, context.now()) : 0;
     if (deadline != 0) {
       upstream.covered(terms, context.now());
@@ -472,6 +480,8 @@
     upstream.renewalSent = context.nextOrder();
     upstream.renewalSentAt = context.now();
     boolean longPoll = wait && upstream.owned && upstream.unanswered == 0;
+    upstream.idlePoll = longPoll && idle;
+    long waitMillis = idle ? terms.idlePollMillis() : terms.pollMillis();
     context.emit(
         new LeaseEffect.Renew(
             upstream.notice,
@@ -479,7 +489,7 @@
             context.token(),
             upstream.acknowledged,
             deadline,
-            longPoll ? terms.pollMillis() : 0,
+            longPoll ? waitMillis : 0,
             upstream.owned && upstream.unanswered < SOON_REPEATED
                 ? runs.renewalMillis()
                 : terms.answerMillis()));
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseDispatcherTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseDispatcherTest.java
@@ -346,6 +346,116 @@
     assertEquals(dispatcher.unanswered(), 1);
   }
 
+  /**
+   * A task would run twice: a dispatcher claims its role again and takes its own run over, and then
+   * an answer to its earlier role comes, late, that a copy of the start was refused.
+   */
+  @Test
+  public void keepsRunsThatAnswersToItsEarlierRoleRefuse() {
+    UpstreamNotice first = join("u1");
+    WorkRequest request = request("w", 1, HALF);
+    RunId run = starts(handle(submitted(1, request, 0))).getFirst().run();
+    final UpstreamNotice second = join("u2");
+    handle(new LeaseEvent.RoleLost());
+    List<LeaseEffect> claimed = handle(new LeaseEvent.RoleGained(TOKEN + 1));
+    renewals(claimed).forEach(renew -> openRenewals.put(renew.upstream().id(), renew));
+    list(first, List.of(run), List.of());
+    list(second, List.of(), List.of());
+    handle(new LeaseEvent.Submitted("entry", TOKEN + 1, 1, request, 0, 50));
+    now += 100;
+    list(first, List.of(run), List.of());
+    List<LeaseEffect> effects =
+        handle(
+            new LeaseEvent.StartAnswered(first, run, OrderResult.FENCED, OptionalLong.of(clock())));
+    effects.addAll(
+        handle(
+            new LeaseEvent.StopAnswered(first, run, OrderResult.FENCED, OptionalLong.of(clock()))));
+    assertTrue(starts(effects).isEmpty(), "the run goes on at " + first.id());
+    assertTrue(notes(effects, "outranked").isEmpty(), first.id() + " obeys the new token");
+  }
+
+  /**
+   * A caller would wait in vain: an upstream leaves before anybody has claimed what runs there, and
+   * nothing tells when a run on a forgotten upstream is over.
+   */
+  @Test
+  public void startsElsewhereWhatRanOnAnUpstreamThatLeftUnclaimed() {
+    UpstreamNotice notice = notice("u1", 1, false);
+    handle(new LeaseEvent.Announced(notice));
+    RunId run = new RunId(new TaskId("w", 0, 0), 3);
+    list(notice, List.of(run), List.of());
+    final long leaseEnd = now + LeaseTerms.DEFAULT.longestMillis();
+    handle(new LeaseEvent.Departed(notice));
+    final List<LeaseEffect> effects = new ArrayList<>(submit("w", 1, HALF));
+    join("u2");
+    while (now <= leaseEnd) {
+      assertTrue(starts(effects).isEmpty(), "the lease of u1 may last");
+      now += 100;
+      effects.addAll(handle(new LeaseEvent.EntryHeard("entry")));
+      effects.addAll(handle(new LeaseEvent.Tick()));
+    }
+    assertEquals(starts(effects).size(), 1);
+  }
+
+  /**
+   * A task would run twice: a second entry host submits work that is known, and says that another
+   * dispatcher may go on with it for a while.
+   */
+  @Test
+  public void waitsForTheLongestQuietTimeOfAllThatSubmitTheWork() {
+    UpstreamNotice upstream = notice("u1", 1, false);
+    handle(new LeaseEvent.Announced(upstream));
+    WorkRequest request = request("w", 1, HALF);
+    handle(submitted(1, request, 0));
+    handle(new LeaseEvent.Submitted("other", TOKEN, 1, request, 0, 200));
+    assertTrue(starts(list(upstream, List.of(), List.of())).isEmpty());
+    now += 200;
+    assertEquals(starts(handle(new LeaseEvent.Tick())).size(), 1);
+  }
+
+  /**
+   * Nothing runs, so the renewal waits for long and gives no lease. A task that starts meanwhile
+   * would be cut short when the lease that its start gave is over.
+   */
+  @Test
+  public void renewsTheLeaseOfTaskThatStartsDuringLongPoll() {
+    final UpstreamNotice upstream = join("u1");
+    LeaseEffect.Renew waiting = openRenewals.get("u1");
+    assertEquals(waiting.waitMillis(), LeaseTerms.DEFAULT.idlePollMillis());
+    assertEquals(waiting.deadlineMillis(), 0);
+    now += 100;
+    RunId run = starts(submit("w", 1, HALF)).getFirst().run();
+    now += 5;
+    handle(new LeaseEvent.StartAnswered(upstream, run, OrderResult.DONE, OptionalLong.of(clock())));
+    List<LeaseEffect.Renew> beside = ticks(LeaseTerms.DEFAULT.leaseMillis() / 2);
+    assertEquals(beside.size(), 1);
+    assertTrue(
+        beside.getFirst().deadlineMillis() >= clock() + LeaseTerms.DEFAULT.leaseMillis() - 60);
+    assertTrue(
+        answer(waiting, OrderResult.DONE, List.of(), List.of()).isEmpty(),
+        "an answer to the renewal before");
+    assertEquals(
+        reports(
+                answer(
+                    beside.getFirst(),
+                    OrderResult.DONE,
+                    List.of(),
+                    List.of(new RunEnd(1, run, RunEnd.Cause.DONE))))
+            .size(),
+        1);
+  }
+
+  /** An idle upstream that has died would else draw tasks until its long renewal is over. */
+  @Test
+  public void asksIdleUpstreamsThatDoNotAnswerStart() {
+    join("u1");
+    submit("w", 1, HALF);
+    List<LeaseEffect.Renew> beside = ticks(2 * LeaseTerms.DEFAULT.resendMillis());
+    assertEquals(beside.getFirst().waitMillis(), 0);
+    answer(beside.getFirst(), OrderResult.NO_ANSWER, List.of(), List.of());
+    assertTrue(starts(submit("v", 1, HALF)).isEmpty(), "it is silent");
+  }
+
   /** A run that no entry host claims is stopped, and the lease isn't renewed until it is. */
   @Test
   public void stopsRunsThatNobodyClaims() {
@@ -516,6 +626,21 @@
     list(upstream, List.of(), List.of());
   }
 
+  /** Work of a dead entry host that had waited here would run on until its caller came again. */
+  @Test
+  public void countsSilenceOfEntryHostsFromArrivalOfTheirWork() {
+    join("u1");
+    long arrivedAt = now;
+    now += 200;
+    dispatcher.handle(submitted(1, request("w", 1, HALF), 0), arrivedAt, now);
+    assertEquals(starts(dispatcher.place(now)).size(), 1);
+    now = arrivedAt + LeaseTerms.ENTRY_LOST_MILLIS;
+    handle(new LeaseEvent.Tick());
+    assertEquals(dispatcher.unanswered(), 1);
+    now++;
+    assertEquals(stops(handle(new LeaseEvent.Tick())).size(), 1);
+  }
+
   private List<LeaseEffect> handle(LeaseEvent event) {
     List<LeaseEffect> effects = new ArrayList<>(dispatcher.handle(event, now));
     effects.addAll(dispatcher.place(now));
@@ -598,6 +723,16 @@
         Set.of());
   }
 
+  /** Lets time pass in ticks, and returns the renewals that are sent meanwhile. */
+  private List<LeaseEffect.Renew> ticks(long millis) {
+    List<LeaseEffect.Renew> sent = new ArrayList<>();
+    for (long until = now + millis; now < until; ) {
+      now += 25;
+      sent.addAll(renewals(handle(new LeaseEvent.Tick())));
+    }
+    return sent;
+  }
+
   /** Announces an upstream and answers its first renewal. */
   private UpstreamNotice join(String id) {
     UpstreamNotice notice = notice(id, 1, false);
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseModel.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseModel.java
@@ -32,9 +32,14 @@
   private static final long FAULTS_SEED = 0x5DEECE66DL;
 
   private static final long RESEND_MILLIS = 1_300;
-  private static final long PATIENCE_MILLIS = 2_500;
+  static final long PATIENCE_MILLIS = 2_500;
+
+  /** Time after the last fault by which callers are served again, by the stated aim. */
+  static final long RECOVERY_MILLIS = 12_000;
+
   private static final long RECONNECT_MILLIS = 100;
   private static final long LONGEST_WORK_MILLIS = 900;
+  private static final long MOST_HANDLING_MILLIS = 80;
 
   private final SplittableRandom random;
   private final SplittableRandom faults;
@@ -63,15 +68,30 @@
   /** Share of calls to upstreams that are carried out and whose answer is lost. */
   double answerLost;
 
+  /** What handling an event takes of a host's processor, in microseconds; 0 for no limit. */
+  long eventMicros;
+
   int answers;
   int completed;
   int starts;
-  private long now = 1_000_000;
+  private long now;
   private long order;
   private int works;
 
   LeaseModel(
       long seed, Network network, ShardLayout layout, int hostsInDomain, int upstreamsInDomain) {
+    this(seed, network, layout, hostsInDomain, upstreamsInDomain, 1_000_000);
+  }
+
+  /** Creates a model that begins at a time of day, in milliseconds since 1970. */
+  LeaseModel(
+      long seed,
+      Network network,
+      ShardLayout layout,
+      int hostsInDomain,
+      int upstreamsInDomain,
+      long beginsAtMillis) {
+    now = beginsAtMillis;
     random = new SplittableRandom(seed);
     faults = new SplittableRandom(seed ^ FAULTS_SEED);
     this.network = network;
@@ -180,6 +200,16 @@
     return busy ? 1 + random.nextLong(6) : 0;
   }
 
+  /** Returns how long a host needs for a piece of work beyond what it has queued. */
+  long handlingMillis() {
+    return random.nextInt(4) == 0 ? random.nextLong(MOST_HANDLING_MILLIS) : 0;
+  }
+
+  /** Returns whether work waits at hosts that are behind. */
+  boolean lags() {
+    return network == Network.LAGGING;
+  }
+
   boolean batches() {
     return network == Network.TIED;
   }
@@ -268,7 +298,7 @@
             upstream.restart();
           }
         });
-    advance(20_000);
+    advance(RECOVERY_MILLIS);
     for (ModelEntryHost host : hosts.values()) {
       check(host.waiting() == 0, host.name + " owes " + host.waiting() + " answers");
     }
@@ -324,7 +354,9 @@
      * Messages within a domain may arrive in the millisecond in which they were sent, what happens
      * in one millisecond happens in any order, and a host handles what has gathered as one batch.
      */
-    TIED
+    TIED,
+    /** Work waits at a host that is behind, and control messages overtake it. */
+    LAGGING
   }
 
   /** The connections between two hosts. */
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelEntryHost.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelEntryHost.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.LongConsumer;
 import org.burdockbay.core.dispatch.DomainLoad;
 import org.burdockbay.core.fleet.UpstreamNotice;
 import org.burdockbay.core.intake.IntakeEffect;
@@ -24,6 +25,8 @@
   private static final long LOST_MILLIS = 450;
   private static final long HEARTBEAT_MILLIS = 150;
   private static final long TICK_MILLIS = 25;
+  private static final long MICROS_PER_MILLI = 1_000;
+  private static final long MOST_LAG_MILLIS = 250;
 
   final String name;
   final String domain;
@@ -31,10 +34,20 @@
   private final LeaseModel model;
   private final Map<Long, WorkRequest> callers = new HashMap<>();
   private final Map<String, Long> incarnations = new HashMap<>();
+  private final Map<String, Long> restartSeenAt = new HashMap<>();
   private final List<Runnable> held = new ArrayList<>();
   private final List<Runnable> inbox = new ArrayList<>();
   boolean up;
   boolean frozen;
+
+  /** By how much its time of day is ahead when its process starts, in milliseconds. */
+  long aheadAtStart;
+
+  /** Whether it has a disk, from which the process recalls the highest epoch. */
+  boolean keepsEpoch;
+
+  private long savedEpoch;
+  private long aheadMillis;
   private long life;
   private long incarnation;
   private long lastTicket;
@@ -42,6 +55,11 @@
   private long frozenAt;
   private boolean clockStops;
   private boolean placing;
+
+  /** Until when the processor is busy with what has arrived, in microseconds. */
+  private long busyUntilMicros;
+
+  private long workUntil;
   private Membership membership;
   private WorkIntake intake;
   private LeaseDispatcher dispatcher;
@@ -57,9 +75,12 @@
     up = true;
     frozen = false;
     life++;
-    incarnation = model.now();
+    aheadMillis = aheadAtStart;
+    incarnation = clock();
     placing = false;
     inbox.clear();
+    workUntil = 0;
+    restartSeenAt.clear();
     membership =
         Membership.growing(
             name, shard.toString(), MembershipTerms.ofAddress(name, LOST_MILLIS, true), clock());
@@ -67,6 +88,7 @@
         .hosts
         .values()
         .forEach(host -> membership.admit(host.name, host.shard.toString(), clock()));
+    membership.recall(savedEpoch);
     intake = new WorkIntake(name, domain, LOST_MILLIS + LeaseTerms.DEFAULT.longestMillis());
     dispatcher = new LeaseDispatcher(name, LeaseTerms.DEFAULT);
     scope(Set.of());
@@ -137,9 +159,9 @@
       model.brokenConnection(request);
       return;
     }
-    deliver(
+    deliverWork(
         1,
-        () -> {
+        arrivedAt -> {
           lastTicket++;
           callers.put(lastTicket, request);
           intake(new IntakeEvent.Opened(lastTicket, request));
@@ -156,12 +178,30 @@
     model.after(delay, () -> arrive(meant, action));
   }
 
+  /** Runs a task of the work, which waits while the host is behind; it gets the arrival time. */
+  private void deliverWork(long delay, LongConsumer action) {
+    deliver(
+        delay,
+        () -> {
+          long arrivedAt = clock();
+          if (!model.lags()) {
+            action.accept(arrivedAt);
+            return;
+          }
+          workUntil = Math.max(workUntil, model.now()) + model.handlingMillis();
+          workUntil = Math.min(workUntil, model.now() + MOST_LAG_MILLIS);
+          deliver(workUntil - model.now(), () -> action.accept(arrivedAt));
+        });
+  }
+
   private void arrive(long meant, Runnable action) {
     if (!up || meant != life) {
       return;
     }
     if (frozen) {
       held.add(() -> arrive(meant, action));
+    } else if (model.eventMicros > 0) {
+      takeTurn(model.eventMicros, action);
     } else if (model.batches()) {
       gather(action);
     } else {
@@ -169,6 +209,29 @@
     }
   }
 
+  /** Does what is due, behind what has arrived before if the processor is limited. */
+  private void inTurn(Runnable action) {
+    if (model.eventMicros > 0) {
+      takeTurn(0, action);
+    } else {
+      action.run();
+    }
+  }
+
+  /** Handles an event once the processor is done with all that arrived before. */
+  private void takeTurn(long micros, Runnable action) {
+    long meant = life;
+    long nowMicros = model.now() * MICROS_PER_MILLI;
+    busyUntilMicros = Math.max(busyUntilMicros, nowMicros) + micros;
+    model.after(
+        (busyUntilMicros - nowMicros) / MICROS_PER_MILLI,
+        () -> {
+          if (up && meant == life) {
+            action.run();
+          }
+        });
+  }
+
   /** Handles what arrives while the control thread is busy as one batch. */
   private void gather(Runnable action) {
     inbox.add(action);
@@ -195,7 +258,7 @@
   }
 
   private long clock() {
-    return model.now() - suspendedMillis;
+    return model.now() + aheadMillis - suspendedMillis;
   }
 
   private void tick(long meant) {
@@ -203,19 +266,24 @@
       return;
     }
     if (!frozen) {
-      run(membership.tick(clock()));
-      dispatch(new LeaseEvent.Tick());
-      intake(new IntakeEvent.Tick());
+      inTurn(this::timePasses);
     }
     model.after(TICK_MILLIS, () -> tick(meant));
   }
 
+  private void timePasses() {
+    run(membership.tick(clock()));
+    savedEpoch = keepsEpoch ? membership.highestEpoch() : 0;
+    dispatch(new LeaseEvent.Tick());
+    intake(new IntakeEvent.Tick());
+  }
+
   private void beat(long meant) {
     if (!up || meant != life) {
       return;
     }
     if (!frozen) {
-      heartbeat();
+      inTurn(this::heartbeat);
     }
     model.after(HEARTBEAT_MILLIS, () -> beat(meant));
   }
@@ -268,6 +336,7 @@
   private void heard(HostStatus status, DomainLoad load) {
     Long before = incarnations.put(status.host(), status.incarnation());
     if (before != null && before < status.incarnation()) {
+      restartSeenAt.put(status.host(), clock());
       dispatch(new LeaseEvent.EntryLost(status.host()));
     }
     run(membership.heartbeat(status, clock()));
@@ -309,6 +378,14 @@
     dispatch(new LeaseEvent.ScopeChanged(shard, live));
   }
 
+  private void sendWork(ModelEntryHost other, LongConsumer action) {
+    if (other == this) {
+      deliverWork(0, action);
+    } else if (model.connected(domain, other.domain)) {
+      other.deliverWork(model.oneWayMillis(domain, other.domain), action);
+    }
+  }
+
   private void run(List<MembershipEffect> effects) {
     for (MembershipEffect effect : effects) {
       switch (effect) {
@@ -351,25 +428,24 @@
       switch (effect) {
         case IntakeEffect.Submit submit -> {
           ModelEntryHost target = model.hosts.get(submit.to().host());
-          send(
+          sendWork(
               target,
-              () ->
-                  target.dispatch(
+              arrivedAt ->
+                  target.submitted(
                       new LeaseEvent.Submitted(
                           name,
                           submit.to().token(),
                           submit.ticket(),
                           submit.request(),
                           submit.ageMillis(),
-                          submit.quietMillis())));
+                          submit.quietMillis()),
+                      arrivedAt));
         }
         case IntakeEffect.Cancel cancel -> {
           ModelEntryHost target = model.hosts.get(cancel.to().host());
-          send(
-              target,
-              () ->
-                  target.dispatch(
-                      new LeaseEvent.Cancelled(name, cancel.to().token(), cancel.workId())));
+          LeaseEvent cancelled =
+              new LeaseEvent.Cancelled(name, cancel.to().token(), cancel.workId());
+          sendWork(target, arrivedAt -> target.dispatch(cancelled, arrivedAt));
         }
         case IntakeEffect.Answer answer -> {
           WorkRequest request = callers.remove(answer.ticket());
@@ -382,8 +458,18 @@
     }
   }
 
+  private void submitted(LeaseEvent.Submitted event, long arrivedAt) {
+    if (arrivedAt > restartSeenAt.getOrDefault(event.entryHost(), Long.MIN_VALUE)) {
+      dispatch(event, arrivedAt);
+    }
+  }
+
   private void dispatch(LeaseEvent event) {
-    carryOut(dispatcher.handle(event, clock()));
+    dispatch(event, clock());
+  }
+
+  private void dispatch(LeaseEvent event, long arrivedAt) {
+    carryOut(dispatcher.handle(event, arrivedAt, clock()));
     if (!placing) {
       carryOut(dispatcher.place(clock()));
     }
@@ -423,7 +509,12 @@
                   target.intake(new IntakeEvent.Reported(name, report.workId(), report.outcome())));
         }
         case LeaseEffect.Outranked outranked ->
-            deliver(0, () -> run(membership.outranked(outranked.token(), clock())));
+            deliver(
+                0,
+                () ->
+                    run(
+                        membership.outranked(
+                            outranked.token(), outranked.obeyedBefore(), clock())));
         case LeaseEffect.Stalled stalled -> deliver(0, () -> run(membership.startOver(clock())));
         case LeaseEffect.Note note -> model.trace(name, note.event() + " " + note.fields());
       }
@@ -503,20 +594,21 @@
     private boolean done;
 
     Call(LeaseEvent unanswered, long timeoutMillis) {
-      deliver(timeoutMillis, () -> finish(unanswered));
+      deliverWork(timeoutMillis, arrivedAt -> finish(unanswered, arrivedAt));
     }
 
     void answer(LeaseEvent answer, ModelUpstream upstream) {
       boolean lost = model.random().nextDouble() < model.answerLost;
       if (!lost && model.connected(domain, upstream.domain)) {
-        deliver(model.oneWayMillis(upstream.domain, domain), () -> finish(answer));
+        deliverWork(
+            model.oneWayMillis(upstream.domain, domain), arrivedAt -> finish(answer, arrivedAt));
       }
     }
 
-    private void finish(LeaseEvent event) {
+    private void finish(LeaseEvent event, long arrivedAt) {
       if (!done) {
         done = true;
-        dispatch(event);
+        dispatch(event, arrivedAt);
       }
     }
   }
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/WorkDesk.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/WorkDesk.java
@@ -5,7 +5,6 @@
 import java.util.Map;
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
-import java.util.function.LongConsumer;
 import org.burdockbay.core.clock.Clock;
 import org.burdockbay.core.dispatch.DomainLoad;
 import org.burdockbay.core.intake.IntakeEffect;
@@ -34,14 +33,16 @@
   private final HostMetrics metrics;
   private final PeerSender sender;
   private final Executor control;
-  private final LongConsumer outranked;
+  private final Executor work;
+  private final Consumer<LeaseEffect.Outranked> outranked;
   private final Runnable startOver;
 
   WorkDesk(
       NodeParts parts,
       PeerSender sender,
       Executor control,
-      LongConsumer outranked,
+      Executor work,
+      Consumer<LeaseEffect.Outranked> outranked,
       Runnable startOver) {
     this.dispatcher = new LeaseDispatcher(parts.settings().host(), LeaseTerms.DEFAULT);
     this.intake =
@@ -55,6 +56,7 @@
     this.metrics = parts.metrics();
     this.sender = sender;
     this.control = control;
+    this.work = work;
     this.outranked = outranked;
     this.startOver = startOver;
   }
@@ -113,7 +115,12 @@
     carryOut(dispatcher.handle(event, clock.millis()));
   }
 
-  /** Starts what can start; called when no event waits. */
+  /** Takes an event that arrived some time ago. */
+  void dispatch(LeaseEvent event, long arrivedAt) {
+    carryOut(dispatcher.handle(event, arrivedAt, clock.millis()));
+  }
+
+  /** Starts what can start; called after some events. */
   void place() {
     carryOut(dispatcher.place(clock.millis()));
   }
@@ -127,7 +134,7 @@
         case LeaseEffect.Report report ->
             sender.send(
                 report.entryHost(), new PeerMessage.ReportWork(report.workId(), report.outcome()));
-        case LeaseEffect.Outranked lost -> control.execute(() -> outranked.accept(lost.token()));
+        case LeaseEffect.Outranked lost -> control.execute(() -> outranked.accept(lost));
         case LeaseEffect.Stalled stalled -> control.execute(startOver);
         case LeaseEffect.Note note -> {
           metrics.event(note.event());
@@ -138,7 +145,8 @@
   }
 
   private void answered(LeaseEvent event) {
-    control.execute(() -> dispatch(event));
+    long arrivedAt = clock.millis();
+    work.execute(() -> dispatch(event, arrivedAt));
   }
 
   private void answer(IntakeEffect.Answer answer) {
--- a/burdockbay-server/src/main/java/org/burdockbay/server/transport/OutboundConnection.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/transport/OutboundConnection.java
@@ -5,12 +5,14 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import org.burdockbay.core.clock.Clock;
+import org.burdockbay.server.logging.EventLog;
 import org.burdockbay.server.settings.PeerSettings;
 import org.burdockbay.wire.proto.Wire;
 import org.jspecify.annotations.Nullable;
@@ -31,18 +33,27 @@
   private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
   private static final int MOST_BYTES_WAITING = 64 * 1024 * 1024;
 
+  /** So many bytes that wait for a peer are logged; a link takes them in about a second. */
+  private static final int MANY_BYTES_WAITING = 256 * 1024;
+
+  /** Time between two such lines for a peer, in milliseconds. */
+  private static final long BACKLOG_LINE_MILLIS = 1_000;
+
   private final TransportSettings settings;
   private final PeerSettings peer;
   private final Handshake handshake;
   private final PeerListener listener;
   private final TransportCounters counters;
+  private final EventLog log;
   private final Clock clock;
   private final Bootstrap bootstrap;
   private volatile @Nullable Channel ready;
   private volatile long readyAt;
   private volatile boolean closed;
   private volatile @Nullable ScheduledFuture<?> retry;
+  private volatile long backlogQuietUntil = Long.MIN_VALUE;
   private volatile long pauseMillis = SHORTEST_PAUSE_MILLIS;
+  private volatile TransportCounters.Reason reason = TransportCounters.Reason.FIRST;
 
   OutboundConnection(
       TransportSettings settings,
@@ -50,6 +61,7 @@
       Handshake handshake,
       PeerListener listener,
       TransportCounters counters,
+      EventLog log,
       Clock clock,
       EventLoopGroup loops) {
     this.settings = settings;
@@ -57,6 +69,7 @@
     this.handshake = handshake;
     this.listener = listener;
     this.counters = counters;
+    this.log = log;
     this.clock = clock;
     this.bootstrap =
         new Bootstrap()
@@ -64,7 +77,7 @@
             .channel(NioSocketChannel.class)
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-            .handler(new PeerPipeline(SenderHandler::new));
+            .handler(new PeerPipeline(counters, SenderHandler::new));
   }
 
   void connect() {
@@ -78,6 +91,7 @@
               if (attempt.isSuccess()) {
                 attempt.channel().closeFuture().addListener(ended -> reconnectLater(attempt));
               } else {
+                reason = TransportCounters.Reason.FAILED;
                 reconnectLater(attempt);
               }
             });
@@ -98,9 +112,13 @@
       counters.dropped(envelope);
       return;
     }
-    if (channel.unsafe().outboundBuffer() != null
-        && channel.unsafe().outboundBuffer().totalPendingWriteBytes() > MOST_BYTES_WAITING) {
+    long waiting = unsentBytes(channel);
+    if (waiting > MANY_BYTES_WAITING) {
+      noteBacklog(waiting);
+    }
+    if (waiting > MOST_BYTES_WAITING) {
       counters.dropped(envelope);
+      reason = TransportCounters.Reason.BACKLOG;
       channel.close();
       return;
     }
@@ -108,12 +126,32 @@
     channel.writeAndFlush(envelope);
   }
 
+  /** Returns how many bytes wait on the connection. */
+  long unsentBytes() {
+    Channel channel = ready;
+    return channel == null ? 0 : unsentBytes(channel);
+  }
+
+  private static long unsentBytes(Channel channel) {
+    ChannelOutboundBuffer buffer = channel.unsafe().outboundBuffer();
+    return buffer == null ? 0 : buffer.totalPendingWriteBytes();
+  }
+
+  private void noteBacklog(long bytes) {
+    long now = clock.millis();
+    if (now >= backlogQuietUntil) {
+      backlogQuietUntil = now + BACKLOG_LINE_MILLIS;
+      log.warn("peer-backlog", "to=" + peer.id() + " bytes=" + bytes);
+    }
+  }
+
   /** Closes the connection of the moment if it has been open for longer than the given time. */
   boolean renew(long olderThanMillis) {
     Channel channel = ready;
     boolean old = channel != null && clock.millis() - readyAt > olderThanMillis;
     if (old) {
       ready = null;
+      reason = TransportCounters.Reason.SILENT;
       channel.close();
     }
     return old;
@@ -177,6 +215,8 @@
             readyAt = clock.millis();
             pauseMillis = SHORTEST_PAUSE_MILLIS;
             ready = context.channel();
+            counters.connected(reason);
+            reason = TransportCounters.Reason.LOST;
             listener.reset(peer.id());
           } else {
             counters.refused();
@@ -199,6 +239,7 @@
         return;
       }
       if (clock.millis() - heardAt > settings.silenceMillis()) {
+        reason = TransportCounters.Reason.SILENT;
         context.close();
       } else if (context.channel().equals(ready)) {
         context.writeAndFlush(Wire.Envelope.newBuilder().setPing(clock.millis()).build());
