--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelEntryHost.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelEntryHost.java
@@ -41,7 +41,7 @@
   /** Whether it has a disk, from which the process recalls the highest epoch. */
   boolean keepsEpoch;
 
-  private long savedEpoch;
+  long savedEpoch;
   private long aheadMillis;
   private long life;
   private long incarnation;
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/TotalRestartTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/TotalRestartTest.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertEquals;
 
+import java.util.List;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -11,6 +12,7 @@
   private static final long DOWN_MILLIS = 1_200;
   private static final long BEGINS_AT_MILLIS = 1_796_256_000_000L;
   private static final int TOKEN_BITS = 24;
+  private static final long LATE_MILLIS = 4_000;
   private static final int SEEDS = 3;
   private static final long GAP_MILLIS = 300;
   private static final int LAST_CALLERS = 6;
@@ -58,6 +60,25 @@
     }
   }
 
+  /** The host whose disk tells the highest token comes back when the others have claimed. */
+  @Test
+  public void servesInTimeThoughTheHostThatRemembersComesBackLast() {
+    for (long seed = 1; seed <= SEEDS; seed++) {
+      LeaseModel model = model(seed);
+      ModelEntryHost last = List.copyOf(model.hosts.values()).getLast();
+      restart(
+          model,
+          () -> {
+            last.keepsEpoch = true;
+            last.savedEpoch = highestToken(model) + (600L << TOKEN_BITS);
+            model.upstreams.forEach(upstream -> upstream.meets(last.savedEpoch));
+            model.after(DOWN_MILLIS, last::kill);
+            model.after(DOWN_MILLIS + LATE_MILLIS, last::recover);
+          });
+      checkServed(model, "seed " + seed);
+    }
+  }
+
   /** Hosts that have just started stand still now and then, and the role goes round. */
   @Test
   public void servesInTimeThoughRestartedHostsStandStill() {
