--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelEntryHost.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelEntryHost.java
@@ -332,6 +332,7 @@
           scope(known.keySet());
           intake(new IntakeEvent.DispatchersChanged(known));
         }
+        case MembershipEffect.LayoutChanged changed -> {}
         case MembershipEffect.HostLost lost -> {
           // The dispatcher finds out by itself.
         }
