The fuzz model of a divided fleet elects by the real Membership

The stand-in gave each host one shard for good. Now hosts match themselves with shards as a process does, tell layout, shard and load by heartbeat, and half of the divided plays begin undivided and are divided at step 40, while they serve.

--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseFuzzTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseFuzzTest.java
@@ -11,6 +11,7 @@
 public class LeaseFuzzTest {
 
   private static final int STEPS = 120;
+  private static final int GROWS_AT = 40;
   private static final int RUNS = 40;
 
   /**
@@ -37,7 +38,8 @@
   /**
    * The same in a fleet that is divided among several dispatchers. Besides, work that comes again
    * may reach another shard than the one that had it, dispatchers take upstreams over from each
-   * other, and hosts disagree for a while on whose an upstream is.
+   * other, and hosts disagree for a while on whose an upstream is. Some fleets are divided while
+   * they serve.
    */
   @Test
   public void overlapsNoTwoRunsOfTaskInDividedFleet() {
@@ -106,6 +108,9 @@
     model.connectionsBreak = connectionsBreak;
     SplittableRandom random = new SplittableRandom(~seed);
     for (int step = 0; step < STEPS; step++) {
+      if (step == GROWS_AT) {
+        model.grow();
+      }
       int burst = 1 + random.nextInt(3);
       for (int i = 0; i < burst; i++) {
         model.submit(1 + random.nextInt(4));
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseModel.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseModel.java
@@ -4,13 +4,11 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.SplittableRandom;
-import org.burdockbay.core.shard.ShardId;
 import org.burdockbay.core.shard.ShardLayout;
 import org.burdockbay.core.work.RunId;
 import org.burdockbay.core.work.TaskId;
@@ -63,6 +61,9 @@
   /** Share of calls to upstreams that are carried out and whose answer is lost. */
   double answerLost;
 
+  /** Whether the fleet is as large as the layout is meant for; in half of the plays only later. */
+  private boolean grown;
+
   int answers;
   int completed;
   int starts;
@@ -76,13 +77,12 @@
     faults = new SplittableRandom(seed ^ FAULTS_SEED);
     this.network = network;
     this.layout = layout;
+    this.grown = (seed & 2) == 0;
     int number = 0;
     for (String domain : DOMAINS) {
       for (int i = 0; i < hostsInDomain; i++) {
         number++;
-        List<ShardId> shards = layout.shards(domain);
-        ShardId shard = shards.get(i % shards.size());
-        ModelEntryHost host = new ModelEntryHost(this, "10.0.0." + number, domain, shard);
+        ModelEntryHost host = new ModelEntryHost(this, "10.0.0." + number, domain);
         hosts.put(host.name, host);
       }
       for (int i = 0; i < upstreamsInDomain; i++) {
@@ -108,10 +108,14 @@
     return faults;
   }
 
-  Set<ShardId> shards() {
-    Set<ShardId> shards = new LinkedHashSet<>();
-    DOMAINS.forEach(domain -> shards.addAll(layout.shards(domain)));
-    return shards;
+  /** Lets the fleet grow, so that hosts divide it as they hear of its upstreams. */
+  void grow() {
+    grown = true;
+  }
+
+  /** Returns the layout that suits the fleet as large as it is by now. */
+  ShardLayout layout() {
+    return grown ? layout : ShardLayout.UNDIVIDED;
   }
 
   Link link(ModelEntryHost one, ModelEntryHost other) {
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelEntryHost.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelEntryHost.java
@@ -5,29 +5,29 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
-import java.util.Set;
-import org.burdockbay.core.dispatch.DomainLoad;
 import org.burdockbay.core.fleet.UpstreamNotice;
 import org.burdockbay.core.intake.IntakeEffect;
 import org.burdockbay.core.intake.IntakeEvent;
 import org.burdockbay.core.intake.WorkIntake;
+import org.burdockbay.core.membership.HostCard;
 import org.burdockbay.core.membership.HostStatus;
 import org.burdockbay.core.membership.Membership;
 import org.burdockbay.core.membership.MembershipEffect;
 import org.burdockbay.core.membership.MembershipTerms;
+import org.burdockbay.core.membership.RouteView;
 import org.burdockbay.core.shard.ShardId;
 import org.burdockbay.core.work.WorkRequest;
 
 /** One host of a {@link LeaseModel}: membership, intake and dispatch, wired as a process does. */
 final class ModelEntryHost {
 
+  private static final String GROUP = "entry";
   private static final long LOST_MILLIS = 450;
   private static final long HEARTBEAT_MILLIS = 150;
   private static final long TICK_MILLIS = 25;
 
   final String name;
   final String domain;
-  private final ShardId shard;
   private final LeaseModel model;
   private final Map<Long, WorkRequest> callers = new HashMap<>();
   private final Map<String, Long> incarnations = new HashMap<>();
@@ -46,11 +46,10 @@
   private WorkIntake intake;
   private LeaseDispatcher dispatcher;
 
-  ModelEntryHost(LeaseModel model, String name, String domain, ShardId shard) {
+  ModelEntryHost(LeaseModel model, String name, String domain) {
     this.model = model;
     this.name = name;
     this.domain = domain;
-    this.shard = shard;
   }
 
   void start() {
@@ -62,14 +61,12 @@
     inbox.clear();
     membership =
         Membership.growing(
-            name, shard.toString(), MembershipTerms.ofAddress(name, LOST_MILLIS, true), clock());
-    model
-        .hosts
-        .values()
-        .forEach(host -> membership.admit(host.name, host.shard.toString(), clock()));
+            new HostCard(name, GROUP, domain, ""),
+            MembershipTerms.ofAddress(name, LOST_MILLIS, true),
+            clock());
+    model.hosts.keySet().forEach(host -> membership.admit(host, GROUP, clock()));
     intake = new WorkIntake(name, domain, LOST_MILLIS + LeaseTerms.DEFAULT.longestMillis());
     dispatcher = new LeaseDispatcher(name, LeaseTerms.DEFAULT);
-    scope(Set.of());
     incarnations.clear();
     long started = life;
     model.after(model.random().nextLong(TICK_MILLIS), () -> tick(started));
@@ -148,6 +145,7 @@
 
   void announced(UpstreamNotice notice) {
     dispatch(new LeaseEvent.Announced(notice));
+    run(membership.suits(model.layout(), clock()));
   }
 
   /** Runs an action in this life of the process, once it isn't frozen. */
@@ -224,7 +222,7 @@
     HostStatus status =
         new HostStatus(
             name,
-            shard.toString(),
+            GROUP,
             incarnation,
             0,
             1,
@@ -232,12 +230,14 @@
             membership.highestEpoch(),
             membership.draining(),
             "",
-            new DomainLoad(0, 0));
-    DomainLoad load = dispatcher.load();
-    intake(new IntakeEvent.LoadTold(name, load));
+            dispatcher.load(),
+            domain,
+            membership.layout(),
+            membership.claimedShard().orElse(ShardId.WHOLE_FLEET));
+    intake(new IntakeEvent.LoadTold(name, status.load()));
     for (ModelEntryHost other : model.hosts.values()) {
       if (other != this) {
-        send(other, () -> other.heard(status, load));
+        send(other, () -> other.heard(status));
       }
     }
   }
@@ -265,7 +265,7 @@
     deliver(0, () -> intake(new IntakeEvent.Left(ticket)));
   }
 
-  private void heard(HostStatus status, DomainLoad load) {
+  private void heard(HostStatus status) {
     Long before = incarnations.put(status.host(), status.incarnation());
     if (before != null && before < status.incarnation()) {
       dispatch(new LeaseEvent.EntryLost(status.host()));
@@ -273,7 +273,7 @@
     run(membership.heartbeat(status, clock()));
     dispatch(new LeaseEvent.EntryHeard(status.host()));
     intake(new IntakeEvent.DispatcherHeard(status.host()));
-    intake(new IntakeEvent.LoadTold(status.host(), load));
+    intake(new IntakeEvent.LoadTold(status.host(), status.load()));
   }
 
   private void send(ModelEntryHost other, Runnable action) {
@@ -305,14 +305,11 @@
         });
   }
 
-  private void scope(Set<ShardId> live) {
-    dispatch(new LeaseEvent.ScopeChanged(shard, live));
-  }
-
   private void run(List<MembershipEffect> effects) {
     for (MembershipEffect effect : effects) {
       switch (effect) {
         case MembershipEffect.Claim claim -> {
+          scope(claim.shard(), membership.routes());
           dispatch(new LeaseEvent.RoleGained(claim.epoch()));
           heartbeat();
         }
@@ -320,19 +317,8 @@
           dispatch(new LeaseEvent.RoleLost());
           heartbeat();
         }
-        case MembershipEffect.Routes routes -> {
-          Map<ShardId, IntakeEvent.Dispatcher> known = new HashMap<>();
-          for (ShardId each : model.shards()) {
-            routes
-                .view()
-                .dispatcher(each.toString())
-                .map(found -> new IntakeEvent.Dispatcher(found.host(), found.epoch()))
-                .ifPresent(found -> known.put(each, found));
-          }
-          scope(known.keySet());
-          intake(new IntakeEvent.DispatchersChanged(known));
-        }
-        case MembershipEffect.LayoutChanged changed -> {}
+        case MembershipEffect.Routes routes -> routed(routes.view());
+        case MembershipEffect.LayoutChanged changed -> heartbeat();
         case MembershipEffect.HostLost lost -> {
           // The dispatcher finds out by itself.
         }
@@ -343,6 +329,20 @@
     }
   }
 
+  private void routed(RouteView view) {
+    membership.claimedShard().ifPresent(own -> scope(own, view));
+    Map<ShardId, IntakeEvent.Dispatcher> known = new HashMap<>();
+    view.shards()
+        .forEach(
+            (shard, found) ->
+                known.put(shard, new IntakeEvent.Dispatcher(found.host(), found.epoch())));
+    intake(new IntakeEvent.DispatchersChanged(known));
+  }
+
+  private void scope(ShardId own, RouteView view) {
+    dispatch(new LeaseEvent.ScopeChanged(own, view.liveShards()));
+  }
+
   private void intake(IntakeEvent event) {
     if (event instanceof IntakeEvent.DispatchersChanged changed) {
       model.trace(name, "dispatchers=" + changed.dispatchers());
