Overloaded dispatchers refuse what waited too long, before anything else is done with it

What callers saw: a dispatcher that gets more than its processor carries takes up everything, all of it waits, and next to nobody is answered in time.

Change: a submission that waited for this host's processor for more than half of its slack (at least 50 ms, at most 250 ms) is refused as "not run" when it is handled. Only where that is true: never offered, no quiet time, no run found, every upstream heard under the present token. One that may have run and waited more than 250 ms is dropped instead; its entry host repeats it every 400 ms. Answers of upstreams are handled as before. The 250 ms also bound how old work may be that is started: its entry host may be gone since.

LeaseFuzzTest, LeaseDispatcherTest, HeavyLoadTest: 39 pass.

--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/AdmissionRule.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/AdmissionRule.java
@@ -28,6 +28,18 @@
    */
   private static final double EARLY_MARGIN = 2.5;
 
+  /** The share of its slack that work may wait to be handled by this host. */
+  private static final double WAIT_SHARE = 0.5;
+
+  /** Waits up to this occur on hosts that aren't overloaded, in milliseconds. */
+  private static final long LEAST_WAIT_MILLIS = 50;
+
+  /**
+   * Work that waited longer isn't taken up, in milliseconds: its entry host may have turned to
+   * another dispatcher meanwhile, or may be gone.
+   */
+  static final long MOST_WAIT_MILLIS = 250;
+
   /**
    * Returns the work in the order in which its tasks are placed.
    *
@@ -62,6 +74,17 @@
     return now + (early ? EARLY_MARGIN * wait : wait) > latestStart;
   }
 
+  /**
+   * Returns whether work waited too long to be handled here.
+   *
+   * <p>A host that gets more than its processor takes serves nobody in time if it takes up
+   * everything. What is refused at once costs little, so the rest doesn't wait long.
+   */
+  boolean overdue(WorkState work, long waitedMillis) {
+    double share = WAIT_SHARE * (work.latestStart() - work.arrivedAt);
+    return waitedMillis > Math.clamp(share, LEAST_WAIT_MILLIS, MOST_WAIT_MILLIS);
+  }
+
   /** Returns whether waiting work can't be answered before its caller leaves. */
   boolean hopeless(WorkState work, long now) {
     return now + work.chainMillis() > work.expiresAt();
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/DispatchContext.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/DispatchContext.java
@@ -27,6 +27,11 @@
     return arrivedAt;
   }
 
+  /** Returns for how long what is handled has waited here, in milliseconds. */
+  long waitedMillis() {
+    return now - arrivedAt;
+  }
+
   /** Lets time pass; it never goes back. */
   void advance(long time) {
     now = Math.max(now, time);
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseDispatcher.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseDispatcher.java
@@ -130,7 +130,7 @@
 
   private void submitted(LeaseEvent.Submitted submitted) {
     if (meantForNow(submitted.token(), submitted.request().id())) {
-      works.submitted(submitted, leases.all());
+      works.submitted(submitted, leases.all(), leases.allHeard());
     }
   }
 
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/WorkBook.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/WorkBook.java
@@ -57,7 +57,13 @@
     entriesHeard.merge(entryHost, context.arrivedAt(), Math::max);
   }
 
-  void submitted(LeaseEvent.Submitted submitted, Collection<UpstreamLease> upstreams) {
+  /**
+   * Takes submitted work up, or refuses it.
+   *
+   * @param allHeard whether no run of an earlier dispatcher can be found any more
+   */
+  void submitted(
+      LeaseEvent.Submitted submitted, Collection<UpstreamLease> upstreams, boolean allHeard) {
     String id = submitted.request().id();
     entryHeard(submitted.entryHost());
     KeptOutcome kept = outcomes.get(id);
@@ -79,19 +85,27 @@
       known.tickets.put(submitted.entryHost(), submitted.ticket());
       return;
     }
+    boolean mayHaveRun = submitted.quietMillis() > 0 || highestRuns.containsKey(id);
+    if (mayHaveRun && context.waitedMillis() > AdmissionRule.MOST_WAIT_MILLIS) {
+      // It can't be refused as "not run", and is too old to start; the entry host repeats it.
+      context.note("submission-late", "work=" + id + " waited=" + context.waitedMillis());
+      return;
+    }
     WorkState work =
         new WorkState(submitted.request(), context.arrivedAt() - submitted.ageMillis());
     work.tickets.put(submitted.entryHost(), submitted.ticket());
     work.quietUntil = context.now() + submitted.quietMillis();
     // Dropped before, for an entry host that was lost and is back, or run by another dispatcher:
     // "not run" can't be promised any more.
-    work.offered = submitted.quietMillis() > 0 || highestRuns.containsKey(id);
+    work.offered = mayHaveRun;
     works.put(id, work);
     long lastRun = highestRuns.getOrDefault(id, 0L);
     work.steps.forEach(tasks -> tasks.forEach(task -> task.lastRun = lastRun));
     runs.adoptAll(work);
     if (work.complete()) {
       answer(work, new WorkOutcome.Completed());
+    } else if (allHeard && !work.offered && admission.overdue(work, context.waitedMillis())) {
+      refuse(work, "dispatcher overloaded", AdmissionRule.RETRY_MILLIS);
     } else {
       refuseImpossible(work, upstreams);
     }
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/HeavyLoadTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/HeavyLoadTest.java
@@ -1,5 +1,6 @@
 package org.burdockbay.core.lease;
 
+import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
 import java.util.HashMap;
@@ -16,6 +17,13 @@
 
   private static final int SEEDS = 3;
   private static final long PLAY_MILLIS = 30_000;
+
+  /** What events cost where the processor takes {@link #PROCESSOR_TRAFFIC}, in microseconds. */
+  private static final long EVENT_MICROS = 950;
+
+  /** The traffic that takes nearly all of such a processor, as a multiple of the usual one. */
+  private static final double PROCESSOR_TRAFFIC = 0.4;
+
   private static final Map<Double, Outcome> OUTCOMES = new HashMap<>();
 
   /** Usual traffic takes 0.72 of the room: nearly everybody is served in time. */
@@ -81,6 +89,30 @@
     assertTrue(inTime > 0.85, "in time " + inTime);
   }
 
+  /**
+   * A host that got three times what its processor takes took up everything, so all of it waited,
+   * and next to nobody was served in time.
+   */
+  @Test
+  public void servesWhatItsProcessorTakesWhenItGetsThreeTimesAsMuch() {
+    for (long seed = 1; seed <= SEEDS; seed++) {
+      LoadPlay carried = playOnSlowProcessor(seed, PROCESSOR_TRAFFIC);
+      LoadPlay overloaded = playOnSlowProcessor(seed, 3 * PROCESSOR_TRAFFIC);
+      assertTrue(
+          overloaded.jobsInTime() >= 0.8 * carried.jobsInTime(),
+          overloaded.jobsInTime() + " in time of " + carried.jobsInTime());
+      assertEquals(overloaded.changesOfRole(), 0);
+    }
+  }
+
+  private static LoadPlay playOnSlowProcessor(long seed, double traffic) {
+    LoadPlay play = new LoadPlay(seed);
+    play.slowProcessor(EVENT_MICROS);
+    play.play(traffic, PLAY_MILLIS);
+    System.out.println("processor traffic=" + traffic + " seed=" + seed + '\n' + play.report());
+    return play;
+  }
+
   /** Plays one multiple of the usual traffic once, however many tests look at it. */
   private static Outcome play(double traffic) {
     return OUTCOMES.computeIfAbsent(traffic, HeavyLoadTest::playSeeds);
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseDispatcherTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseDispatcherTest.java
@@ -518,9 +518,11 @@
   public void countsSilenceOfEntryHostsFromArrivalOfTheirWork() {
     join("u1");
     long arrivedAt = now;
-    now += 200;
+    now += 50;
     dispatcher.handle(submitted(1, request("w", 1, HALF), 0), arrivedAt, now);
     assertEquals(starts(dispatcher.place(now)).size(), 1);
+    now = arrivedAt + LeaseTerms.ENTRY_LOST_MILLIS / 2;
+    handle(new LeaseEvent.Tick());
     now = arrivedAt + LeaseTerms.ENTRY_LOST_MILLIS;
     handle(new LeaseEvent.Tick());
     assertEquals(dispatcher.unanswered(), 1);
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseModel.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseModel.java
@@ -28,7 +28,7 @@
   private static final long RESEND_MILLIS = 1_300;
   private static final long PATIENCE_MILLIS = 2_500;
   private static final long LONGEST_WORK_MILLIS = 900;
-  private static final long MOST_HANDLING_MILLIS = 80;
+  private static final long MOST_HANDLING_MILLIS = 200;
 
   private final SplittableRandom random;
   private final Network network;
@@ -57,6 +57,7 @@
   private long now = 1_000_000;
   private long order;
   private int works;
+  private boolean healed;
 
   LeaseModel(long seed, Network network, int hostsInDomain, int upstreamsInDomain) {
     random = new SplittableRandom(seed);
@@ -121,7 +122,7 @@
 
   /** Returns how long a host needs for a piece of work beyond what it has queued. */
   long handlingMillis() {
-    return random.nextInt(4) == 0 ? random.nextLong(MOST_HANDLING_MILLIS) : 0;
+    return !healed && random.nextInt(4) == 0 ? random.nextLong(MOST_HANDLING_MILLIS) : 0;
   }
 
   /** Returns whether work waits at hosts that are behind. */
@@ -205,6 +206,7 @@
 
   /** Ends all faults, and checks that nobody waits for ever. */
   void heal() {
+    healed = true;
     cutDomains.clear();
     heldUp = 0;
     answerLost = 0;
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LoadPlay.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LoadPlay.java
@@ -1,6 +1,8 @@
 package org.burdockbay.core.lease;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -40,6 +42,7 @@
   private final SplittableRandom random;
   private final LeaseDispatcher dispatcher = new LeaseDispatcher("self", LeaseTerms.DEFAULT);
   private final PriorityQueue<Timed> queue = new PriorityQueue<>();
+  private final Deque<Waiting> inbox = new ArrayDeque<>();
   private final Map<String, Upstream> upstreams = new LinkedHashMap<>();
   private final Map<String, Job> jobs = new HashMap<>();
   private final Map<Kind, Figures> figures = new EnumMap<>(Kind.class);
@@ -47,6 +50,12 @@
   private long order;
   private double load = 1;
 
+  /** What the processor needs for an event or an effect, in microseconds. */
+  private long eventMicros;
+
+  private long busyUntilMicros;
+  private int changesOfRole;
+
   LoadPlay(long seed) {
     random = new SplittableRandom(seed);
     for (Kind kind : Kind.values()) {
@@ -71,6 +80,21 @@
     advance(millis);
   }
 
+  /** Gives the dispatcher a processor that needs some time for each event and effect. */
+  void slowProcessor(long micros) {
+    eventMicros = micros;
+  }
+
+  /** Returns how often the dispatcher gave its role up. */
+  int changesOfRole() {
+    return changesOfRole;
+  }
+
+  /** Returns the number of jobs answered in time. */
+  int jobsInTime() {
+    return figures.values().stream().mapToInt(each -> each.inTime).sum();
+  }
+
   Figures figures(Kind kind) {
     return figures.get(kind);
   }
@@ -122,6 +146,31 @@
     queue.add(new Timed(now + millis, order, action));
   }
 
+  /** Hands work to the dispatcher once its processor gets to it. */
+  private void work(LeaseEvent event) {
+    if (eventMicros == 0) {
+      carryOut(dispatcher.handle(event, now));
+      return;
+    }
+    inbox.add(new Waiting(event, now));
+    if (inbox.size() == 1) {
+      after(1, this::handleInbox);
+    }
+  }
+
+  /** Handles work until the millisecond is used up. */
+  private void handleInbox() {
+    while (!inbox.isEmpty() && busyUntilMicros < (now + 1) * 1_000) {
+      Waiting next = inbox.remove();
+      List<LeaseEffect> effects = dispatcher.handle(next.event, next.arrivedAt, now);
+      busyUntilMicros = Math.max(busyUntilMicros, now * 1_000) + eventMicros;
+      carryOut(effects);
+    }
+    if (!inbox.isEmpty()) {
+      after(1, this::handleInbox);
+    }
+  }
+
   private void tick() {
     carryOut(dispatcher.handle(new LeaseEvent.EntryHeard("entry"), now));
     carryOut(dispatcher.handle(new LeaseEvent.Tick(), now));
@@ -149,8 +198,7 @@
             STRETCH,
             TARGET_MILLIS,
             PATIENCE_MILLIS);
-    carryOut(
-        dispatcher.handle(new LeaseEvent.Submitted("entry", TOKEN, order, request, 0, 0), now));
+    work(new LeaseEvent.Submitted("entry", TOKEN, order, request, 0, 0));
     double gap = -Math.log(1 - random.nextDouble()) * 1_000 / (kind.perSecond * load);
     after(Math.max(1, Math.round(gap)), () -> arrive(kind));
   }
@@ -166,6 +214,7 @@
 
   private void carryOut(List<LeaseEffect> effects) {
     for (LeaseEffect effect : effects) {
+      busyUntilMicros += effect instanceof LeaseEffect.Note ? 0 : eventMicros;
       switch (effect) {
         case LeaseEffect.Start start -> {
           Upstream upstream = upstreams.get(start.upstream().id());
@@ -180,8 +229,10 @@
           after(1, () -> upstream.stop(stop));
         }
         case LeaseEffect.Report report -> answered(report);
-        default -> {
-          // Notes, and changes of the role, which doesn't change here.
+        case LeaseEffect.Stalled stalled -> changesOfRole++;
+        case LeaseEffect.Outranked outranked -> changesOfRole++;
+        case LeaseEffect.Note note -> {
+          // Decisions are of no interest here.
         }
       }
     }
@@ -256,6 +307,8 @@
 
   private record Job(Kind kind, long arrivedAt, long runMillis) {}
 
+  private record Waiting(LeaseEvent event, long arrivedAt) {}
+
   private record Timed(long at, long order, Runnable action) implements Comparable<Timed> {
 
     @Override
@@ -286,20 +339,14 @@
       long millis =
           job == null ? 1 : Math.max(1, Math.round(job.runMillis * spread(0.15) * slowness));
       after(millis, () -> end(start.run(), RunEnd.Cause.DONE));
-      carryOut(
-          dispatcher.handle(
-              new LeaseEvent.StartAnswered(
-                  notice, start.run(), OrderResult.DONE, OptionalLong.of(now)),
-              now));
+      work(
+          new LeaseEvent.StartAnswered(
+              notice, start.run(), OrderResult.DONE, OptionalLong.of(now)));
     }
 
     void stop(LeaseEffect.Stop stop) {
       end(stop.run(), RunEnd.Cause.CUT_SHORT);
-      carryOut(
-          dispatcher.handle(
-              new LeaseEvent.StopAnswered(
-                  notice, stop.run(), OrderResult.DONE, OptionalLong.of(now)),
-              now));
+      work(new LeaseEvent.StopAnswered(notice, stop.run(), OrderResult.DONE, OptionalLong.of(now)));
     }
 
     void renew(LeaseEffect.Renew renew) {
@@ -331,16 +378,14 @@
         after(
             1,
             () ->
-                carryOut(
-                    dispatcher.handle(
-                        new LeaseEvent.RenewalAnswered(
-                            notice,
-                            renew.renewal(),
-                            OrderResult.DONE,
-                            OptionalLong.of(clock),
-                            list,
-                            ends),
-                        now)));
+                work(
+                    new LeaseEvent.RenewalAnswered(
+                        notice,
+                        renew.renewal(),
+                        OrderResult.DONE,
+                        OptionalLong.of(clock),
+                        list,
+                        ends)));
       }
     }
   }
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelEntryHost.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelEntryHost.java
@@ -25,7 +25,7 @@
   private static final long LOST_MILLIS = 450;
   private static final long HEARTBEAT_MILLIS = 150;
   private static final long TICK_MILLIS = 25;
-  private static final long MOST_LAG_MILLIS = 250;
+  private static final long MOST_LAG_MILLIS = 1_000;
 
   final String name;
   final String domain;
