--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/WorkBook.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/WorkBook.java
@@ -103,7 +103,9 @@
     runs.adoptAll(work);
     if (work.complete()) {
       answer(work, new WorkOutcome.Completed());
-    } else if (leases.allHeard() && !work.offered && admission.overdue(work, context.waitedMillis())) {
+    } else if (leases.allHeard()
+        && !work.offered
+        && admission.overdue(work, context.waitedMillis())) {
       refuse(work, "dispatcher overloaded", AdmissionRule.RETRY_MILLIS);
     } else {
       refuseImpossible(work, leases);
