--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseBook.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseBook.java
@@ -203,7 +203,6 @@
     }
     switch (answered.result()) {
       case DONE -> {
-        upstream.heardAt = context.now();
         if (run.startsSent == 1) {
           runs.answeredAfter(context.now() - run.startSentAt);
         }
@@ -302,7 +301,7 @@
       context.note("upstream-back", "upstream=" + upstream.notice.id());
     }
     upstream.owned = true;
-    upstream.heardAt = context.now();
+    upstream.listedAt = context.now();
     runs.answered(upstream.renewalSentAt);
     upstream.fencedTimes = 0;
     upstream.unanswered = 0;
@@ -434,9 +433,6 @@
     for (UpstreamLease upstream : List.copyOf(upstreams.values())) {
       if (!upstream.renewalOpen && context.now() >= upstream.renewAt && kept(upstream)) {
         renew(upstream, true);
-      } else if (upstream.outgrowsIdlePoll(terms, context.now())) {
-        // Beside the one that waits, whose answer no longer counts.
-        renew(upstream, false);
       }
       boolean silent = upstream.unanswered > 0 || (!upstream.inScope && !upstream.owned);
       if (silent && context.now() > upstream.coveredUntil && !upstream.runs.isEmpty()) {
@@ -462,14 +458,13 @@
   /**
    * Renews the lease of an upstream.
    *
-   * <p>Once no renewal or start was answered for {@link #EXTEND_MILLIS}, the lease isn't made
-   * longer: an upstream that receives and can't answer would otherwise never end its runs, and they
-   * couldn't start elsewhere.
+   * <p>Once no renewal was answered for {@link #EXTEND_MILLIS}, the lease isn't made longer: an
+   * upstream that receives and can't answer would otherwise never end its runs, and they couldn't
+   * start elsewhere.
    */
   private void renew(UpstreamLease upstream, boolean wait) {
-    boolean heard = context.now() - upstream.heardAt <= EXTEND_MILLIS;
-    boolean idle = runs.idle(upstream);
-    boolean extend = upstream.inScope && heard && !idle && runs.mayExtend(upstream);
+    boolean heard = context.now() - upstream.listedAt <= EXTEND_MILLIS;
+    boolean extend = upstream.inScope && heard && runs.mayExtend(upstream);
     long deadline = extend && upstream.owned ? upstream.deadline(terms, context.now()) : 0;
     if (deadline != 0) {
       upstream.covered(terms, context.now());
@@ -480,8 +475,6 @@
     upstream.renewalSent = context.nextOrder();
     upstream.renewalSentAt = context.now();
     boolean longPoll = wait && upstream.owned && upstream.unanswered == 0;
-    upstream.idlePoll = longPoll && idle;
-    long waitMillis = idle ? terms.idlePollMillis() : terms.pollMillis();
     context.emit(
         new LeaseEffect.Renew(
             upstream.notice,
@@ -489,7 +482,7 @@
             context.token(),
             upstream.acknowledged,
             deadline,
-            longPoll ? waitMillis : 0,
+            longPoll ? terms.pollMillis() : 0,
             upstream.owned && upstream.unanswered < SOON_REPEATED
                 ? runs.renewalMillis()
                 : terms.answerMillis()));
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseTerms.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseTerms.java
@@ -5,13 +5,11 @@
  *
  * @param leaseMillis how long a renewed lease lasts on the upstream's clock
  * @param pollMillis how long a renewal waits at the upstream for an end
- * @param idlePollMillis how long a renewal waits at an upstream on which nothing runs
  * @param resendMillis silence after which an order is sent again, and a renewal beyond its wait
  *     counts as missed
  * @param answerMillis silence after which an order counts as unanswered
  */
-public record LeaseTerms(
-    long leaseMillis, long pollMillis, long idlePollMillis, long resendMillis, long answerMillis) {
+public record LeaseTerms(long leaseMillis, long pollMillis, long resendMillis, long answerMillis) {
 
   /** Silence after which an entry host's work is dropped, in milliseconds: three heartbeats. */
   public static final long ENTRY_LOST_MILLIS = 450;
@@ -33,20 +31,8 @@
    * begin elsewhere. Three polls fit into a lease, with the time to miss one, so that one lost call
    * lets no lease run out. An order is answered within a few round trips between domains; one that
    * isn't after 40 ms is lost or held up, and half of a short task's slack is left.
-   *
-   * <p>An upstream on which nothing runs needs no lease, so its poll may wait for four times as
-   * long. Longer ones would save little more, and let more tasks start on an upstream that has
-   * fallen silent.
    */
-  public static final LeaseTerms DEFAULT = new LeaseTerms(700, 150, 600, 40, 300);
-
-  /**
-   * Returns the age of a run after which the lease that its start gave has to be renewed, in
-   * milliseconds: two polls, as two more and the time to miss one are left then.
-   */
-  long startCoversMillis() {
-    return 2 * pollMillis;
-  }
+  public static final LeaseTerms DEFAULT = new LeaseTerms(700, 150, 40, 300);
 
   /** Returns the longest time that a lease renewed now may last in true time. */
   public long longestMillis() {
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeasedRun.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeasedRun.java
@@ -74,13 +74,4 @@
     this.startsSent = 0;
     this.startsOpen = 0;
   }
-
-  /** Returns whether lists have to come as often as where tasks run for long. */
-  boolean needsList(LeaseTerms terms, long now) {
-    return switch (phase) {
-      case STARTING -> now - sentAt >= terms.resendMillis();
-      case RUNNING -> now - sentAt >= terms.startCoversMillis();
-      case UNSURE, STOPPING -> true;
-    };
-  }
 }
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/RunBook.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/RunBook.java
@@ -388,11 +388,6 @@
     stop(run);
   }
 
-  /** Returns whether nothing runs on an upstream, as far as is known. */
-  boolean idle(UpstreamLease upstream) {
-    return upstream.runs.isEmpty() && !takenOver.anyOn(upstream);
-  }
-
   /**
    * Returns whether the lease of an upstream may be made longer.
    *
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/UpstreamLease.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/UpstreamLease.java
@@ -35,16 +35,13 @@
   long renewal;
   boolean renewalOpen;
 
-  /** Whether the open renewal waits for long, since nothing ran there when it was sent. */
-  boolean idlePoll;
-
   /** Where the last renewal stands in the order of {@link DispatchContext#nextOrder}. */
   long renewalSent;
 
   long renewAt;
 
-  /** When it last answered a renewal or took a start under the present token, in milliseconds. */
-  long heardAt;
+  /** When it last answered a renewal under the present token, in milliseconds. */
+  long listedAt;
 
   long acknowledged;
   int unanswered;
@@ -86,9 +83,9 @@
         && now >= pausedUntil;
   }
 
-  /** Returns whether it has answered a renewal or taken a start under the present token. */
+  /** Returns whether it has answered a renewal under the present token. */
   boolean hasObeyed() {
-    return heardAt != 0;
+    return listedAt != 0;
   }
 
   TaskSize free() {
@@ -172,18 +169,6 @@
     return lost <= 0 ? 0 : PAUSE_MILLIS << Math.min(lost - 1, MOST_DOUBLINGS);
   }
 
-  /**
-   * Returns whether a renewal that waits for long no longer suits what runs there.
-   *
-   * <p>The lease that a start gave must be renewed in time. An order without a good answer needs a
-   * list that was asked for after it, and silence must show soon.
-   */
-  boolean outgrowsIdlePoll(LeaseTerms terms, long now) {
-    return idlePoll
-        && renewalOpen
-        && runs.values().stream().anyMatch(run -> run.needsList(terms, now));
-  }
-
   /**
    * Returns whether it may get one more task beside what it runs.
    *
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseDispatcherTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseDispatcherTest.java
@@ -413,49 +413,6 @@
     assertEquals(starts(handle(new LeaseEvent.Tick())).size(), 1);
   }
 
-  /**
-   * Nothing runs, so the renewal waits for long and gives no lease. A task that starts meanwhile
-   * would be cut short when the lease that its start gave is over.
-   */
-  @Test
-  public void renewsTheLeaseOfTaskThatStartsDuringLongPoll() {
-    final UpstreamNotice upstream = join("u1");
-    LeaseEffect.Renew waiting = openRenewals.get("u1");
-    assertEquals(waiting.waitMillis(), LeaseTerms.DEFAULT.idlePollMillis());
-    assertEquals(waiting.deadlineMillis(), 0);
-    now += 100;
-    RunId run = starts(submit("w", 1, HALF)).getFirst().run();
-    now += 5;
-    handle(new LeaseEvent.StartAnswered(upstream, run, OrderResult.DONE, OptionalLong.of(clock())));
-    List<LeaseEffect.Renew> beside = ticks(LeaseTerms.DEFAULT.leaseMillis() / 2);
-    assertEquals(beside.size(), 1);
-    assertTrue(
-        beside.getFirst().deadlineMillis() >= clock() + LeaseTerms.DEFAULT.leaseMillis() - 60);
-    assertTrue(
-        answer(waiting, OrderResult.DONE, List.of(), List.of()).isEmpty(),
-        "an answer to the renewal before");
-    assertEquals(
-        reports(
-                answer(
-                    beside.getFirst(),
-                    OrderResult.DONE,
-                    List.of(),
-                    List.of(new RunEnd(1, run, RunEnd.Cause.DONE))))
-            .size(),
-        1);
-  }
-
-  /** An idle upstream that has died would else draw tasks until its long renewal is over. */
-  @Test
-  public void asksIdleUpstreamsThatDoNotAnswerStart() {
-    join("u1");
-    submit("w", 1, HALF);
-    List<LeaseEffect.Renew> beside = ticks(2 * LeaseTerms.DEFAULT.resendMillis());
-    assertEquals(beside.getFirst().waitMillis(), 0);
-    answer(beside.getFirst(), OrderResult.NO_ANSWER, List.of(), List.of());
-    assertTrue(starts(submit("v", 1, HALF)).isEmpty(), "it is silent");
-  }
-
   /** A run that no entry host claims is stopped, and the lease isn't renewed until it is. */
   @Test
   public void stopsRunsThatNobodyClaims() {
@@ -723,16 +680,6 @@
         Set.of());
   }
 
-  /** Lets time pass in ticks, and returns the renewals that are sent meanwhile. */
-  private List<LeaseEffect.Renew> ticks(long millis) {
-    List<LeaseEffect.Renew> sent = new ArrayList<>();
-    for (long until = now + millis; now < until; ) {
-      now += 25;
-      sent.addAll(renewals(handle(new LeaseEvent.Tick())));
-    }
-    return sent;
-  }
-
   /** Announces an upstream and answers its first renewal. */
   private UpstreamNotice join(String id) {
     UpstreamNotice notice = notice(id, 1, false);
