Shards of a domain behind a partition stay with it, and restarted hosts wait until they know a shard to be vacant

A domain of which no host is heard keeps its shards for 20 s. In a divided fleet a host that hasn't heard every known host waits 2.7 s. Ruled out: asking all of a domain's hosts, as dead ones stay known for a minute.

--- a/burdockbay-core/src/main/java/org/burdockbay/core/membership/Membership.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/membership/Membership.java
@@ -40,6 +40,13 @@
    */
   static final long VACANCY_MILLIS = 2_000;
 
+  /**
+   * The same for shards of a failure domain of which no host is heard, in milliseconds: longer than
+   * most partitions. The domain's own dispatchers go on behind one, and would be outbid by others
+   * that reach none of its upstreams.
+   */
+  static final long LOST_DOMAIN_MILLIS = 20_000;
+
   /** By how many rounds an unknown higher claim is outbid: clocks may differ by some seconds. */
   private static final long OUTRANK_ROUNDS = 10;
 
@@ -61,6 +68,12 @@
    */
   private static final long SETTLE_LOSSES = 2;
 
+  /**
+   * The same in a divided fleet, where a shard that looks vacant may belong to any one of many
+   * hosts, and a host that has just started takes longer to hear all of them.
+   */
+  private static final long DIVIDED_SETTLE_LOSSES = 6;
+
   /**
    * Time without news of further hosts, in milliseconds, after which a host that has heard every
    * host that it was told of may claim sooner: a host that is up connects again within 200 ms, and
@@ -85,7 +98,7 @@
 
   private long newsAt;
   private final TreeMap<String, Heard> heard = new TreeMap<>();
-  private final Vacancies vacancies = new Vacancies(VACANCY_MILLIS);
+  private final Vacancies vacancies = new Vacancies(VACANCY_MILLIS, LOST_DOMAIN_MILLIS);
   private ShardLayout layout = ShardLayout.UNDIVIDED;
   private long claimedEpoch;
   private ShardId claimedShard = ShardId.WHOLE_FLEET;
@@ -496,7 +509,8 @@
       return now - startedAt > ALONE_LOSSES * terms.lostMillis();
     }
     boolean complete = heardAllKnown() && now - newsAt > NO_NEWS_MILLIS;
-    return complete || now - firstHeardAt.getAsLong() > SETTLE_LOSSES * terms.lostMillis();
+    long losses = layout.undivided() ? SETTLE_LOSSES : DIVIDED_SETTLE_LOSSES;
+    return complete || now - firstHeardAt.getAsLong() > losses * terms.lostMillis();
   }
 
   private boolean heardAllKnown() {
@@ -544,7 +558,8 @@
         hostDomains.stream()
             .flatMap(hostDomain -> match(hostDomain).keySet().stream())
             .collect(Collectors.toSet());
-    return vacancies.live(claimed, terms.mayDispatch() ? awaited : Set.of(), now);
+    return vacancies.live(
+        claimed, terms.mayDispatch() ? awaited : Set.of(), hostDomains::contains, now);
   }
 
   private record Heard(HostStatus status, long at) {}
--- a/burdockbay-core/src/main/java/org/burdockbay/core/membership/Vacancies.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/membership/Vacancies.java
@@ -4,12 +4,14 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.burdockbay.core.shard.ShardId;
 
 /** Since when shards have had no dispatcher. */
 final class Vacancies {
 
   private final long graceMillis;
+  private final long lostDomainMillis;
   private final Map<ShardId, Long> since = new HashMap<>();
   private Set<ShardId> claimedBefore = Set.of();
   private boolean pending;
@@ -18,9 +20,12 @@
    * Creates the account of a fleet without vacancies.
    *
    * @param graceMillis for how long a vacant shard keeps its upstreams, in milliseconds
+   * @param lostDomainMillis the same where no host of its failure domain is heard; its upstreams
+   *     are then most likely out of reach as well, or obey a dispatcher behind a partition
    */
-  Vacancies(long graceMillis) {
+  Vacancies(long graceMillis, long lostDomainMillis) {
     this.graceMillis = graceMillis;
+    this.lostDomainMillis = lostDomainMillis;
   }
 
   /**
@@ -28,8 +33,10 @@
    *
    * @param claimed the shards with a dispatcher
    * @param awaited the shards for which a host is first in line
+   * @param heard tells the failure domains with a live host
    */
-  Set<ShardId> live(Set<ShardId> claimed, Set<ShardId> awaited, long now) {
+  Set<ShardId> live(
+      Set<ShardId> claimed, Set<ShardId> awaited, Predicate<String> heard, long now) {
     claimedBefore.forEach(shard -> since.putIfAbsent(shard, now));
     awaited.forEach(shard -> since.putIfAbsent(shard, now));
     since.keySet().removeAll(claimed);
@@ -37,7 +44,8 @@
     Set<ShardId> live = new HashSet<>(claimed);
     since.forEach(
         (shard, at) -> {
-          if (now - at <= graceMillis) {
+          long grace = heard.test(shard.domain()) ? graceMillis : lostDomainMillis;
+          if (now - at <= grace) {
             live.add(shard);
           }
         });
--- a/burdockbay-core/src/test/java/org/burdockbay/core/membership/ShardRolesTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/membership/ShardRolesTest.java
@@ -168,6 +168,51 @@
     assertAllShardsServed(TWO);
   }
 
+  /** Dispatchers behind a partition would be outbid and change hands once it heals. */
+  @Test
+  public void leavesTheShardsOfDomainsBehindPartitionsAlone() {
+    suit("10.0.5.1", TWO);
+    pass(1_000);
+    final Map<ShardId, RouteView.Dispatching> before = dispatchers();
+    cutDomain = "west";
+    for (int i = 0; i < 6_000 / STEP_MILLIS; i++) {
+      pass(STEP_MILLIS);
+      assertEquals(onAll(host -> host.routes().liveShards()), Set.of(before.keySet()));
+    }
+    cutDomain = "";
+    pass(1_000);
+    assertEquals(dispatchers(), before);
+  }
+
+  /** A host that has just started would take a shard from a dispatcher that it hasn't heard yet. */
+  @Test
+  public void claimsNoShardBeforeItsDispatcherCouldBeHeard() {
+    suit("10.0.5.1", TWO);
+    pass(1_000);
+    RouteView.Dispatching unheard = dispatchers().get(new ShardId("north", 1));
+    String restarted =
+        domains.keySet().stream()
+            .filter(host -> domains.get(host).equals("north"))
+            .filter(host -> hosts.get(host).claimedEpoch() == 0)
+            .findFirst()
+            .orElseThrow();
+    hosts.remove(restarted);
+    Membership membership =
+        Membership.growing(
+            new HostCard(restarted, "entry", "north", ""),
+            MembershipTerms.ofAddress(restarted, LOST_MILLIS, true),
+            now);
+    hosts.keySet().forEach(host -> membership.admit(host, "entry", now));
+    for (int i = 0; i < 10; i++) {
+      pass(HEARTBEAT_MILLIS);
+      hosts.keySet().stream()
+          .filter(host -> !host.equals(unheard.host()))
+          .forEach(host -> membership.heartbeat(status(host, hosts.get(host)), now));
+      membership.tick(now);
+      assertEquals(membership.claimedEpoch(), 0);
+    }
+  }
+
   /** A planned stop mustn't leave the shard to the time that shows a loss. */
   @Test
   public void handsShardsOverWithinTheirDomain() {
