--- a/burdockbay-core/src/main/java/org/burdockbay/core/membership/Vacancies.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/membership/Vacancies.java
@@ -35,8 +35,7 @@
    * @param awaited the shards for which a host is first in line
    * @param heard tells the failure domains with a live host
    */
-  Set<ShardId> live(
-      Set<ShardId> claimed, Set<ShardId> awaited, Predicate<String> heard, long now) {
+  Set<ShardId> live(Set<ShardId> claimed, Set<ShardId> awaited, Predicate<String> heard, long now) {
     claimedBefore.forEach(shard -> since.putIfAbsent(shard, now));
     awaited.forEach(shard -> since.putIfAbsent(shard, now));
     since.keySet().removeAll(claimed);
