Download catalogs compressed and in parts, and decode them in the background

Observed by callers: in a fleet of 23 hosts whose entry hosts have 2 Mbit/s links, no request was served from the moment a catalog grew by 1,208 routes until the end, 36 s later.

Cause: the catalog text was 485,456 bytes, which occupies such a link for seconds. A host without it requested it again every 250 ms from whichever host sent the next heartbeat. Copies were queued on several connections, heartbeats were queued behind them, the connections were closed as silent, and the transfer of the text restarted from the beginning. Decoding ran on the control thread and on the event loop.

Logs written as text can still be read; hosts of an earlier release can't fetch from hosts of this one. Hosts download parts of 4 KB, one at a time, and continue from another host after 250 ms without an answer. A source starts with 2 receivers at a time and goes up to 16 or down to 1, depending on how soon they request the next part, and sends the others a busy reply. It keeps 3 versions, so that a download can complete although newer versions arrive. Decoding and compression run on a background thread.

--- a/burdockbay-core/src/main/java/org/burdockbay/core/control/ControlCommand.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/control/ControlCommand.java
@@ -1,5 +1,6 @@
 package org.burdockbay.core.control;
 
+import org.burdockbay.core.catalog.PackedCatalog;
 import org.burdockbay.core.ledger.LedgerCommand;
 
 /** A command in the agreement log. */
@@ -21,7 +22,7 @@
       implements ControlCommand {}
 
   /** Puts a catalog in force, unless the one in force has the same or a higher version. */
-  record PublishCatalog(long version, String text) implements ControlCommand {}
+  record PublishCatalog(PackedCatalog catalog) implements ControlCommand {}
 
   /**
    * Reads the catalog in the order of the log, and so the newest one that was acknowledged before.
--- a/burdockbay-core/src/main/java/org/burdockbay/core/control/ControlImage.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/control/ControlImage.java
@@ -1,6 +1,7 @@
 package org.burdockbay.core.control;
 
 import java.util.List;
+import org.burdockbay.core.catalog.PackedCatalog;
 import org.burdockbay.core.ledger.LedgerImage;
 
 /**
@@ -15,7 +16,7 @@
     List<ConfigurationVersion> configuration,
     List<AcceptedChange> changes,
     LedgerImage ledger,
-    CatalogDocument catalog) {
+    PackedCatalog catalog) {
 
   /** Copies the lists. */
   public ControlImage {
@@ -29,11 +30,4 @@
 
   /** A change id with the version that it was accepted as. */
   public record AcceptedChange(String changeId, long version) {}
-
-  /** A catalog as its publisher wrote it. */
-  public record CatalogDocument(long version, String text) {
-
-    /** What is in force before the first catalog. */
-    public static final CatalogDocument NONE = new CatalogDocument(0, "");
-  }
 }
--- a/burdockbay-core/src/main/java/org/burdockbay/core/control/ControlReply.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/control/ControlReply.java
@@ -1,5 +1,6 @@
 package org.burdockbay.core.control;
 
+import org.burdockbay.core.catalog.PackedCatalog;
 import org.burdockbay.core.ledger.LedgerReply;
 
 /** How a {@link ControlCommand} was answered. */
@@ -18,5 +19,5 @@
   record Unavailable() implements ControlReply {}
 
   /** The catalog in force; version 0 while there is none. */
-  record Catalog(long version, String text) implements ControlReply {}
+  record Catalog(PackedCatalog catalog) implements ControlReply {}
 }
--- a/burdockbay-core/src/main/java/org/burdockbay/core/control/ControlState.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/control/ControlState.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.burdockbay.core.catalog.PackedCatalog;
 import org.burdockbay.core.ledger.Ledger;
 
 /**
@@ -28,7 +29,7 @@
   private final Deque<ControlImage.ConfigurationVersion> versions = new ArrayDeque<>();
   private final Map<String, Long> changes = new LinkedHashMap<>();
   private int keptCharacters;
-  private ControlImage.CatalogDocument catalog = ControlImage.CatalogDocument.NONE;
+  private PackedCatalog catalog = PackedCatalog.NONE;
 
   /**
    * Applies a command.
@@ -41,13 +42,12 @@
           new ControlReply.FromLedger(ledger.apply(toLedger.command(), now));
       case ControlCommand.ApplyConfiguration apply -> applyConfiguration(apply, now);
       case ControlCommand.PublishCatalog publish -> publish(publish);
-      case ControlCommand.ReadCatalog read ->
-          new ControlReply.Catalog(catalog.version(), catalog.text());
+      case ControlCommand.ReadCatalog read -> new ControlReply.Catalog(catalog);
     };
   }
 
   /** Returns the catalog in force. */
-  public ControlImage.CatalogDocument catalog() {
+  public PackedCatalog catalog() {
     return catalog;
   }
 
@@ -91,8 +91,8 @@
    * older or equal version changes nothing and is answered like a success.
    */
   private ControlReply publish(ControlCommand.PublishCatalog publish) {
-    if (publish.version() > catalog.version()) {
-      catalog = new ControlImage.CatalogDocument(publish.version(), publish.text());
+    if (publish.catalog().version() > catalog.version()) {
+      catalog = publish.catalog();
     }
     return new ControlReply.Accepted(catalog.version());
   }
--- a/burdockbay-core/src/main/java/org/burdockbay/core/message/PeerMessage.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/message/PeerMessage.java
@@ -4,6 +4,7 @@
 import java.util.OptionalLong;
 import org.burdockbay.core.agreement.GroupId;
 import org.burdockbay.core.agreement.RaftMessage;
+import org.burdockbay.core.catalog.CatalogPart;
 import org.burdockbay.core.control.ControlCommand;
 import org.burdockbay.core.control.ControlReply;
 import org.burdockbay.core.dispatch.Arrival;
@@ -48,6 +49,12 @@
   /** A version of the configuration that is in force at the sender. */
   record ConfigurationText(long version, String text) implements PeerMessage {}
 
+  /** Requests a part of a catalog. */
+  record FetchCatalogPart(CatalogPart.Request request) implements PeerMessage {}
+
+  /** Answers a {@link FetchCatalogPart}. */
+  record SendCatalogPart(CatalogPart part) implements PeerMessage {}
+
   /** Forwards a job to a dispatcher. */
   record SubmitJob(JobRequest request, Arrival arrival) implements PeerMessage {}
 
--- a/burdockbay-server/src/main/java/org/burdockbay/server/host/HostController.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/host/HostController.java
@@ -277,6 +277,8 @@
       case PeerMessage.ReportWork report -> ignored(host, message);
       case PeerMessage.UpstreamNews news -> ignored(host, message);
       case PeerMessage.KnownHosts known -> ignored(host, message);
+      case PeerMessage.FetchCatalogPart fetch -> ignored(host, message);
+      case PeerMessage.SendCatalogPart send -> ignored(host, message);
     }
   }
 
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/CatalogKeeper.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/CatalogKeeper.java
@@ -1,27 +1,62 @@
 package org.burdockbay.server.node;
 
+import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.Executor;
 import org.burdockbay.core.catalog.Catalog;
+import org.burdockbay.core.catalog.CatalogDownload;
 import org.burdockbay.core.catalog.CatalogException;
+import org.burdockbay.core.catalog.CatalogPart;
+import org.burdockbay.core.catalog.CatalogSource;
+import org.burdockbay.core.catalog.PackedCatalog;
+import org.burdockbay.core.clock.Clock;
 import org.burdockbay.server.logging.EventLog;
 
 /**
- * The catalog in force on this host, with its published text.
+ * Holds the catalog in force on this host and exchanges catalogs with other hosts.
  *
  * <p>It only moves to higher versions, so a late message or a host that returns with an old state
- * can't revert it.
+ * can't revert it. Catalogs are decoded on a background thread, because decoding a large one can
+ * exceed the heartbeat interval on a slow processor. Unless stated otherwise, methods must be
+ * called on the control thread.
  */
 final class CatalogKeeper {
 
   private final CatalogReader reader;
+  private final Executor background;
+  private final Executor control;
+  private final Runnable onInForce;
   private final EventLog log;
+  private final Clock clock;
+  private final CatalogDownload download = new CatalogDownload();
+  private final CatalogSource source = new CatalogSource();
   private volatile Catalog current = Catalog.NONE;
-  private String text = "";
+
+  /** Highest version submitted for decoding. */
+  private long submittedVersion;
+
   private OptionalLong newerHeardAt = OptionalLong.empty();
 
-  CatalogKeeper(CatalogReader reader, EventLog log) {
+  /**
+   * Creates a keeper without a catalog.
+   *
+   * @param background decodes catalogs
+   * @param control runs tasks on the control thread
+   * @param onInForce called on the control thread after a version has come into force
+   */
+  CatalogKeeper(
+      CatalogReader reader,
+      Executor background,
+      Executor control,
+      Runnable onInForce,
+      EventLog log,
+      Clock clock) {
     this.reader = reader;
+    this.background = background;
+    this.control = control;
+    this.onInForce = onInForce;
     this.log = log;
+    this.clock = clock;
   }
 
   /** Returns the catalog in force; safe on any thread. */
@@ -29,49 +64,84 @@
     return current;
   }
 
-  /** Returns the text as it was published; for the control thread. */
-  String text() {
-    return text;
+  /**
+   * Records the version in force on another host.
+   *
+   * @return the part to request from that host, or empty if none is due
+   */
+  Optional<CatalogPart.Request> heard(long version, long now) {
+    if (version <= submittedVersion) {
+      return Optional.empty();
+    }
+    if (newerHeardAt.isEmpty()) {
+      newerHeardAt = OptionalLong.of(now);
+    }
+    return download.announced(version, now);
   }
 
-  /** Takes note of the version that is in force elsewhere, and returns whether it is newer. */
-  boolean heard(long version, long now) {
-    boolean newer = version > current.version();
-    if (newer && newerHeardAt.isEmpty()) {
-      newerHeardAt = OptionalLong.of(now);
+  /**
+   * Processes a part received from another host.
+   *
+   * @return the next part to request from that host, or empty if none is due
+   */
+  Optional<CatalogPart.Request> received(CatalogPart part, String host, long now) {
+    if (part.version() <= submittedVersion) {
+      return Optional.empty();
     }
-    return newer;
+    return switch (download.received(part, now)) {
+      case CatalogDownload.Result.None none -> Optional.empty();
+      case CatalogDownload.Result.Continue next -> Optional.of(next.request());
+      case CatalogDownload.Result.Complete complete -> {
+        offer(complete.catalog(), host);
+        yield Optional.empty();
+      }
+    };
   }
 
-  /** Puts a catalog in force if it is newer, and returns whether it was. */
-  boolean offer(long version, String offered, String source, long now) {
-    if (version <= current.version()) {
-      return false;
+  /** Returns the reply to a request of another host, or empty if this host has no catalog. */
+  Optional<CatalogPart> part(String host, CatalogPart.Request request, long now) {
+    return source.part(host, request, now);
+  }
+
+  /** Schedules a catalog for decoding, after which it is put in force, if it is newer. */
+  void offer(PackedCatalog packed, String origin) {
+    if (packed.version() <= submittedVersion) {
+      return;
     }
+    submittedVersion = packed.version();
+    background.execute(() -> decode(packed, origin));
+  }
+
+  private void decode(PackedCatalog packed, String origin) {
     try {
-      Catalog read = reader.read(offered);
-      noteInForce(version, source, now);
-      text = offered;
-      current = read;
-      return true;
+      Catalog decoded = reader.read(packed.text());
+      control.execute(() -> putInForce(decoded, packed, origin));
     } catch (CatalogException e) {
       // Checked before it was accepted; another release may disagree. The old one stays in force.
-      log.error("catalog-unreadable", "version=" + version, e);
-      return false;
+      log.error("catalog-unreadable", "version=" + packed.version(), e);
     }
   }
 
-  private void noteInForce(long version, String source, long now) {
+  private void putInForce(Catalog decoded, PackedCatalog packed, String origin) {
+    if (packed.version() <= current.version()) {
+      return;
+    }
+    long now = clock.millis();
     log.info(
         "catalog-in-force",
         "version="
-            + version
+            + packed.version()
             + " before="
             + current.version()
             + " source="
-            + source
+            + origin
             + " heard-ago="
-            + (now - newerHeardAt.orElse(now)));
+            + (now - newerHeardAt.orElse(now))
+            + " bytes="
+            + packed.data().size());
     newerHeardAt = OptionalLong.empty();
+    current = decoded;
+    source.add(packed);
+    onInForce.run();
   }
 }
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
@@ -15,9 +15,10 @@
 import org.burdockbay.core.agreement.GroupId;
 import org.burdockbay.core.agreement.VoterId;
 import org.burdockbay.core.catalog.Catalog;
+import org.burdockbay.core.catalog.CatalogPart;
+import org.burdockbay.core.catalog.PackedCatalog;
 import org.burdockbay.core.clock.Clock;
 import org.burdockbay.core.control.ControlCommand;
-import org.burdockbay.core.control.ControlImage;
 import org.burdockbay.core.control.ControlReply;
 import org.burdockbay.core.dispatch.DomainLoad;
 import org.burdockbay.core.fleet.UpstreamNotice;
@@ -75,7 +76,6 @@
   private static final DomainLoad NO_LOAD = new DomainLoad(0, 0);
 
   private static final long RECONCILE_MILLIS = 500;
-  private static final long FETCH_MILLIS = 250;
 
   /** Silence after which another host with a disk may take a voter's place, in milliseconds. */
   private static final long REPLACE_VOTER_MILLIS = 3_000;
@@ -107,13 +107,12 @@
   private Map<ShardId, RouteView.Dispatching> dispatchers = Map.of();
   private volatile boolean dispatcherKnown;
   private volatile boolean draining;
-  private Optional<ControlImage.CatalogDocument> agreedCatalog = Optional.empty();
+  private Optional<PackedCatalog> agreedCatalog = Optional.empty();
   private long aheadBefore;
   private long membershipAt;
   private long heartbeatAt;
   private long forgetAt;
   private long reconcileAt;
-  private long fetchAt;
 
   /**
    * Creates the parts of the host.
@@ -128,7 +127,14 @@
     final long now = clock.millis();
     this.aheadBefore = System.currentTimeMillis() - now;
     this.lastTicket = new AtomicLong(parts.incarnation() << 20);
-    this.catalog = new CatalogKeeper(parts.catalogReader(), log);
+    this.catalog =
+        new CatalogKeeper(
+            parts.catalogReader(),
+            parts.background(),
+            this::onControl,
+            this::heartbeat,
+            log,
+            clock);
     this.membership =
         Membership.growing(
             settings.card(),
@@ -190,8 +196,8 @@
   }
 
   /** Publishes a catalog; the future gets the reply of the voters. */
-  public CompletableFuture<ControlReply> publish(long version, String text) {
-    return propose(new ControlCommand.PublishCatalog(version, text));
+  public CompletableFuture<ControlReply> publish(PackedCatalog published) {
+    return propose(new ControlCommand.PublishCatalog(published));
   }
 
   /** Reads the newest catalog that was accepted; the future gets the reply of the voters. */
@@ -308,12 +314,7 @@
    * everybody of each version on the way would hold up the newest.
    */
   private void useAgreedCatalog() {
-    agreedCatalog.ifPresent(
-        document -> {
-          if (catalog.offer(document.version(), document.text(), "log", clock.millis())) {
-            heartbeat();
-          }
-        });
+    agreedCatalog.ifPresent(agreed -> catalog.offer(agreed, "log"));
     agreedCatalog = Optional.empty();
   }
 
@@ -388,12 +389,12 @@
       case PeerMessage.Propose propose -> proposed(host, propose);
       case PeerMessage.Proposed proposed ->
           proposals.answered(proposed.requestId(), proposed.reply());
-      case PeerMessage.FetchConfiguration fetch -> fetched(host, fetch.haveVersion());
-      case PeerMessage.ConfigurationText text -> {
-        if (catalog.offer(text.version(), text.text(), host, now)) {
-          heartbeat();
-        }
-      }
+      case PeerMessage.FetchCatalogPart fetch ->
+          catalog
+              .part(host, fetch.request(), now)
+              .ifPresent(part -> send(host, new PeerMessage.SendCatalogPart(part)));
+      case PeerMessage.SendCatalogPart sent ->
+          catalog.received(sent.part(), host, now).ifPresent(request -> fetch(host, request));
       default ->
           log.warn(
               "message-ignored", "from=" + host + " kind=" + message.getClass().getSimpleName());
@@ -416,10 +417,9 @@
     }
     desk.dispatch(new LeaseEvent.EntryHeard(status.host()), arrivedAt);
     desk.intake(new IntakeEvent.DispatcherHeard(status.host()));
-    if (catalog.heard(status.configurationVersion(), now) && now >= fetchAt) {
-      fetchAt = now + FETCH_MILLIS;
-      send(status.host(), new PeerMessage.FetchConfiguration(catalog.current().version()));
-    }
+    catalog
+        .heard(status.configurationVersion(), now)
+        .ifPresent(request -> fetch(status.host(), request));
   }
 
   /**
@@ -436,11 +436,8 @@
     }
   }
 
-  private void fetched(String host, long haveVersion) {
-    long version = catalog.current().version();
-    if (version > haveVersion) {
-      send(host, new PeerMessage.ConfigurationText(version, catalog.text()));
-    }
+  private void fetch(String host, CatalogPart.Request request) {
+    send(host, new PeerMessage.FetchCatalogPart(request));
   }
 
   private void proposed(String host, PeerMessage.Propose propose) {
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeParts.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeParts.java
@@ -1,5 +1,6 @@
 package org.burdockbay.server.node;
 
+import java.util.concurrent.Executor;
 import org.burdockbay.core.clock.Clock;
 import org.burdockbay.server.host.ControlThread;
 import org.burdockbay.server.logging.EventLog;
@@ -17,6 +18,7 @@
  * @param transport messages to and from other hosts
  * @param upstreams orders to upstreams
  * @param catalogReader reads published catalogs
+ * @param background runs tasks that would block the control thread or an event loop for too long
  * @param thread the control thread
  */
 public record NodeParts(
@@ -28,4 +30,5 @@
     PeerTransport transport,
     UpstreamCalls upstreams,
     CatalogReader catalogReader,
+    Executor background,
     ControlThread thread) {}
--- a/burdockbay-server/src/test/java/org/burdockbay/server/node/OverloadedHostTest.java
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/node/OverloadedHostTest.java
@@ -13,6 +13,8 @@
 import java.util.function.Consumer;
 import org.burdockbay.core.catalog.Catalog;
 import org.burdockbay.core.catalog.CatalogException;
+import org.burdockbay.core.catalog.CatalogPart;
+import org.burdockbay.core.catalog.PackedCatalog;
 import org.burdockbay.core.clock.Clock;
 import org.burdockbay.core.dispatch.DomainLoad;
 import org.burdockbay.core.lease.LeaseEffect;
@@ -79,10 +81,11 @@
                     transport(address), 1, new TransportCounters(registry), log, clock),
                 new SilentUpstreams(),
                 this::read,
+                Runnable::run,
                 new ControlThread(clock, log, registry)));
     node.start();
     node.inFlight().get(1, TimeUnit.MINUTES);
-    node.received(OTHER, new PeerMessage.ConfigurationText(FIRST_VERSION, ""));
+    node.received(OTHER, catalog(FIRST_VERSION));
     held.await();
   }
 
@@ -98,7 +101,7 @@
     final long begun = clock.millis();
     pileUp();
     node.received(OTHER, heartbeat());
-    node.received(OTHER, new PeerMessage.ConfigurationText(VERSION, ""));
+    node.received(OTHER, catalog(VERSION));
     long passed = release() - begun;
     assertTrue(passed > 2 * IN_FORCE_MILLIS, "the backlog is too small: " + passed);
     long late = inForceAt.get() - begun;
@@ -152,6 +155,12 @@
     return new PeerMessage.SubmitWork(1, number, request, 0, 0);
   }
 
+  private static PeerMessage catalog(long version) {
+    PackedCatalog packed = PackedCatalog.of(version, "");
+    int size = packed.data().size();
+    return new PeerMessage.SendCatalogPart(new CatalogPart(version, size, 0, packed.data()));
+  }
+
   private static PeerMessage heartbeat() {
     HostStatus status =
         new HostStatus(OTHER, "entry", 1, 0, VERSION, 0, 0, false, "", new DomainLoad(0, 0));
--- a/burdockbay-wire/src/main/java/org/burdockbay/wire/ControlCodec.java
+++ b/burdockbay-wire/src/main/java/org/burdockbay/wire/ControlCodec.java
@@ -1,10 +1,12 @@
 package org.burdockbay.wire;
 
+import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import org.burdockbay.core.agreement.Bytes;
+import org.burdockbay.core.catalog.PackedCatalog;
 import org.burdockbay.core.control.ControlCommand;
 import org.burdockbay.core.control.ControlImage;
 import org.burdockbay.core.control.ControlReply;
@@ -52,7 +54,7 @@
     for (LedgerImage.SubmissionRecord record : image.ledger().records()) {
       builder.addSubmissions(encode(record));
     }
-    builder.setCatalog(catalog(image.catalog().version(), image.catalog().text()));
+    builder.setCatalog(encode(image.catalog()));
     return Bytes.copyOf(builder.build().toByteArray());
   }
 
@@ -96,9 +98,7 @@
                       .setText(apply.text()))
               .build();
       case ControlCommand.PublishCatalog publish ->
-          Wire.ControlCommand.newBuilder()
-              .setPublishCatalog(catalog(publish.version(), publish.text()))
-              .build();
+          Wire.ControlCommand.newBuilder().setPublishCatalog(encode(publish.catalog())).build();
       case ControlCommand.ReadCatalog read ->
           Wire.ControlCommand.newBuilder().setReadCatalog(true).build();
     };
@@ -112,7 +112,7 @@
       case ControlReply.VersionConflict conflict ->
           builder.setVersionConflict(conflict.currentVersion());
       case ControlReply.Unavailable unavailable -> builder.setUnavailable(true);
-      case ControlReply.Catalog read -> builder.setCatalog(catalog(read.version(), read.text()));
+      case ControlReply.Catalog read -> builder.setCatalog(encode(read.catalog()));
     }
     return builder.build();
   }
@@ -192,8 +192,18 @@
     return builder.build();
   }
 
-  private static Wire.CatalogDocument catalog(long version, String text) {
-    return Wire.CatalogDocument.newBuilder().setVersion(version).setText(text).build();
+  private static Wire.CatalogDocument encode(PackedCatalog catalog) {
+    return Wire.CatalogDocument.newBuilder()
+        .setVersion(catalog.version())
+        .setPacked(ByteString.copyFrom(catalog.data().toArray()))
+        .build();
+  }
+
+  private static PackedCatalog decode(Wire.CatalogDocument document) {
+    return document.getPacked().isEmpty()
+        ? PackedCatalog.of(document.getVersion(), document.getText())
+        : new PackedCatalog(
+            document.getVersion(), Bytes.copyOf(document.getPacked().toByteArray()));
   }
 
   static ControlCommand decode(Wire.ControlCommand command) throws WireException {
@@ -205,8 +215,7 @@
             apply.getChangeId(), apply.getOperator(), apply.getExpectedVersion(), apply.getText());
       }
       case PUBLISH_CATALOG ->
-          new ControlCommand.PublishCatalog(
-              command.getPublishCatalog().getVersion(), command.getPublishCatalog().getText());
+          new ControlCommand.PublishCatalog(decode(command.getPublishCatalog()));
       case READ_CATALOG -> new ControlCommand.ReadCatalog();
       case COMMAND_NOT_SET -> throw new WireException("control command of an unknown kind");
     };
@@ -218,8 +227,7 @@
       case ACCEPTED -> new ControlReply.Accepted(reply.getAccepted());
       case VERSION_CONFLICT -> new ControlReply.VersionConflict(reply.getVersionConflict());
       case UNAVAILABLE -> new ControlReply.Unavailable();
-      case CATALOG ->
-          new ControlReply.Catalog(reply.getCatalog().getVersion(), reply.getCatalog().getText());
+      case CATALOG -> new ControlReply.Catalog(decode(reply.getCatalog()));
       case REPLY_NOT_SET -> throw new WireException("control reply of an unknown kind");
     };
   }
@@ -322,7 +330,6 @@
                     new ControlImage.AcceptedChange(change.getChangeId(), change.getVersion()))
             .toList(),
         new LedgerImage(domains, records),
-        new ControlImage.CatalogDocument(
-            image.getCatalog().getVersion(), image.getCatalog().getText()));
+        decode(image.getCatalog()));
   }
 }
--- a/burdockbay-wire/src/main/java/org/burdockbay/wire/PeerCodec.java
+++ b/burdockbay-wire/src/main/java/org/burdockbay/wire/PeerCodec.java
@@ -1,7 +1,10 @@
 package org.burdockbay.wire;
 
+import com.google.protobuf.ByteString;
 import java.util.OptionalLong;
+import org.burdockbay.core.agreement.Bytes;
 import org.burdockbay.core.agreement.GroupId;
+import org.burdockbay.core.catalog.CatalogPart;
 import org.burdockbay.core.dispatch.DomainLoad;
 import org.burdockbay.core.membership.HostStatus;
 import org.burdockbay.core.message.PeerMessage;
@@ -37,6 +40,12 @@
               Wire.Envelope.ConfigurationText.newBuilder()
                   .setVersion(text.version())
                   .setText(text.text()));
+      case PeerMessage.FetchCatalogPart fetch ->
+          envelope.setFetchCatalogPart(
+              Wire.Envelope.FetchCatalogPart.newBuilder()
+                  .setVersion(fetch.request().version())
+                  .setOffset(fetch.request().offset()));
+      case PeerMessage.SendCatalogPart send -> envelope.setCatalogPart(catalogPart(send.part()));
       case PeerMessage.SubmitJob submit ->
           envelope.setSubmitJob(SubmissionCodec.encode(submit.request(), submit.arrival()));
       case PeerMessage.FollowJob follow ->
@@ -112,6 +121,12 @@
           new PeerMessage.ConfigurationText(
               envelope.getConfigurationText().getVersion(),
               envelope.getConfigurationText().getText());
+      case FETCH_CATALOG_PART ->
+          new PeerMessage.FetchCatalogPart(
+              new CatalogPart.Request(
+                  envelope.getFetchCatalogPart().getVersion(),
+                  envelope.getFetchCatalogPart().getOffset()));
+      case CATALOG_PART -> new PeerMessage.SendCatalogPart(catalogPart(envelope.getCatalogPart()));
       case SUBMIT_JOB ->
           new PeerMessage.SubmitJob(
               SubmissionCodec.decode(envelope.getSubmitJob()),
@@ -155,6 +170,23 @@
         new ShardId(status.getShardDomain(), status.getShardIndex()));
   }
 
+  private static Wire.Envelope.CatalogPart catalogPart(CatalogPart part) {
+    return Wire.Envelope.CatalogPart.newBuilder()
+        .setVersion(part.version())
+        .setSize(part.totalSize())
+        .setOffset(part.offset())
+        .setData(ByteString.copyFrom(part.data().toArray()))
+        .build();
+  }
+
+  private static CatalogPart catalogPart(Wire.Envelope.CatalogPart part) {
+    return new CatalogPart(
+        part.getVersion(),
+        part.getSize(),
+        part.getOffset(),
+        Bytes.copyOf(part.getData().toByteArray()));
+  }
+
   private static PeerMessage.Heartbeat heartbeat(Wire.HostStatus status) {
     long heardAgo = status.getHeardAgoMsPlusOne();
     return new PeerMessage.Heartbeat(
