Detect dispatcher suspension from answers to starts and stops

Symptom: a task runs twice at the same time. A dispatcher is suspended together with its clock while its callers' work is given to another host. When it resumes, it starts a task of that work.

Cause: after a suspension, the clock in the first answer from an upstream shows that time has passed there, and the dispatcher gives up its role. Only answers to renewals were checked. The answer to a stop arrived 1 ms before the answer to a renewal. Its clock reading was accepted, and the next start got a full lease based on it.

Ruled out: the lengths of the waits. The orders and clock readings of that upstream were printed: the start's deadline was based on the clock in the answer to the stop.

Fix: check every answer that carries a clock reading. The upper bound on how far the upstream's clock is ahead still comes only from renewals, whose time of sending is known.

Test, failing before the fix: LeaseDispatcherTest.givesTheRoleUpAfterStandstillsThatAnswersToStartsShow; the one for stops was added with the fix.

--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseBook.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseBook.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.burdockbay.core.fleet.UpstreamNotice;
 import org.burdockbay.core.shard.ShardId;
@@ -259,18 +260,14 @@
   }
 
   /**
-   * Returns for how long this host's clock has stood still, by an answer to a renewal, in
-   * milliseconds; at most 0 if it hasn't.
+   * Returns for how long this host's clock has stood still, in milliseconds, judging by the clock
+   * reading in an upstream's answer; at most 0 if it has not.
    */
-  long standstill(LeaseEvent.RenewalAnswered answered) {
-    UpstreamLease upstream = same(answered.upstream());
-    boolean readable =
-        upstream != null
-            && upstream.renewal == answered.renewal()
-            && answered.clockMillis().isPresent();
-    return readable
-        ? upstream.clockJump(answered.clockMillis().getAsLong(), context.arrivedAt())
-        : 0;
+  long standstill(UpstreamNotice notice, OptionalLong clockMillis) {
+    UpstreamLease upstream = same(notice);
+    return upstream == null || clockMillis.isEmpty()
+        ? 0
+        : upstream.clockJump(clockMillis.getAsLong(), context.arrivedAt());
   }
 
   void renewalAnswered(LeaseEvent.RenewalAnswered answered) {
@@ -279,6 +276,9 @@
       return;
     }
     upstream.renewalOpen = false;
+    answered
+        .clockMillis()
+        .ifPresent(clock -> upstream.updateAheadAtMost(clock, context.arrivedAt()));
     upstream.clockRead(answered.clockMillis(), context.arrivedAt());
     switch (answered.result()) {
       case DONE -> listed(upstream, answered);
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseDispatcher.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseDispatcher.java
@@ -1,7 +1,9 @@
 package org.burdockbay.core.lease;
 
 import java.util.List;
+import java.util.OptionalLong;
 import org.burdockbay.core.dispatch.DomainLoad;
+import org.burdockbay.core.fleet.UpstreamNotice;
 
 /**
  * Dispatches sized tasks to leased upstreams, while this host has the role.
@@ -142,9 +144,15 @@
       case LeaseEvent.Cancelled cancelled -> cancelled(cancelled);
       case LeaseEvent.EntryHeard heard -> works.entryHeard(heard.entryHost());
       case LeaseEvent.EntryLost lost -> works.entryLost(lost.entryHost());
-      case LeaseEvent.StartAnswered answered -> leases.startAnswered(answered);
-      case LeaseEvent.StopAnswered answered -> leases.stopAnswered(answered);
-      case LeaseEvent.RenewalAnswered answered -> renewalAnswered(answered);
+      case LeaseEvent.StartAnswered answered ->
+          handleAnswer(
+              answered.upstream(), answered.clockMillis(), () -> leases.startAnswered(answered));
+      case LeaseEvent.StopAnswered answered ->
+          handleAnswer(
+              answered.upstream(), answered.clockMillis(), () -> leases.stopAnswered(answered));
+      case LeaseEvent.RenewalAnswered answered ->
+          handleAnswer(
+              answered.upstream(), answered.clockMillis(), () -> leases.renewalAnswered(answered));
       case LeaseEvent.Tick tick -> tick();
       default -> throw new IllegalStateException("handled before: " + event);
     }
@@ -179,16 +187,16 @@
   }
 
   /**
-   * Takes the answer to a renewal, unless it shows that this host stood still together with its
+   * Handles an answer of an upstream unless it shows that this host stood still together with its
    * clock, as a suspended machine does. No event comes late by that clock then; but a start needs a
    * fresh reading of the upstream's clock, and the first one gives the standstill away.
    */
-  private void renewalAnswered(LeaseEvent.RenewalAnswered answered) {
-    long standstill = leases.standstill(answered);
+  private void handleAnswer(UpstreamNotice upstream, OptionalLong clockMillis, Runnable handler) {
+    long standstill = leases.standstill(upstream, clockMillis);
     if (standstill > STALL_MILLIS) {
       stalled(standstill);
     } else {
-      leases.renewalAnswered(answered);
+      handler.run();
     }
   }
 
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/UpstreamLease.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/UpstreamLease.java
@@ -103,27 +103,31 @@
 
   /**
    * Returns for how much longer than this host's clock the upstream's has gone on, in milliseconds,
-   * as the answer to a renewal shows; at most 0 unless this host's clock has stood still.
+   * according to an answer; at most 0 unless this host's clock has stood still.
    *
-   * <p>The upstream read its clock between the sending of the renewal and now. So the answer gives
-   * a lower and an upper bound of how far it is ahead, and the lower bound of one answer stays
-   * below the upper bounds of all earlier ones, but for the rates of the clocks.
+   * <p>The upstream read its clock before {@code now}, so an answer gives a lower bound on how far
+   * that clock is ahead. Apart from clock drift, the lower bound cannot exceed the upper bounds
+   * from earlier renewals unless this host's clock has stood still.
    */
   long clockJump(long clock, long now) {
-    long lower = clock - now;
+    return aheadAtMost.isEmpty() ? 0 : clock - now - aheadAtMostAt(now);
+  }
+
+  /**
+   * Sets the upper bound on how far the upstream's clock is ahead, or lowers it if the answer to a
+   * renewal gives a tighter one: the upstream read its clock after the renewal was sent.
+   */
+  void updateAheadAtMost(long clock, long now) {
     long upper = clock - renewalSentAt;
-    if (aheadAtMost.isEmpty()) {
+    if (aheadAtMost.isEmpty() || upper < aheadAtMostAt(now)) {
       aheadAtMost = OptionalLong.of(upper);
       aheadReadAt = now;
-      return 0;
     }
+  }
+
+  private long aheadAtMostAt(long now) {
     double drift = (now - aheadReadAt) * (1 - LeaseTerms.SLOWEST_CLOCK);
-    long known = aheadAtMost.getAsLong() + (long) Math.ceil(drift);
-    if (upper < known) {
-      aheadAtMost = OptionalLong.of(upper);
-      aheadReadAt = now;
-    }
-    return lower - known;
+    return aheadAtMost.orElseThrow() + (long) Math.ceil(drift);
   }
 
   /**
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseDispatcherTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseDispatcherTest.java
@@ -515,6 +515,35 @@
     assertFalse(dispatcher.dispatches());
   }
 
+  /** After a suspension, the clock in a start's answer must not give later starts a valid lease. */
+  @Test
+  public void givesTheRoleUpAfterStandstillsThatAnswersToStartsShow() {
+    UpstreamNotice upstream = join("u1");
+    list(upstream, List.of(), List.of());
+    RunId run = starts(submit("w", 1, HALF)).getFirst().run();
+    clockAhead = 3_000;
+    List<LeaseEffect> effects =
+        handle(
+            new LeaseEvent.StartAnswered(
+                upstream, run, OrderResult.DONE, OptionalLong.of(clock())));
+    assertTrue(effects.stream().anyMatch(LeaseEffect.Stalled.class::isInstance));
+    assertFalse(dispatcher.dispatches());
+  }
+
+  /** After a suspension, the clock in a start's answer must not give later starts a valid lease. */
+  @Test
+  public void givesTheRoleUpAfterStandstillsThatAnswersToStopsShow() {
+    UpstreamNotice upstream = join("u1");
+    list(upstream, List.of(), List.of());
+    RunId run = starts(submit("w", 1, HALF)).getFirst().run();
+    clockAhead = 3_000;
+    List<LeaseEffect> effects =
+        handle(
+            new LeaseEvent.StopAnswered(upstream, run, OrderResult.DONE, OptionalLong.of(clock())));
+    assertTrue(effects.stream().anyMatch(LeaseEffect.Stalled.class::isInstance));
+    assertFalse(dispatcher.dispatches());
+  }
+
   /** An answer that was held up on the network shows no standstill, nor does the next one. */
   @Test
   public void takesNoSlowAnswerForStandstill() {
