Reduce traffic between hosts: fewer full lists, heartbeats that arrive together

Symptoms: short jobs are late on hosts with little processor capacity, which spend most of it whether or not there are callers. Whenever a connection broke because a link was saturated, both ends resent everything they knew about hosts and upstreams, twice.

Cause: on each new connection, both ends sent the list of all hosts and the news of all upstreams. Each host passed on every host that it learnt of, so the number of messages at startup grew with the cube of the number of hosts. The full list was sent to all hosts at the same moment every 10 s. Each heartbeat (340 per second at 52 hosts, worked out) woke the event loop and then the control thread.

Changes: - On a new connection, a host announces only itself. A restarted host is sent everything by the hosts with a disk and by the first 2 hosts of a rendezvous hash. A host that is still running is sent what was sent since it last heard the sender, less 500 ms. - A host is passed on only by those hosts to which it announced itself. Full lists are sent to one host at a time. - Heartbeats that repeat the previous status wait for the next tick or task of the control thread instead of waking it. - The live host with the lowest id is the timing reference for heartbeats. The other hosts send theirs when its heartbeat arrives, or 175 ms after their last one. - A downloaded catalog that can't be decoded is downloaded again after 1 s; previously it was not (found in review).

--- a/burdockbay-server/src/main/java/org/burdockbay/server/host/ControlThread.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/host/ControlThread.java
@@ -3,7 +3,9 @@
 import com.codahale.metrics.MetricRegistry;
 import java.util.Comparator;
 import java.util.Optional;
+import java.util.Queue;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.PriorityBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -33,6 +35,7 @@
   private final WaitMeter workWaits;
   private final AtomicLong lastNumber = new AtomicLong();
   private final BlockingQueue<Task> queue = new PriorityBlockingQueue<>();
+  private final Queue<Runnable> deferred = new ConcurrentLinkedQueue<>();
   private final Thread thread;
   private volatile boolean stopped;
   private Runnable tick = () -> {};
@@ -59,6 +62,16 @@
     add(Lane.CONTROL, task);
   }
 
+  /**
+   * Runs a control task on the thread at its next tick or before its next queued task.
+   *
+   * <p>It doesn't wake the thread up, because in a large fleet a wake-up costs more than handling
+   * most messages.
+   */
+  public void executeDeferred(Runnable task) {
+    deferred.add(task);
+  }
+
   /** Runs a task of the work on the thread, once no control task waits. */
   public void executeWork(Runnable task) {
     add(Lane.WORK, task);
@@ -105,6 +118,7 @@
    * and not handled yet; judged before it, the delay would count as theirs.
    */
   private void runWaitingControl() {
+    runDeferred();
     long end = clock.millis() + SLICE_MILLIS;
     Task first = queue.peek();
     while (first != null && first.lane == Lane.CONTROL && clock.millis() < end) {
@@ -133,7 +147,14 @@
     }
   }
 
+  private void runDeferred() {
+    for (Runnable task = deferred.poll(); task != null; task = deferred.poll()) {
+      guarded(task);
+    }
+  }
+
   private void begin(Task task) {
+    runDeferred();
     long now = clock.millis();
     WaitMeter waits = task.lane == Lane.CONTROL ? controlWaits : workWaits;
     waits.waited(now - task.queuedAt, queue.size(), now);
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/CatalogKeeper.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/CatalogKeeper.java
@@ -22,6 +22,9 @@
  */
 final class CatalogKeeper {
 
+  /** Delay before a catalog that couldn't be decoded is downloaded again, in milliseconds. */
+  static final long RETRY_MILLIS = 1_000;
+
   private final CatalogReader reader;
   private final Executor background;
   private final Executor control;
@@ -36,6 +39,7 @@
   private long submittedVersion;
 
   private OptionalLong newerHeardAt = OptionalLong.empty();
+  private long retryAt = Long.MIN_VALUE;
 
   /**
    * Creates a keeper without a catalog.
@@ -70,7 +74,7 @@
    * @return the part to request from that host, or empty if none is due
    */
   Optional<CatalogPart.Request> heard(long version, long now) {
-    if (version <= submittedVersion) {
+    if (version <= submittedVersion || now < retryAt) {
       return Optional.empty();
     }
     if (newerHeardAt.isEmpty()) {
@@ -119,9 +123,15 @@
     } catch (CatalogException e) {
       // Checked before it was accepted; another release may disagree. The old one stays in force.
       log.error("catalog-unreadable", "version=" + packed.version(), e);
+      control.execute(this::scheduleRetry);
     }
   }
 
+  private void scheduleRetry() {
+    submittedVersion = current.version();
+    retryAt = clock.millis() + RETRY_MILLIS;
+  }
+
   private void putInForce(Catalog decoded, PackedCatalog packed, String origin) {
     if (packed.version() <= current.version()) {
       return;
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/Fleet.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/Fleet.java
@@ -1,7 +1,9 @@
 package org.burdockbay.server.node;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -34,6 +36,9 @@
    */
   static final long SILENCE_MILLIS = 600_000;
 
+  /** Time for which sent news is kept for resending on new connections, in milliseconds. */
+  static final long NEWS_RETENTION_MILLIS = 20_000;
+
   /** How often an announcement that says nothing new is passed on, in milliseconds. */
   static final long TELL_AGAIN_MILLIS = SILENCE_MILLIS / 10;
 
@@ -42,6 +47,7 @@
   private final Consumer<PeerMessage> others;
   private List<PeerMessage.UpstreamNews.Announced> announced = new ArrayList<>();
   private List<UpstreamNotice> departed = new ArrayList<>();
+  private final Deque<SentNews> sentNews = new ArrayDeque<>();
   private long tellAt;
 
   /** When an announcement of an upstream is passed on again although it says nothing new. */
@@ -105,6 +111,33 @@
         : Optional.of(new PeerMessage.UpstreamNews(all, List.of()));
   }
 
+  /**
+   * Returns the news that this host has sent to all others since the given time, for a host that
+   * may have missed it, or all that is known if that news is no longer kept.
+   */
+  Optional<PeerMessage> tellSince(long since, long now) {
+    if (now - since > NEWS_RETENTION_MILLIS) {
+      return tellAll(now);
+    }
+    List<PeerMessage.UpstreamNews.Announced> missedAnnounced = new ArrayList<>();
+    List<UpstreamNotice> missedDeparted = new ArrayList<>();
+    for (SentNews sent : sentNews) {
+      if (sent.sentAt >= since) {
+        sent.news
+            .announced()
+            .forEach(
+                announcement ->
+                    missedAnnounced.add(
+                        new PeerMessage.UpstreamNews.Announced(
+                            announcement.notice(), announcement.ageMillis() + now - sent.sentAt)));
+        missedDeparted.addAll(sent.news.departed());
+      }
+    }
+    return missedAnnounced.isEmpty() && missedDeparted.isEmpty()
+        ? Optional.empty()
+        : Optional.of(new PeerMessage.UpstreamNews(missedAnnounced, missedDeparted));
+  }
+
   /** Returns the number of upstreams that are known. */
   int size() {
     return registry.notices().size();
@@ -120,10 +153,15 @@
   void tick(long now) {
     if (now >= tellAt && !(announced.isEmpty() && departed.isEmpty())) {
       tellAt = now + GATHER_MILLIS;
-      others.accept(new PeerMessage.UpstreamNews(announced, departed));
+      PeerMessage.UpstreamNews news = new PeerMessage.UpstreamNews(announced, departed);
+      sentNews.addLast(new SentNews(news, now));
+      others.accept(news);
       announced = new ArrayList<>();
       departed = new ArrayList<>();
     }
+    while (!sentNews.isEmpty() && now - sentNews.getFirst().sentAt > NEWS_RETENTION_MILLIS) {
+      sentNews.removeFirst();
+    }
     registry.expire(now).forEach(this::expired);
   }
 
@@ -139,4 +177,7 @@
     }
     return news;
   }
+
+  /** News and the time at which it was sent, in milliseconds. */
+  private record SentNews(PeerMessage.UpstreamNews news, long sentAt) {}
 }
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/HostDirectory.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/HostDirectory.java
@@ -87,6 +87,11 @@
     return cards;
   }
 
+  /** Returns the number of other hosts. */
+  int size() {
+    return hosts.size();
+  }
+
   /** Returns the ids of the other hosts. */
   List<String> others() {
     return List.copyOf(hosts.keySet());
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/HostGossip.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/HostGossip.java
@@ -1,6 +1,8 @@
 package org.burdockbay.server.node;
 
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import org.burdockbay.core.membership.HostCard;
 import org.burdockbay.core.message.PeerMessage;
 import org.burdockbay.server.host.PeerSender;
@@ -8,46 +10,65 @@
 /**
  * Tells other hosts which hosts there are.
  *
- * <p>A host is told all on each new connection, and what is new after that; what was lost on the
- * way is made up for by the next connection. The whole list, which grows with the square of the
- * hosts in all, goes out rarely, for what one of them has forgotten meanwhile.
+ * <p>A host announces itself on each new connection, and passes on the cards that other hosts send
+ * of themselves. The size of the whole list grows with the number of hosts, so only a few hosts
+ * send it to a restarted host. Apart from that, every host sends it at long intervals, to one
+ * receiver at a time.
  */
 final class HostGossip {
 
-  /** Time between two whole lists on a connection that works, in milliseconds. */
+  /** Interval at which the whole list is sent to the same host, in milliseconds. */
   static final long ALL_MILLIS = 10_000;
 
   private final HostDirectory directory;
   private final PeerSender sender;
-  private long allAt;
+  private final Map<String, Long> allAt = new HashMap<>();
+  private long nextDueAt;
 
   HostGossip(HostDirectory directory, PeerSender sender) {
     this.directory = directory;
     this.sender = sender;
   }
 
-  /** Tells a host all, as its connection is new. */
-  void connected(String host) {
-    sender.send(host, all());
+  /**
+   * Announces this host on a new connection.
+   *
+   * @param wholeList whether to send the cards of all known hosts
+   */
+  void connected(String host, boolean wholeList) {
+    List<HostCard> cards = directory.cards();
+    sender.send(host, new PeerMessage.KnownHosts(wholeList ? cards : List.of(cards.getFirst())));
   }
 
-  /** Tells all hosts of one that is new or has changed. */
-  void learnt(HostCard card) {
-    broadcast(new PeerMessage.KnownHosts(List.of(card)));
+  /**
+   * Passes on the card of a host that is new or has changed.
+   *
+   * <p>A card that was not received from its own host is not passed on: the host that received it
+   * first-hand does that.
+   */
+  void learnt(HostCard card, String from) {
+    if (card.id().equals(from)) {
+      PeerMessage message = new PeerMessage.KnownHosts(List.of(card));
+      directory.others().forEach(host -> sender.send(host, message));
+    }
   }
 
+  /** Sends the whole list to at most one of the hosts for which it is due. */
   void tick(long now) {
-    if (now >= allAt) {
-      allAt = now + ALL_MILLIS;
-      broadcast(all());
+    if (now < nextDueAt && directory.size() == allAt.size()) {
+      return;
     }
-  }
-
-  private PeerMessage all() {
-    return new PeerMessage.KnownHosts(directory.cards());
-  }
-
-  private void broadcast(PeerMessage message) {
-    directory.others().forEach(host -> sender.send(host, message));
+    List<String> others = directory.others();
+    allAt.keySet().retainAll(others);
+    others.forEach(host -> allAt.putIfAbsent(host, now + ALL_MILLIS));
+    others.stream()
+        .filter(host -> now >= allAt.get(host))
+        .findFirst()
+        .ifPresent(
+            host -> {
+              allAt.put(host, now + ALL_MILLIS);
+              sender.send(host, new PeerMessage.KnownHosts(directory.cards()));
+            });
+    nextDueAt = allAt.values().stream().mapToLong(Long::longValue).min().orElse(now);
   }
 }
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -58,8 +59,6 @@
   /** Silence after which a host counts as lost, in milliseconds; three heartbeats fit into it. */
   private static final long LOST_MILLIS = LeaseTerms.ENTRY_LOST_MILLIS;
 
-  private static final long HEARTBEAT_MILLIS = 150;
-
   /**
    * A host that says that it hasn't heard this one for so long is not reached by the connection to
    * it, in milliseconds; two heartbeats and a margin.
@@ -90,7 +89,9 @@
   private final CatalogKeeper catalog;
   private final Membership membership;
   private final HostDirectory directory;
+  private final HeartbeatSchedule schedule;
   private final HostGossip gossip;
+  private final PeerSyncTracker peerSync;
   private final Fleet fleet;
   private final WorkDesk desk;
   private final ProposalClient proposals;
@@ -100,6 +101,9 @@
   private final long storageIncarnation;
   private final Map<String, Long> incarnations = new HashMap<>();
 
+  /** Latest status received from each host; accessed by the transport's threads. */
+  private final Map<String, HostStatus> lastStatuses = new ConcurrentHashMap<>();
+
   /** When the first heartbeat of a host's present life arrived, if an earlier life was heard. */
   private final Map<String, Long> restartSeenAt = new HashMap<>();
 
@@ -110,7 +114,6 @@
   private Optional<PackedCatalog> agreedCatalog = Optional.empty();
   private long aheadBefore;
   private long membershipAt;
-  private long heartbeatAt;
   private long forgetAt;
   private long reconcileAt;
 
@@ -141,7 +144,9 @@
             MembershipTerms.ofAddress(settings.host(), LOST_MILLIS, settings.mayDispatch()),
             now);
     this.directory = new HostDirectory(settings.card());
+    this.schedule = new HeartbeatSchedule(settings.host());
     this.gossip = new HostGossip(directory, this::send);
+    this.peerSync = new PeerSyncTracker(settings.host(), settings.dataFolder().isPresent());
     this.desk =
         new WorkDesk(
             parts, this::send, this::onControl, this::onWork, this::outranked, this::startOver);
@@ -248,6 +253,7 @@
     switch (message) {
       case PeerMessage.SubmitWork submit -> onWork(() -> submitted(host, submit, arrivedAt));
       case PeerMessage.CancelWork cancel -> cancelled(host, cancel, arrivedAt);
+      case PeerMessage.Heartbeat heartbeat -> receivedHeartbeat(host, heartbeat, arrivedAt);
       default -> onControl(() -> handle(host, message, arrivedAt));
     }
   }
@@ -256,13 +262,16 @@
   public void reset(String host) {
     onControl(
         () -> {
-          gossip.connected(host);
           send(host, heartbeatTo(host, status()));
-          fleet.tellAll(clock.millis()).ifPresent(news -> send(host, news));
           desk.intake(new IntakeEvent.PeerReset(host));
         });
   }
 
+  @Override
+  public void connected(String host, long incarnation) {
+    onControl(() -> sendMissedNews(host, incarnation, clock.millis()));
+  }
+
   @Override
   public void close() {
     parts.thread().close();
@@ -270,6 +279,36 @@
     parts.transport().close();
   }
 
+  /**
+   * Defers heartbeats that change at most the load, which most do, unless they come from the timing
+   * reference.
+   */
+  private void receivedHeartbeat(String host, PeerMessage.Heartbeat heartbeat, long arrivedAt) {
+    Runnable task = () -> handle(host, heartbeat, arrivedAt);
+    HostStatus before = lastStatuses.put(host, heartbeat.status());
+    boolean repeats = before != null && before.equalsButLoad(heartbeat.status());
+    if (repeats && !schedule.isReference(host)) {
+      parts.thread().executeDeferred(task);
+    } else {
+      onControl(task);
+    }
+  }
+
+  private void sendMissedNews(String host, long incarnation, long now) {
+    OptionalLong since = peerSync.connected(host, incarnation, now);
+    boolean everything = since.isEmpty() && peerSync.sendsEverything(host, liveHosts());
+    gossip.connected(host, everything);
+    Optional<PeerMessage> missed =
+        everything
+            ? fleet.tellAll(now)
+            : fleet.tellSince(since.orElse(now - Fleet.NEWS_RETENTION_MILLIS), now);
+    missed.ifPresent(message -> send(host, message));
+  }
+
+  private List<String> liveHosts() {
+    return membership.live().stream().map(HostStatus::host).toList();
+  }
+
   private Optional<AgreementStorage> openStorage() throws ServerException {
     if (settings.dataFolder().isEmpty()) {
       return Optional.empty();
@@ -378,7 +417,7 @@
     directory.heard(host, arrivedAt);
     switch (message) {
       case PeerMessage.Heartbeat heartbeat -> heard(heartbeat, arrivedAt, now);
-      case PeerMessage.KnownHosts known -> known.hosts().forEach(card -> learn(card, now));
+      case PeerMessage.KnownHosts known -> known.hosts().forEach(card -> learn(host, card, now));
       case PeerMessage.UpstreamNews news -> fleet.told(news, now);
       case PeerMessage.ReportWork report ->
           desk.intake(new IntakeEvent.Reported(host, report.workId(), report.outcome()));
@@ -404,6 +443,7 @@
   private void heard(PeerMessage.Heartbeat heartbeat, long arrivedAt, long now) {
     HostStatus status = heartbeat.status();
     renewIfUnheard(status.host(), heartbeat.heardAgoMillis());
+    peerSync.heardBy(status.host(), status.incarnation(), heartbeat.heardAgoMillis(), arrivedAt);
     Long before = incarnations.put(status.host(), status.incarnation());
     if (before != null && before < status.incarnation()) {
       // The process was restarted within the time that its loss would have shown by silence. Work
@@ -412,6 +452,9 @@
       desk.dispatch(new LeaseEvent.EntryLost(status.host()));
     }
     run(membership.heartbeat(status, now));
+    if (schedule.triggersHeartbeat(status.host(), now)) {
+      heartbeat();
+    }
     if (status.dispatcherEpoch() != 0) {
       desk.intake(new IntakeEvent.LoadTold(status.host(), status.load()));
     }
@@ -461,7 +504,7 @@
     }
   }
 
-  private void learn(HostCard card, long now) {
+  private void learn(String from, HostCard card, long now) {
     if (card.group().isEmpty() || card.id().equals(settings.host())) {
       return;
     }
@@ -472,7 +515,7 @@
       if (!connected) {
         connect(card);
       }
-      gossip.learnt(card);
+      gossip.learnt(card, from);
     }
   }
 
@@ -580,7 +623,7 @@
     desk.tick();
     fleet.tick(now);
     proposals.tick();
-    if (now >= heartbeatAt) {
+    if (schedule.due(now)) {
       heartbeat();
     }
     gossip.tick(now);
@@ -620,7 +663,7 @@
   }
 
   private void heartbeat() {
-    heartbeatAt = clock.millis() + HEARTBEAT_MILLIS;
+    schedule.sent(liveHosts(), clock.millis());
     HostStatus status = status();
     if (status.dispatcherEpoch() != 0) {
       desk.intake(new IntakeEvent.LoadTold(status.host(), status.load()));
--- /dev/null
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/PeerSyncTracker.java
@@ -0,0 +1,95 @@
+package org.burdockbay.server.node;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.OptionalLong;
+
+/**
+ * Tracks what other hosts may have missed before a new connection.
+ *
+ * <p>Sending everything on each new connection would add load just when connections break because
+ * links are saturated. A host that is still running is therefore sent only what it may have missed
+ * since it last heard this host, and a restarted host is sent everything by only a few hosts.
+ */
+final class PeerSyncTracker {
+
+  /** Number of hosts selected by rank to send everything; hosts with a disk always do. */
+  static final int FULL_SYNC_SENDERS = 2;
+
+  /** Margin for messages in flight when the other host reported, in milliseconds. */
+  private static final long MARGIN_MILLIS = 500;
+
+  private final String self;
+  private final boolean hasDisk;
+  private final Map<String, Peer> peers = new HashMap<>();
+
+  /**
+   * Creates a tracker without any peers.
+   *
+   * @param hasDisk whether this host has a disk, so that upstreams announce themselves to it
+   */
+  PeerSyncTracker(String self, boolean hasDisk) {
+    this.self = self;
+    this.hasDisk = hasDisk;
+  }
+
+  /** Records how long ago another host last heard this one, in milliseconds. */
+  void heardBy(String host, long incarnation, OptionalLong agoMillis, long now) {
+    Peer peer = peers.get(host);
+    if (peer != null && peer.incarnation == incarnation && agoMillis.isPresent()) {
+      peer.heardSelfAt = Math.max(peer.heardSelfAt, now - agoMillis.getAsLong());
+    }
+  }
+
+  /**
+   * Records a new connection to a host.
+   *
+   * @return the time since which the host may have missed news, or empty if it may lack everything
+   */
+  OptionalLong connected(String host, long incarnation, long now) {
+    Peer peer = peers.get(host);
+    if (peer == null || peer.incarnation != incarnation || !peer.hasReceivedAll()) {
+      peers.put(host, new Peer(incarnation, now));
+      return OptionalLong.empty();
+    }
+    return OptionalLong.of(peer.heardSelfAt - MARGIN_MILLIS);
+  }
+
+  /** Returns whether this host is one of those that send a restarted host everything. */
+  boolean sendsEverything(String host, Collection<String> liveHosts) {
+    long rankedBefore =
+        liveHosts.stream()
+            .filter(other -> !other.equals(host) && !other.equals(self))
+            .filter(other -> RANK_ORDER.compare(rank(other, host), rank(self, host)) < 0)
+            .count();
+    return hasDisk || rankedBefore < FULL_SYNC_SENDERS;
+  }
+
+  private static final Comparator<Long> RANK_ORDER = Comparator.naturalOrder();
+
+  /** Rendezvous hash; the senders with the lowest values rank first. */
+  private static long rank(String sender, String host) {
+    // Mixes the bits, because ids that differ only in the last digits have similar hash codes.
+    long mixed = (sender + '>' + host).hashCode() * 0x9E3779B97F4A7C15L;
+    return mixed ^ (mixed >>> 32);
+  }
+
+  private static final class Peer {
+
+    private final long incarnation;
+    private final long connectedAt;
+    private long heardSelfAt = Long.MIN_VALUE;
+
+    private Peer(long incarnation, long connectedAt) {
+      this.incarnation = incarnation;
+      this.connectedAt = connectedAt;
+    }
+
+    /** Returns whether the host has heard this one later than the margin after the full send. */
+    private boolean hasReceivedAll() {
+      return heardSelfAt > connectedAt + MARGIN_MILLIS;
+    }
+  }
+}
--- a/burdockbay-server/src/main/java/org/burdockbay/server/transport/OutboundConnection.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/transport/OutboundConnection.java
@@ -218,6 +218,7 @@
             counters.connected(reason);
             reason = TransportCounters.Reason.LOST;
             listener.reset(peer.id());
+            listener.connected(peer.id(), other.getIncarnation());
           } else {
             counters.refused();
             context.close();
--- a/burdockbay-server/src/main/java/org/burdockbay/server/transport/PeerListener.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/transport/PeerListener.java
@@ -10,4 +10,11 @@
 
   /** A connection to or from the host is new, so messages on an earlier one may be lost. */
   void reset(String host);
+
+  /**
+   * An outbound connection to the host has been established.
+   *
+   * @param incarnation incarnation of the host's process at the other end
+   */
+  default void connected(String host, long incarnation) {}
 }
--- a/burdockbay-server/src/test/java/org/burdockbay/server/host/ControlThreadTest.java
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/host/ControlThreadTest.java
@@ -49,6 +49,35 @@
     assertEquals(order, List.of("heartbeat", "tick", "work"));
   }
 
+  /** Guards against handling a deferred heartbeat after later messages of the same host. */
+  @Test
+  public void runsDeferredTasksBeforeTheNextTaskAndAtTicks() throws Exception {
+    final List<String> order = new CopyOnWriteArrayList<>();
+    final AtomicLong now = new AtomicLong();
+    final CountDownLatch held = new CountDownLatch(1);
+    final CountDownLatch released = new CountDownLatch(1);
+    final CountDownLatch ticked = new CountDownLatch(1);
+    ControlThread thread = new ControlThread(now::get, new EventLog("test"), new MetricRegistry());
+    thread.start(() -> {}, () -> {});
+    thread.execute(
+        () -> {
+          held.countDown();
+          await(released);
+        });
+    held.await();
+    thread.executeDeferred(() -> order.add("deferred"));
+    thread.executeWork(() -> order.add("work"));
+    final CountDownLatch done = new CountDownLatch(1);
+    thread.executeWork(done::countDown);
+    released.countDown();
+    done.await();
+    thread.executeDeferred(ticked::countDown);
+    now.addAndGet(LATE_MILLIS);
+    ticked.await();
+    thread.close();
+    assertEquals(order, List.of("deferred", "work"));
+  }
+
   private static void await(CountDownLatch latch) {
     try {
       latch.await();
--- a/burdockbay-server/src/test/java/org/burdockbay/server/node/FleetTest.java
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/node/FleetTest.java
@@ -73,6 +73,31 @@
     assertTrue(last.announced().getFirst().notice().leaving());
   }
 
+  /** Guards against the loss of news that was in flight when a connection broke. */
+  @Test
+  public void resendsNewsThatMayHaveBeenMissed() {
+    fleet.announcedHere(notice(), 0);
+    fleet.tick(0);
+    fleet.announcedHere(notice(2, true), 1_000);
+    fleet.tick(1_000);
+    assertEquals(fleet.tellSince(500, 2_000).orElseThrow(), aged(told.getLast(), 1_000));
+    assertTrue(fleet.tellSince(1_500, 2_000).isEmpty());
+    long late = 1_000 + 2 * Fleet.NEWS_RETENTION_MILLIS;
+    assertEquals(fleet.tellSince(500, late), fleet.tellAll(late));
+  }
+
+  private static PeerMessage aged(PeerMessage message, long millis) {
+    PeerMessage.UpstreamNews news = (PeerMessage.UpstreamNews) message;
+    return new PeerMessage.UpstreamNews(
+        news.announced().stream()
+            .map(
+                announcement ->
+                    new PeerMessage.UpstreamNews.Announced(
+                        announcement.notice(), announcement.ageMillis() + millis))
+            .toList(),
+        news.departed());
+  }
+
   private static UpstreamNotice notice() {
     return notice(1, false);
   }
