Compact the Raft log by size as well as entry count

Symptom: after some thousand changes to a large catalog, a host with a disk runs out of disk space or memory, and all such hosts do so at about the same time.

Test: RaftNodeTest.compactsAtByteLimit; the previous code had no such limit to test. RaftFuzzTest and LogStoreTest pass.

--- a/burdockbay-core/src/main/java/org/burdockbay/core/agreement/RaftLog.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/agreement/RaftLog.java
@@ -57,11 +57,25 @@
     for (long i = index; i <= lastIndex() && part.size() < count && size < bytes; i++) {
       LogEntry entry = entry(i);
       part.add(entry);
-      size += entry.content() instanceof EntryContent.Command command ? command.data().size() : 0;
+      size += entry.commandBytes();
     }
     return part;
   }
 
+  /**
+   * Returns the index to compact to so that at most {@code count} entries up to the given index
+   * remain. Their commands may exceed the given size in bytes by part of the oldest one.
+   */
+  long compactionIndex(long index, int count, long bytes) {
+    long base = index;
+    long size = 0;
+    while (base > baseIndex && index - base < count && size < bytes) {
+      size += entry(base).commandBytes();
+      base--;
+    }
+    return base;
+  }
+
   void append(LogEntry entry) {
     if (entry.index() != lastIndex() + 1) {
       throw new IllegalArgumentException(
--- a/burdockbay-core/src/main/java/org/burdockbay/core/agreement/RaftNode.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/agreement/RaftNode.java
@@ -21,8 +21,18 @@
  */
 public final class RaftNode {
 
+  /** Applied entries retained after a snapshot so that lagging members can catch up without it. */
   private static final int TRAILING_ENTRIES = 2_000;
 
+  /** Size of the commands in the retained entries at which no older entry is retained. */
+  private static final long TRAILING_BYTES = 1024 * 1024;
+
+  /** Number of entries applied since the last snapshot at which a new one is due. */
+  static final long ENTRIES_TO_COMPACT = 10_000;
+
+  /** Size of the commands applied since the last snapshot at which a new one is due. */
+  static final long BYTES_TO_COMPACT = 4 * 1024 * 1024;
+
   private final VoterId self;
   private final RaftTiming timing;
   private final RaftLog log;
@@ -45,6 +55,7 @@
   private Optional<VoterId> leader = Optional.empty();
   private long commitIndex;
   private long appliedIndex;
+  private long bytesSinceSnapshot;
   private long syncedIndex;
   private long syncedTerm;
   private long lastTicket;
@@ -215,7 +226,8 @@
             appliedIndex, last.term(), last.timeMillis(), log.votersAt(appliedIndex), state);
     snapshot = Optional.of(taken);
     unsavedSnapshot = taken;
-    log.compact(Math.max(log.baseIndex(), appliedIndex - TRAILING_ENTRIES));
+    bytesSinceSnapshot = 0;
+    log.compact(log.compactionIndex(appliedIndex, TRAILING_ENTRIES, TRAILING_BYTES));
     return flush();
   }
 
@@ -266,6 +278,19 @@
     return log.lastIndex();
   }
 
+  /**
+   * Returns whether a new snapshot is due. The limits on entries and bytes bound the replay after a
+   * restart and the memory and disk space that the log takes.
+   */
+  public boolean compactionDue() {
+    return entriesSinceSnapshot() >= ENTRIES_TO_COMPACT || bytesSinceSnapshot >= BYTES_TO_COMPACT;
+  }
+
+  /** Returns the number of log entries held in memory, applied or not. */
+  long entriesInMemory() {
+    return log.lastIndex() - log.baseIndex();
+  }
+
   /** Returns the number of entries that a restart would replay. */
   public long entriesSinceSnapshot() {
     return appliedIndex - snapshot.map(Snapshot::index).orElse(0L);
@@ -537,6 +562,7 @@
     truncatedBy = lastTicket + 1;
     commitIndex = installed.index();
     appliedIndex = installed.index();
+    bytesSinceSnapshot = 0;
     effects.add(new RaftEffect.Restore(installed));
   }
 
@@ -631,7 +657,9 @@
     List<LogEntry> committed = new ArrayList<>();
     while (appliedIndex < commitIndex) {
       appliedIndex++;
-      committed.add(log.entry(appliedIndex));
+      LogEntry entry = log.entry(appliedIndex);
+      bytesSinceSnapshot += entry.commandBytes();
+      committed.add(entry);
     }
     effects.add(new RaftEffect.Apply(committed));
   }
--- a/burdockbay-core/src/test/java/org/burdockbay/core/agreement/RaftNodeTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/agreement/RaftNodeTest.java
@@ -234,6 +234,25 @@
     assertEquals(acknowledged(effects), 1);
   }
 
+  /** Guards against large commands exhausting memory and disk before the entry limit is reached. */
+  @Test
+  public void compactsAtByteLimit() {
+    RaftNode leader = elected();
+    commitAll(leader);
+    Bytes large = Bytes.copyOf(new byte[(int) RaftNode.BYTES_TO_COMPACT / 8]);
+    for (int i = 0; i < 8; i++) {
+      assertFalse(leader.compactionDue(), "after " + i + " commands");
+      leader.propose(large, LATER);
+      leader.flush();
+      commitAll(leader);
+      leader.flush();
+    }
+    assertTrue(leader.compactionDue());
+    leader.compact(bytes("state"));
+    assertFalse(leader.compactionDue());
+    assertTrue(leader.entriesInMemory() <= 3, leader.entriesInMemory() + " entries in memory");
+  }
+
   private static RaftNode elected() {
     RaftNode node = new RaftNode(A, RecoveredLog.bootstrap(GROUP), TIMING, 1, 0);
     elect(node);
--- a/burdockbay-server/src/main/java/org/burdockbay/server/host/AgreementDriver.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/host/AgreementDriver.java
@@ -28,8 +28,6 @@
 /** Runs the agreement on a host with a data folder; used by the control thread only. */
 public final class AgreementDriver {
 
-  private static final long ENTRIES_TO_COMPACT = 10_000;
-
   private final RaftNode node;
   private final ControlState state = new ControlState();
   private final LogWriter writer;
@@ -191,7 +189,7 @@
   }
 
   private void compact() {
-    if (node.entriesSinceSnapshot() >= ENTRIES_TO_COMPACT) {
+    if (node.compactionDue()) {
       run(node.compact(ControlCodec.toBytes(state.image())));
     }
   }
