Compare ranks of full-sync senders directly

PeerSyncTracker compared two long values through a comparator of boxed ones, declared between its methods. The order is the same; no test changes.

--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/PeerSyncTracker.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/PeerSyncTracker.java
@@ -1,7 +1,6 @@
 package org.burdockbay.server.node;
 
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.OptionalLong;
@@ -62,13 +61,11 @@
     long rankedBefore =
         liveHosts.stream()
             .filter(other -> !other.equals(host) && !other.equals(self))
-            .filter(other -> RANK_ORDER.compare(rank(other, host), rank(self, host)) < 0)
+            .filter(other -> rank(other, host) < rank(self, host))
             .count();
     return hasDisk || rankedBefore < FULL_SYNC_SENDERS;
   }
 
-  private static final Comparator<Long> RANK_ORDER = Comparator.naturalOrder();
-
   /** Rendezvous hash; the senders with the lowest values rank first. */
   private static long rank(String sender, String host) {
     // Mixes the bits, because ids that differ only in the last digits have similar hash codes.
