--- a/burdockbay-server/src/main/java/org/burdockbay/server/host/AgreementStorage.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/host/AgreementStorage.java
@@ -5,18 +5,22 @@
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.burdockbay.core.agreement.GroupId;
+import org.burdockbay.core.agreement.LogEntry;
 import org.burdockbay.core.agreement.RaftMessage;
 import org.burdockbay.core.agreement.RaftNode;
 import org.burdockbay.core.agreement.RaftTiming;
 import org.burdockbay.core.agreement.RecoveredLog;
+import org.burdockbay.core.agreement.Snapshot;
 import org.burdockbay.core.agreement.VoterId;
 import org.burdockbay.core.clock.Clock;
 import org.burdockbay.core.control.ControlImage;
 import org.burdockbay.core.control.ControlState;
 import org.burdockbay.server.logging.EventLog;
 import org.burdockbay.server.storage.DataFolder;
+import org.burdockbay.server.storage.LogGap;
 import org.burdockbay.server.storage.LogStore;
 import org.burdockbay.server.storage.LogWriter;
+import org.burdockbay.server.storage.RecoveryReport;
 import org.burdockbay.server.storage.StorageException;
 
 /** Opens the data folder of a host and builds the agreement on it. */
@@ -53,14 +57,14 @@
       Path path, String cluster, String host, EventLog log, Consumer<Event> listener)
       throws StorageException {
     try {
-      return openFolder(path, cluster, host, listener);
+      return openFolder(path, cluster, host, log, listener);
     } catch (StorageException e) {
       if (e.fault() != StorageException.Fault.CORRUPT) {
         throw e;
       }
       Path aside = DataFolder.setAside(path);
       log.error("data-folder-corrupt", "set-aside=" + aside, e);
-      return openFolder(path, cluster, host, listener);
+      return openFolder(path, cluster, host, log, listener);
     }
   }
 
@@ -98,10 +102,12 @@
   }
 
   private static AgreementStorage openFolder(
-      Path path, String cluster, String host, Consumer<Event> listener) throws StorageException {
+      Path path, String cluster, String host, EventLog log, Consumer<Event> listener)
+      throws StorageException {
     DataFolder folder = DataFolder.open(path, cluster, host);
     try {
       LogStore store = new LogStore(folder.group(GroupId.CONTROL.number()), GroupId.CONTROL);
+      logOpened(folder, store, log);
       LogWriter writer =
           new LogWriter(
               store,
@@ -114,6 +120,41 @@
     }
   }
 
+  private static void logOpened(DataFolder folder, LogStore store, EventLog log) {
+    RecoveredLog recovered = store.recovered();
+    RecoveryReport report = store.report();
+    log.info(
+        "data-folder-opened",
+        "incarnation="
+            + folder.incarnation()
+            + " segments="
+            + report.firstSegment()
+            + "-"
+            + report.lastSegment()
+            + " snapshot="
+            + recovered.snapshot().map(Snapshot::index).orElse(0L)
+            + " entries="
+            + recovered.entries().stream().findFirst().map(LogEntry::index).orElse(0L)
+            + "-"
+            + (recovered.entries().isEmpty() ? 0 : recovered.entries().getLast().index())
+            + " term="
+            + recovered.hardState().term()
+            + " cut-bytes="
+            + report.cutBytes());
+    for (LogGap gap : report.gaps()) {
+      log.info(
+          "log-gap",
+          "read-up-to="
+              + gap.lastIndex()
+              + " term="
+              + gap.lastTerm()
+              + " segment-follows="
+              + gap.nextIndex()
+              + " next-term="
+              + gap.nextTerm());
+    }
+  }
+
   /** What the log writer tells. */
   public sealed interface Event {
 
--- a/burdockbay-server/src/main/java/org/burdockbay/server/storage/LogStore.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/storage/LogStore.java
@@ -39,6 +39,8 @@
   private final GroupId group;
   private final TreeMap<Long, Path> segments = new TreeMap<>();
   private final RecoveredLog recovered;
+  private final RecoveryReport report;
+  private int cutBytes;
   private HardState hardState = HardState.INITIAL;
   private long lastIndex;
   private long lastTerm;
@@ -55,7 +57,10 @@
     this.group = group;
     try {
       Files.createDirectories(folder);
-      this.recovered = load();
+      findSegments();
+      SegmentReader reader = readSegments();
+      this.recovered = recover(reader);
+      this.report = reportOf(reader);
       this.channel = startSegment();
     } catch (IOException e) {
       throw new StorageException(Fault.FAILED, folder + " can't be opened: " + e, e);
@@ -67,6 +72,11 @@
     return recovered;
   }
 
+  /** Returns what was found in the files when they were opened. */
+  public RecoveryReport report() {
+    return report;
+  }
+
   /**
    * Writes what the effects carry, in their order, and syncs once.
    *
@@ -172,7 +182,7 @@
     return reader.lastIndex();
   }
 
-  private RecoveredLog load() throws IOException, StorageException {
+  private void findSegments() throws IOException {
     try (Stream<Path> files = Files.list(folder)) {
       for (Path file : files.sorted().toList()) {
         String name = file.getFileName().toString();
@@ -181,10 +191,23 @@
         }
       }
     }
+  }
+
+  private SegmentReader readSegments() throws IOException, StorageException {
     SegmentReader reader = new SegmentReader(group);
     for (Path segment : segments.values()) {
       readSegment(segment, reader);
     }
+    return reader;
+  }
+
+  private RecoveryReport reportOf(SegmentReader reader) {
+    long first = segments.isEmpty() ? 0 : segments.firstKey();
+    long last = segments.isEmpty() ? 0 : segments.lastKey();
+    return new RecoveryReport(first, last, cutBytes, reader.gaps());
+  }
+
+  private RecoveredLog recover(SegmentReader reader) throws StorageException {
     Optional<Snapshot> snapshot = loadSnapshot();
     List<LogEntry> entries = new ArrayList<>();
     if (snapshot.isEmpty()) {
@@ -212,6 +235,7 @@
         throw new StorageException(
             Fault.CORRUPT, segment + " is corrupt at byte " + content.goodBytes());
       }
+      cutBytes = content.fileBytes() - content.goodBytes();
       try (FileChannel cut = FileChannel.open(segment, StandardOpenOption.WRITE)) {
         cut.truncate(content.goodBytes());
         cut.force(true);
--- a/burdockbay-server/src/main/java/org/burdockbay/server/storage/SegmentReader.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/storage/SegmentReader.java
@@ -13,6 +13,7 @@
 
   private final GroupId group;
   private final List<LogEntry> entries = new ArrayList<>();
+  private final List<LogGap> gaps = new ArrayList<>();
   private HardState hardState = HardState.INITIAL;
   private long baseIndex;
   private long baseTerm;
@@ -28,6 +29,7 @@
     }
     if (index != lastIndex() || term != lastTerm()) {
       // The log was replaced by a snapshot here, or the segments before were deleted.
+      gaps.add(new LogGap(lastIndex(), lastTerm(), index, term));
       entries.clear();
       baseIndex = index;
       baseTerm = term;
@@ -57,6 +59,10 @@
     return entries;
   }
 
+  List<LogGap> gaps() {
+    return gaps;
+  }
+
   HardState lastHardState() {
     return hardState;
   }
