Put the file operations of a data folder behind an interface

Stores called the operating system's files directly, so no test could tell what a kill leaves from what a power loss leaves. Disk names the operations and what is durable after each; FileDisk carries them out as before.

--- a/burdockbay-server/src/main/java/org/burdockbay/server/storage/DataFolder.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/storage/DataFolder.java
@@ -1,16 +1,12 @@
 package org.burdockbay.server.storage;
 
 import com.google.protobuf.InvalidProtocolBufferException;
+import java.io.Closeable;
 import java.io.IOException;
-import java.nio.channels.FileChannel;
-import java.nio.channels.FileLock;
-import java.nio.channels.OverlappingFileLockException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
-import java.nio.file.StandardOpenOption;
 import java.security.SecureRandom;
-import java.util.stream.Stream;
 import org.burdockbay.server.storage.StorageException.Fault;
 import org.burdockbay.wire.proto.Wire;
 
@@ -27,14 +23,15 @@
 
   private static final int FORMAT = 1;
   private static final String IDENTITY = "identity";
+  private static final String LOCK = "lock";
 
   private final Path path;
-  private final FileChannel lockChannel;
+  private final Closeable lock;
   private final Wire.FolderIdentity identity;
 
-  private DataFolder(Path path, FileChannel lockChannel, Wire.FolderIdentity identity) {
+  private DataFolder(Path path, Closeable lock, Wire.FolderIdentity identity) {
     this.path = path;
-    this.lockChannel = lockChannel;
+    this.lock = lock;
     this.identity = identity;
   }
 
@@ -45,10 +42,10 @@
    */
   public static DataFolder bootstrap(Path path, String cluster, String host)
       throws StorageException {
-    if (Files.exists(path.resolve(IDENTITY))) {
+    if (FileDisk.INSTANCE.exists(path.resolve(IDENTITY))) {
       throw new StorageException(Fault.FOREIGN, path + " is in use already; not initialised again");
     }
-    return openOrCreate(path, cluster, host, BOOTSTRAP_INCARNATION);
+    return openOrCreate(FileDisk.INSTANCE, path, cluster, host, BOOTSTRAP_INCARNATION);
   }
 
   /**
@@ -57,8 +54,13 @@
    * @throws StorageException if it belongs to another host or another process uses it
    */
   public static DataFolder open(Path path, String cluster, String host) throws StorageException {
+    return open(FileDisk.INSTANCE, path, cluster, host);
+  }
+
+  static DataFolder open(Disk disk, Path path, String cluster, String host)
+      throws StorageException {
     long incarnation = new SecureRandom().nextLong(2, Long.MAX_VALUE);
-    return openOrCreate(path, cluster, host, incarnation);
+    return openOrCreate(disk, path, cluster, host, incarnation);
   }
 
   /**
@@ -88,49 +90,37 @@
   @Override
   public void close() throws StorageException {
     try {
-      lockChannel.close();
+      lock.close();
     } catch (IOException e) {
       throw new StorageException(Fault.FAILED, path + " can't be closed", e);
     }
   }
 
   private static DataFolder openOrCreate(
-      Path path, String cluster, String host, long newIncarnation) throws StorageException {
+      Disk disk, Path path, String cluster, String host, long newIncarnation)
+      throws StorageException {
     try {
-      Files.createDirectories(path);
-      FileChannel lockChannel = lock(path);
+      disk.createFolders(path);
+      Closeable lock =
+          disk.lock(path.resolve(LOCK))
+              .orElseThrow(
+                  () ->
+                      new StorageException(Fault.FOREIGN, path + " is in use by another process"));
       Path file = path.resolve(IDENTITY);
-      if (!Files.exists(file)) {
-        create(path, file, cluster, host, newIncarnation);
+      if (!disk.exists(file)) {
+        create(disk, path, file, cluster, host, newIncarnation);
       }
-      return new DataFolder(path, lockChannel, identity(file, cluster, host));
+      return new DataFolder(path, lock, identity(disk, file, cluster, host));
     } catch (IOException e) {
       throw new StorageException(Fault.FAILED, path + " can't be opened: " + e, e);
     }
   }
 
-  private static FileChannel lock(Path path) throws IOException, StorageException {
-    FileChannel channel =
-        FileChannel.open(path.resolve("lock"), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
-    FileLock lock;
-    try {
-      lock = channel.tryLock();
-    } catch (OverlappingFileLockException e) {
-      lock = null;
-    }
-    if (lock == null) {
-      channel.close();
-      throw new StorageException(Fault.FOREIGN, path + " is in use by another process");
-    }
-    return channel;
-  }
-
-  private static void create(Path path, Path file, String cluster, String host, long incarnation)
+  private static void create(
+      Disk disk, Path path, Path file, String cluster, String host, long incarnation)
       throws IOException, StorageException {
-    try (Stream<Path> content = Files.list(path)) {
-      if (content.anyMatch(entry -> !entry.getFileName().toString().equals("lock"))) {
-        throw new StorageException(Fault.FOREIGN, path + " is not empty and has no identity");
-      }
+    if (disk.list(path).stream().anyMatch(entry -> !entry.getFileName().toString().equals(LOCK))) {
+      throw new StorageException(Fault.FOREIGN, path + " is not empty and has no identity");
     }
     Wire.FolderIdentity identity =
         Wire.FolderIdentity.newBuilder()
@@ -139,15 +129,12 @@
             .setHost(host)
             .setIncarnation(incarnation)
             .build();
-    Path draft = path.resolve(IDENTITY + ".new");
-    RecordFile.writeWhole(draft, identity.toByteArray());
-    Files.move(draft, file, StandardCopyOption.ATOMIC_MOVE);
-    RecordFile.syncFolder(path);
+    RecordFile.replace(disk, file, identity.toByteArray());
   }
 
-  private static Wire.FolderIdentity identity(Path file, String cluster, String host)
+  private static Wire.FolderIdentity identity(Disk disk, Path file, String cluster, String host)
       throws StorageException {
-    RecordFile.Content content = RecordFile.read(file);
+    RecordFile.Content content = RecordFile.read(disk, file);
     if (content.records().size() != 1) {
       throw new StorageException(Fault.CORRUPT, file + " holds no identity");
     }
--- a/burdockbay-server/src/main/java/org/burdockbay/server/storage/EpochFile.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/storage/EpochFile.java
@@ -2,9 +2,7 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
 import java.util.List;
 import org.burdockbay.core.shard.ShardLayout;
 import org.burdockbay.server.storage.StorageException.Fault;
@@ -21,11 +19,17 @@
 
   private static final String NAME = "epoch";
 
-  private final Path folder;
+  private final Disk disk;
+  private final Path file;
 
   /** Names the file in a data folder. */
   public EpochFile(Path folder) {
-    this.folder = folder;
+    this(FileDisk.INSTANCE, folder);
+  }
+
+  EpochFile(Disk disk, Path folder) {
+    this.disk = disk;
+    this.file = folder.resolve(NAME);
   }
 
   /**
@@ -46,11 +50,10 @@
    * @throws StorageException if the file is there and can't be read
    */
   public Content read() throws StorageException {
-    Path file = folder.resolve(NAME);
-    if (!Files.exists(file)) {
+    if (!disk.exists(file)) {
       return Content.NONE;
     }
-    List<byte[]> records = RecordFile.read(file).records();
+    List<byte[]> records = RecordFile.read(disk, file).records();
     if (records.size() != 1) {
       throw new StorageException(Fault.CORRUPT, file + " holds " + records.size() + " records");
     }
@@ -64,8 +67,7 @@
 
   private ShardLayout layout(int shardsPerDomain) throws StorageException {
     if (shardsPerDomain < 0) {
-      throw new StorageException(
-          Fault.CORRUPT, folder.resolve(NAME) + " holds " + shardsPerDomain + " shards");
+      throw new StorageException(Fault.CORRUPT, file + " holds " + shardsPerDomain + " shards");
     }
     return new ShardLayout(shardsPerDomain);
   }
@@ -76,15 +78,12 @@
    * @throws StorageException if it can't be saved
    */
   public void write(Content content) throws StorageException {
-    Path draft = folder.resolve(NAME + ".new");
     ByteBuffer record = ByteBuffer.allocate(Long.BYTES + Integer.BYTES);
     record.putLong(content.epoch()).putInt(content.layout().shardsPerDomain());
     try {
-      RecordFile.writeWhole(draft, record.array());
-      Files.move(draft, folder.resolve(NAME), StandardCopyOption.ATOMIC_MOVE);
-      RecordFile.syncFolder(folder);
+      RecordFile.replace(disk, file, record.array());
     } catch (IOException e) {
-      throw new StorageException(Fault.FAILED, folder.resolve(NAME) + " can't be written", e);
+      throw new StorageException(Fault.FAILED, file + " can't be written", e);
     }
   }
 }
--- a/burdockbay-server/src/main/java/org/burdockbay/server/storage/LogStore.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/storage/LogStore.java
@@ -1,17 +1,11 @@
 package org.burdockbay.server.storage;
 
 import java.io.IOException;
-import java.nio.ByteBuffer;
-import java.nio.channels.FileChannel;
-import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
-import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.TreeMap;
-import java.util.stream.Stream;
 import org.burdockbay.core.agreement.GroupId;
 import org.burdockbay.core.agreement.HardState;
 import org.burdockbay.core.agreement.LogEntry;
@@ -35,6 +29,7 @@
   private static final String SEGMENT = "segment-";
   private static final String SNAPSHOT = "snapshot";
 
+  private final Disk disk;
   private final Path folder;
   private final GroupId group;
   private final TreeMap<Long, Path> segments = new TreeMap<>();
@@ -44,7 +39,7 @@
   private HardState hardState = HardState.INITIAL;
   private long lastIndex;
   private long lastTerm;
-  private FileChannel channel;
+  private Disk.Writer segment;
   private boolean failed;
 
   /**
@@ -53,15 +48,20 @@
    * @throws StorageException if they are corrupt or can't be read
    */
   public LogStore(Path folder, GroupId group) throws StorageException {
+    this(FileDisk.INSTANCE, folder, group);
+  }
+
+  LogStore(Disk disk, Path folder, GroupId group) throws StorageException {
+    this.disk = disk;
     this.folder = folder;
     this.group = group;
     try {
-      Files.createDirectories(folder);
+      disk.createFolders(folder);
       findSegments();
       SegmentReader reader = readSegments();
       this.recovered = recover(reader);
       this.report = reportOf(reader);
-      this.channel = startSegment();
+      this.segment = startSegment();
     } catch (IOException e) {
       throw new StorageException(Fault.FAILED, folder + " can't be opened: " + e, e);
     }
@@ -90,7 +90,7 @@
       for (RaftEffect.Persist persist : batch) {
         writeOne(persist);
       }
-      channel.force(false);
+      segment.sync();
     } catch (IOException e) {
       failed = true;
       throw new StorageException(Fault.FAILED, folder + " can't be written: " + e, e);
@@ -100,7 +100,7 @@
   @Override
   public void close() throws StorageException {
     try {
-      channel.close();
+      segment.close();
     } catch (IOException e) {
       throw new StorageException(Fault.FAILED, folder + " can't be closed", e);
     }
@@ -125,78 +125,65 @@
   }
 
   private void writeSnapshot(Snapshot snapshot) throws IOException {
-    channel.force(false);
-    Path draft = folder.resolve(SNAPSHOT + ".new");
-    RecordFile.writeWhole(draft, LogRecordCodec.snapshot(snapshot));
-    Files.move(draft, folder.resolve(SNAPSHOT), StandardCopyOption.ATOMIC_MOVE);
-    RecordFile.syncFolder(folder);
+    segment.sync();
+    RecordFile.replace(disk, folder.resolve(SNAPSHOT), LogRecordCodec.snapshot(snapshot));
     if (snapshot.index() > lastIndex) {
       lastIndex = snapshot.index();
       lastTerm = snapshot.term();
     }
-    channel.close();
-    channel = startSegment();
+    segment.close();
+    segment = startSegment();
     // A segment whose successor begins at or before the snapshot holds nothing that is needed.
     while (segments.size() > 1) {
       long next = segments.higherKey(segments.firstKey());
       if (baseOf(segments.get(next)) > snapshot.index()) {
         break;
       }
-      Files.deleteIfExists(segments.pollFirstEntry().getValue());
+      disk.delete(segments.pollFirstEntry().getValue());
     }
   }
 
-  private FileChannel startSegment() throws IOException {
+  private Disk.Writer startSegment() throws IOException {
     long number = segments.isEmpty() ? 1 : segments.lastKey() + 1;
     Path file = folder.resolve(String.format("%s%012d", SEGMENT, number));
     segments.put(number, file);
-    FileChannel opened =
-        FileChannel.open(
-            file,
-            StandardOpenOption.CREATE,
-            StandardOpenOption.WRITE,
-            StandardOpenOption.TRUNCATE_EXISTING);
-    channel = opened;
+    Disk.Writer opened = disk.create(file);
+    segment = opened;
     append(LogRecordCodec.base(group.number(), lastIndex, lastTerm));
     append(LogRecordCodec.hardState(hardState));
-    opened.force(true);
-    RecordFile.syncFolder(folder);
+    opened.sync();
+    disk.syncFolder(folder);
     return opened;
   }
 
   private void append(byte[] payload) throws IOException {
-    ByteBuffer buffer = RecordFile.frame(payload);
-    while (buffer.hasRemaining()) {
-      channel.write(buffer);
-    }
+    segment.write(RecordFile.frame(payload));
   }
 
-  private long baseOf(Path segment) throws IOException {
+  private long baseOf(Path file) throws IOException {
     SegmentReader reader = new SegmentReader(group);
     try {
-      List<byte[]> records = RecordFile.read(segment).records();
+      List<byte[]> records = RecordFile.read(disk, file).records();
       LogRecordCodec.decode(records.getFirst(), reader);
     } catch (StorageException | WireException e) {
-      throw new IOException(segment + " has no readable head", e);
+      throw new IOException(file + " has no readable head", e);
     }
     return reader.lastIndex();
   }
 
   private void findSegments() throws IOException {
-    try (Stream<Path> files = Files.list(folder)) {
-      for (Path file : files.sorted().toList()) {
-        String name = file.getFileName().toString();
-        if (name.startsWith(SEGMENT)) {
-          segments.put(Long.parseLong(name.substring(SEGMENT.length())), file);
-        }
+    for (Path file : disk.list(folder)) {
+      String name = file.getFileName().toString();
+      if (name.startsWith(SEGMENT)) {
+        segments.put(Long.parseLong(name.substring(SEGMENT.length())), file);
       }
     }
   }
 
   private SegmentReader readSegments() throws IOException, StorageException {
     SegmentReader reader = new SegmentReader(group);
-    for (Path segment : segments.values()) {
-      readSegment(segment, reader);
+    for (Path file : segments.values()) {
+      readSegment(file, reader);
     }
     return reader;
   }
@@ -226,36 +213,32 @@
     return new RecoveredLog(hardState, snapshot, entries);
   }
 
-  private void readSegment(Path segment, SegmentReader reader)
-      throws IOException, StorageException {
-    RecordFile.Content content = RecordFile.read(segment);
-    boolean last = segment.equals(segments.lastEntry().getValue());
+  private void readSegment(Path file, SegmentReader reader) throws IOException, StorageException {
+    RecordFile.Content content = RecordFile.read(disk, file);
+    boolean last = file.equals(segments.lastEntry().getValue());
     if (content.torn()) {
       if (!last) {
         throw new StorageException(
-            Fault.CORRUPT, segment + " is corrupt at byte " + content.goodBytes());
+            Fault.CORRUPT, file + " is corrupt at byte " + content.goodBytes());
       }
       cutBytes = content.fileBytes() - content.goodBytes();
-      try (FileChannel cut = FileChannel.open(segment, StandardOpenOption.WRITE)) {
-        cut.truncate(content.goodBytes());
-        cut.force(true);
-      }
+      disk.truncate(file, content.goodBytes());
     }
     for (byte[] record : content.records()) {
       try {
         LogRecordCodec.decode(record, reader);
       } catch (WireException e) {
-        throw new StorageException(Fault.CORRUPT, segment + ": " + e.getMessage(), e);
+        throw new StorageException(Fault.CORRUPT, file + ": " + e.getMessage(), e);
       }
     }
   }
 
   private Optional<Snapshot> loadSnapshot() throws StorageException {
     Path file = folder.resolve(SNAPSHOT);
-    if (!Files.exists(file)) {
+    if (!disk.exists(file)) {
       return Optional.empty();
     }
-    RecordFile.Content content = RecordFile.read(file);
+    RecordFile.Content content = RecordFile.read(disk, file);
     if (content.torn() || content.records().size() != 1) {
       throw new StorageException(Fault.CORRUPT, file + " is not whole");
     }
--- a/burdockbay-server/src/main/java/org/burdockbay/server/storage/RecordFile.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/storage/RecordFile.java
@@ -2,10 +2,7 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.nio.channels.FileChannel;
-import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.zip.CRC32C;
@@ -36,10 +33,10 @@
    *
    * @throws StorageException if a record is corrupt
    */
-  static Content read(Path file) throws StorageException {
+  static Content read(Disk disk, Path file) throws StorageException {
     byte[] bytes;
     try {
-      bytes = Files.readAllBytes(file);
+      bytes = disk.read(file);
     } catch (IOException e) {
       throw new StorageException(StorageException.Fault.FAILED, file + " can't be read", e);
     }
@@ -63,26 +60,19 @@
   }
 
   /** Writes one record to a new file and syncs it. */
-  static void writeWhole(Path file, byte[] payload) throws IOException {
-    try (FileChannel channel =
-        FileChannel.open(
-            file,
-            StandardOpenOption.CREATE,
-            StandardOpenOption.WRITE,
-            StandardOpenOption.TRUNCATE_EXISTING)) {
-      ByteBuffer buffer = frame(payload);
-      while (buffer.hasRemaining()) {
-        channel.write(buffer);
-      }
-      channel.force(true);
+  static void writeWhole(Disk disk, Path file, byte[] payload) throws IOException {
+    try (Disk.Writer writer = disk.create(file)) {
+      writer.write(frame(payload));
+      writer.sync();
     }
   }
 
-  /** Makes the names in a folder durable. */
-  static void syncFolder(Path folder) throws IOException {
-    try (FileChannel channel = FileChannel.open(folder, StandardOpenOption.READ)) {
-      channel.force(true);
-    }
+  /** Replaces a file by one record; the name is durable when this returns. */
+  static void replace(Disk disk, Path file, byte[] payload) throws IOException {
+    Path draft = file.resolveSibling(file.getFileName() + ".new");
+    writeWhole(disk, draft, payload);
+    disk.move(draft, file);
+    disk.syncFolder(file.getParent());
   }
 
   /** Returns the end of the record at a position, or -1 if no whole, correct record is there. */
--- a/burdockbay-server/src/test/java/org/burdockbay/server/storage/EpochFileTest.java
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/storage/EpochFileTest.java
@@ -50,7 +50,7 @@
   @Test
   public void readsEpochsThatWereSavedWithoutLayout() throws IOException, StorageException {
     byte[] epoch = ByteBuffer.allocate(Long.BYTES).putLong(1L << 52).array();
-    RecordFile.writeWhole(folder.resolve("epoch"), epoch);
+    RecordFile.writeWhole(FileDisk.INSTANCE, folder.resolve("epoch"), epoch);
     assertEquals(
         new EpochFile(folder).read(), new EpochFile.Content(1L << 52, ShardLayout.UNDIVIDED));
   }
