Failing tests: what a data folder holds after kills and power losses

ModelDisk keeps what was written apart from what was synced, for content and for names, and ends the process at any operation.

--- /dev/null
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/storage/LogStoreFuzzTest.java
@@ -0,0 +1,220 @@
+package org.burdockbay.server.storage;
+
+import static org.testng.Assert.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.SplittableRandom;
+import org.burdockbay.core.agreement.Bytes;
+import org.burdockbay.core.agreement.EntryContent;
+import org.burdockbay.core.agreement.GroupId;
+import org.burdockbay.core.agreement.HardState;
+import org.burdockbay.core.agreement.LogEntry;
+import org.burdockbay.core.agreement.RaftEffect;
+import org.burdockbay.core.agreement.RecoveredLog;
+import org.burdockbay.core.agreement.Snapshot;
+import org.burdockbay.core.agreement.VoterId;
+import org.burdockbay.core.agreement.VoterSet;
+import org.testng.annotations.Test;
+
+/** Kills and power losses at any operation, compared with a list of the states that may be left. */
+public class LogStoreFuzzTest {
+
+  private static final Path FOLDER = Path.of("/data/group-1");
+  private static final int SEEDS = 400 * Integer.getInteger("fuzz.factor", 1);
+  private static final long FIRST_SEED = Long.getLong("fuzz.seed", 1);
+  private static final int LIVES = 12;
+
+  /** What was written and synced, or read back, is there after the next start. */
+  @Test
+  public void keepsWhatWasSyncedOrReadBack() throws StorageException {
+    for (long seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed++) {
+      new Play(seed).run();
+    }
+  }
+
+  /** One disk and the processes that follow each other on it. */
+  private static final class Play {
+
+    private final long seed;
+    private final SplittableRandom random;
+    private final ModelDisk disk;
+    private List<RecoveredLog> possible = List.of(RecoveredLog.EMPTY);
+    private long committed;
+
+    Play(long seed) {
+      this.seed = seed;
+      this.random = new SplittableRandom(seed);
+      this.disk = new ModelDisk(seed);
+    }
+
+    void run() throws StorageException {
+      for (int life = 0; life < LIVES; life++) {
+        try {
+          live();
+        } catch (ModelDisk.ProcessKilled e) {
+          disk.restart();
+        }
+        switch (random.nextInt(3)) {
+          case 0 -> disk.losePower();
+          case 1 -> disk.losePowerAtRandom();
+          default -> {
+            // The process alone was killed.
+          }
+        }
+      }
+    }
+
+    private void live() throws StorageException {
+      if (random.nextInt(3) > 0) {
+        disk.killAfter(random.nextInt(60));
+      }
+      LogStore store = new LogStore(disk, FOLDER, GroupId.CONTROL);
+      RecoveredLog recovered = store.recovered();
+      assertTrue(
+          possible.contains(recovered),
+          "seed " + seed + ": found " + recovered + ", expected one of " + possible);
+      possible = List.of(recovered);
+      committed = Math.max(baseOf(recovered), Math.min(committed, lastOf(recovered)));
+      for (int write = random.nextInt(8); write > 0; write--) {
+        List<RaftEffect.Persist> batch = batch(possible.getLast());
+        possible = statesDuring(batch, possible.getLast());
+        store.write(batch);
+        possible = List.of(possible.getLast());
+        committed += random.nextLong(lastOf(possible.getLast()) - committed + 1);
+      }
+    }
+
+    private List<RaftEffect.Persist> batch(RecoveredLog before) {
+      List<RaftEffect.Persist> batch = new ArrayList<>();
+      RecoveredLog state = before;
+      for (int count = 1 + random.nextInt(2); count > 0; count--) {
+        RaftEffect.Persist next = persist(state);
+        batch.add(next);
+        state = statesDuring(List.of(next), state).getLast();
+      }
+      return batch;
+    }
+
+    private RaftEffect.Persist persist(RecoveredLog state) {
+      return switch (random.nextInt(8)) {
+        case 0 -> compaction(state);
+        case 1 -> replacement(state);
+        case 2 -> overwrite(state);
+        default -> appends(state, Optional.empty());
+      };
+    }
+
+    private RaftEffect.Persist appends(RecoveredLog state, Optional<Snapshot> snapshot) {
+      HardState hardState = state.hardState();
+      if (hardState.term() == 0 || random.nextInt(4) == 0) {
+        hardState = new HardState(hardState.term() + 1, Optional.of(new VoterId("b", 1)));
+      }
+      return new RaftEffect.Persist(
+          1,
+          Optional.of(hardState).filter(changed -> !changed.equals(state.hardState())),
+          snapshot,
+          OptionalLong.empty(),
+          entries(lastOf(state) + 1, hardState.term(), random.nextInt(4)));
+    }
+
+    private RaftEffect.Persist compaction(RecoveredLog state) {
+      List<LogEntry> applied =
+          state.entries().stream().filter(entry -> entry.index() <= committed).toList();
+      if (applied.isEmpty()) {
+        return appends(state, Optional.empty());
+      }
+      LogEntry last = applied.get(random.nextInt(applied.size()));
+      return appends(state, Optional.of(snapshot(last.index(), last.term())));
+    }
+
+    private RaftEffect.Persist replacement(RecoveredLog state) {
+      long index = committed + 1 + random.nextLong(4);
+      long term = state.hardState().term() + 1;
+      HardState hardState = new HardState(term, Optional.empty());
+      Snapshot snapshot = snapshot(index, term);
+      committed = index;
+      return new RaftEffect.Persist(
+          1, Optional.of(hardState), Optional.of(snapshot), OptionalLong.empty(), List.of());
+    }
+
+    private RaftEffect.Persist overwrite(RecoveredLog state) {
+      if (lastOf(state) <= committed) {
+        return appends(state, Optional.empty());
+      }
+      long from = committed + 1 + random.nextLong(lastOf(state) - committed);
+      long term = state.hardState().term() + 1;
+      return new RaftEffect.Persist(
+          1,
+          Optional.of(new HardState(term, Optional.empty())),
+          Optional.empty(),
+          OptionalLong.of(from),
+          entries(from, term, 1 + random.nextInt(3)));
+    }
+
+    private List<LogEntry> entries(long from, long term, int count) {
+      List<LogEntry> entries = new ArrayList<>();
+      for (long index = from; index < from + count; index++) {
+        byte[] data = "x".repeat(1 + random.nextInt(40)).getBytes(StandardCharsets.UTF_8);
+        entries.add(new LogEntry(index, term, 0, new EntryContent.Command(Bytes.copyOf(data))));
+      }
+      return entries;
+    }
+
+    private static Snapshot snapshot(long index, long term) {
+      return new Snapshot(index, term, 0, VoterSet.EMPTY, Bytes.EMPTY);
+    }
+  }
+
+  /** Returns the state before the batch and after each of its records. */
+  private static List<RecoveredLog> statesDuring(
+      List<RaftEffect.Persist> batch, RecoveredLog before) {
+    List<RecoveredLog> states = new ArrayList<>(List.of(before));
+    for (RaftEffect.Persist persist : batch) {
+      persist.hardState().ifPresent(state -> states.add(with(states.getLast(), state)));
+      persist.snapshot().ifPresent(snapshot -> states.add(with(states.getLast(), snapshot)));
+      persist.truncateFrom().ifPresent(index -> states.add(truncated(states.getLast(), index)));
+      persist.entries().forEach(entry -> states.add(with(states.getLast(), entry)));
+    }
+    return states;
+  }
+
+  private static RecoveredLog with(RecoveredLog state, HardState hardState) {
+    return new RecoveredLog(hardState, state.snapshot(), state.entries());
+  }
+
+  private static RecoveredLog with(RecoveredLog state, Snapshot snapshot) {
+    boolean compacts =
+        state.entries().stream()
+            .anyMatch(
+                entry -> entry.index() == snapshot.index() && entry.term() == snapshot.term());
+    List<LogEntry> kept =
+        state.entries().stream()
+            .filter(entry -> compacts && entry.index() > snapshot.index())
+            .toList();
+    return new RecoveredLog(state.hardState(), Optional.of(snapshot), kept);
+  }
+
+  private static RecoveredLog with(RecoveredLog state, LogEntry entry) {
+    List<LogEntry> entries = new ArrayList<>(state.entries());
+    entries.add(entry);
+    return new RecoveredLog(state.hardState(), state.snapshot(), entries);
+  }
+
+  private static RecoveredLog truncated(RecoveredLog state, long index) {
+    List<LogEntry> kept = state.entries().stream().filter(entry -> entry.index() < index).toList();
+    return new RecoveredLog(state.hardState(), state.snapshot(), kept);
+  }
+
+  private static long baseOf(RecoveredLog log) {
+    return log.snapshot().map(Snapshot::index).orElse(0L);
+  }
+
+  private static long lastOf(RecoveredLog log) {
+    return log.entries().isEmpty() ? baseOf(log) : log.entries().getLast().index();
+  }
+}
--- /dev/null
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/storage/ModelDisk.java
@@ -0,0 +1,291 @@
+package org.burdockbay.server.storage;
+
+import java.io.Closeable;
+import java.io.FileNotFoundException;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.function.IntPredicate;
+import org.burdockbay.core.agreement.Bytes;
+
+/** A disk in memory whose process can be killed and whose power can fail at any operation. */
+final class ModelDisk implements Disk {
+
+  private static final Path ROOT = Path.of("/");
+
+  private final SplittableRandom random;
+  private final List<NameChange> unsyncedNames = new ArrayList<>();
+  private TreeMap<Path, Inode> names = new TreeMap<>();
+  private TreeMap<Path, Inode> durableNames = new TreeMap<>();
+  private int operationsLeft = Integer.MAX_VALUE;
+
+  ModelDisk(long seed) {
+    this.random = new SplittableRandom(seed);
+    names.put(ROOT, new Inode());
+    durableNames.put(ROOT, names.get(ROOT));
+  }
+
+  /** Lets the process end at the operation after the next {@code operations}. */
+  void killAfter(int operations) {
+    operationsLeft = operations;
+  }
+
+  /** Lets a new process use the disk. */
+  void restart() {
+    operationsLeft = Integer.MAX_VALUE;
+  }
+
+  /** Loses everything that wasn't synced. */
+  void losePower() {
+    endPower(change -> false);
+  }
+
+  /** Loses one unsynced write of each file, by its place among these, and keeps the others. */
+  void losePowerAndWrite(int lost) {
+    endPower(change -> change != lost);
+  }
+
+  /** Keeps, loses or tears each unsynced write, and keeps or loses each unsynced name. */
+  void losePowerAtRandom() {
+    endPower(change -> random.nextBoolean());
+  }
+
+  /** Creates a folder whose name isn't lost. */
+  void createFoldersDurably(Path folder) {
+    names.put(folder, new Inode());
+    durableNames.put(folder, names.get(folder));
+  }
+
+  /** Changes bytes of a file, as a defect of the disk does. */
+  void damage(Path file, int offset, byte[] bytes) throws IOException {
+    Inode inode = inode(file);
+    inode.apply(new ContentChange(offset, Bytes.copyOf(bytes)));
+    inode.sync();
+  }
+
+  private void endPower(IntPredicate kept) {
+    restart();
+    for (int change = 0; change < unsyncedNames.size(); change++) {
+      if (kept.test(change)) {
+        unsyncedNames.get(change).effect.accept(durableNames);
+      }
+    }
+    unsyncedNames.clear();
+    durableNames.keySet().removeIf(path -> !reachable(path));
+    names = new TreeMap<>(durableNames);
+    names.values().forEach(inode -> inode.losePower(kept, random));
+  }
+
+  private boolean reachable(Path path) {
+    return path.equals(ROOT)
+        || (durableNames.containsKey(path.getParent()) && reachable(path.getParent()));
+  }
+
+  @Override
+  public void createFolders(Path folder) throws IOException {
+    if (!exists(folder)) {
+      createFolders(folder.getParent());
+      operation();
+      bind(folder, new Inode());
+    }
+  }
+
+  @Override
+  public boolean exists(Path path) {
+    return names.containsKey(path);
+  }
+
+  @Override
+  public List<Path> list(Path folder) {
+    return names.keySet().stream()
+        .filter(path -> folder.equals(path.getParent()))
+        .sorted(Comparator.naturalOrder())
+        .toList();
+  }
+
+  @Override
+  public byte[] read(Path file) throws IOException {
+    return inode(file).content.clone();
+  }
+
+  @Override
+  public Optional<Closeable> lock(Path file) throws IOException {
+    create(file);
+    return Optional.of(() -> {});
+  }
+
+  @Override
+  public Writer create(Path file) throws IOException {
+    operation();
+    Inode inode = names.get(file);
+    if (inode == null) {
+      inode = new Inode();
+      bind(file, inode);
+    } else {
+      inode.resize(0);
+    }
+    return new InodeWriter(inode);
+  }
+
+  @Override
+  public void truncate(Path file, long size) throws IOException {
+    operation();
+    inode(file).resize((int) size);
+    sync(file);
+  }
+
+  @Override
+  public void move(Path from, Path to) throws IOException {
+    operation();
+    Inode inode = inode(from);
+    change(
+        to.getParent(),
+        bindings -> {
+          bindings.remove(from);
+          bindings.put(to, inode);
+        });
+  }
+
+  @Override
+  public void delete(Path file) {
+    operation();
+    change(file.getParent(), bindings -> bindings.remove(file));
+  }
+
+  @Override
+  public void syncFolder(Path folder) {
+    operation();
+    unsyncedNames.stream()
+        .filter(change -> change.folder.equals(folder))
+        .forEach(change -> change.effect.accept(durableNames));
+    unsyncedNames.removeIf(change -> change.folder.equals(folder));
+  }
+
+  private void sync(Path file) throws IOException {
+    operation();
+    inode(file).sync();
+  }
+
+  private void bind(Path path, Inode inode) {
+    change(path.getParent(), bindings -> bindings.put(path, inode));
+  }
+
+  private void change(Path folder, Consumer<Map<Path, Inode>> effect) {
+    effect.accept(names);
+    unsyncedNames.add(new NameChange(folder, effect));
+  }
+
+  private Inode inode(Path path) throws IOException {
+    Inode inode = names.get(path);
+    if (inode == null) {
+      throw new FileNotFoundException(path.toString());
+    }
+    return inode;
+  }
+
+  private void operation() {
+    if (operationsLeft <= 0) {
+      throw new ProcessKilled();
+    }
+    operationsLeft--;
+  }
+
+  /** Ends the process at an operation; what was done before stays visible. */
+  static final class ProcessKilled extends RuntimeException {
+
+    private static final long serialVersionUID = 1L;
+  }
+
+  private record NameChange(Path folder, Consumer<Map<Path, Inode>> effect) {}
+
+  /** An unsynced write, or an unsynced change of the size if there are no bytes. */
+  private record ContentChange(int offset, Bytes bytes) {
+
+    boolean resizes() {
+      return bytes.size() == 0;
+    }
+
+    byte[] applyTo(byte[] content) {
+      int end = offset + bytes.size();
+      byte[] changed = Arrays.copyOf(content, resizes() ? offset : Math.max(end, content.length));
+      System.arraycopy(bytes.toArray(), 0, changed, offset, bytes.size());
+      return changed;
+    }
+
+    ContentChange torn(SplittableRandom random) {
+      return new ContentChange(offset, bytes.slice(0, random.nextInt(bytes.size()) + 1));
+    }
+  }
+
+  private static final class Inode {
+
+    private final List<ContentChange> unsynced = new ArrayList<>();
+    private byte[] content = new byte[0];
+    private byte[] durable = new byte[0];
+
+    void write(byte[] bytes) {
+      apply(new ContentChange(content.length, Bytes.copyOf(bytes)));
+    }
+
+    void resize(int size) {
+      apply(new ContentChange(size, Bytes.EMPTY));
+    }
+
+    void sync() {
+      durable = content;
+      unsynced.clear();
+    }
+
+    private void apply(ContentChange change) {
+      content = change.applyTo(content);
+      unsynced.add(change);
+    }
+
+    void losePower(IntPredicate kept, SplittableRandom random) {
+      for (int change = 0; change < unsynced.size(); change++) {
+        if (kept.test(change)) {
+          ContentChange made = unsynced.get(change);
+          boolean whole = made.resizes() || kept.test(change);
+          durable = (whole ? made : made.torn(random)).applyTo(durable);
+        }
+      }
+      content = durable;
+      unsynced.clear();
+    }
+  }
+
+  private final class InodeWriter implements Writer {
+
+    private final Inode inode;
+
+    InodeWriter(Inode inode) {
+      this.inode = inode;
+    }
+
+    @Override
+    public void write(ByteBuffer buffer) {
+      operation();
+      byte[] bytes = new byte[buffer.remaining()];
+      buffer.get(bytes);
+      inode.write(bytes);
+    }
+
+    @Override
+    public void sync() {
+      operation();
+      inode.sync();
+    }
+
+    @Override
+    public void close() {}
+  }
+}
--- /dev/null
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/storage/PowerLossTest.java
@@ -0,0 +1,179 @@
+package org.burdockbay.server.storage;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.expectThrows;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.burdockbay.core.agreement.Bytes;
+import org.burdockbay.core.agreement.EntryContent;
+import org.burdockbay.core.agreement.GroupId;
+import org.burdockbay.core.agreement.HardState;
+import org.burdockbay.core.agreement.LogEntry;
+import org.burdockbay.core.agreement.RaftEffect;
+import org.burdockbay.core.agreement.Snapshot;
+import org.burdockbay.core.agreement.VoterId;
+import org.burdockbay.core.agreement.VoterSet;
+import org.burdockbay.core.shard.ShardLayout;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** What a data folder holds after kills and power losses. */
+public class PowerLossTest {
+
+  private static final Path FOLDER = Path.of("/data");
+  private static final HardState VOTED = new HardState(3, Optional.of(new VoterId("b", 1)));
+
+  private ModelDisk disk;
+
+  /** Makes a disk with an empty folder for each test. */
+  @BeforeMethod
+  public void makeDisk() {
+    disk = new ModelDisk(1);
+    disk.createFoldersDurably(FOLDER);
+  }
+
+  /** A kill between write and sync, a start that reads the write back, and then a power loss. */
+  @Test
+  public void keepsEntriesReadBackAfterKill() throws StorageException {
+    LogStore killed = open();
+    killed.write(List.of(persist(VOTED, entries(1, 5))));
+    disk.killAfter(1);
+    assertThrows(ModelDisk.ProcessKilled.class, () -> killed.write(List.of(append(6, 6))));
+    disk.restart();
+    LogStore started = open();
+    assertEquals(started.recovered().entries(), entries(1, 6));
+    started.write(List.of(append(7, 7)));
+    disk.losePower();
+    assertEquals(open().recovered().entries(), entries(1, 7));
+  }
+
+  /** An earlier one of several unsynced writes is lost, the later ones are not. */
+  @Test
+  public void cutsOffUnsyncedBatchWithHole() throws StorageException {
+    LogStore killed = open();
+    killed.write(List.of(persist(VOTED, entries(1, 5))));
+    disk.killAfter(5);
+    assertThrows(
+        ModelDisk.ProcessKilled.class, () -> killed.write(List.of(persist(VOTED, entries(6, 9)))));
+    disk.losePowerAndWrite(1);
+    assertEquals(open().recovered().entries(), entries(1, 5));
+    assertEquals(open().recovered().entries(), entries(1, 5));
+  }
+
+  /** A synced block reads as zeros; later batches show that it was synced. */
+  @Test
+  public void refusesHoleInSyncedBatch() throws StorageException, IOException {
+    LogStore store = open();
+    store.write(List.of(persist(VOTED, entries(1, 2))));
+    Path segment = FOLDER.resolve("segment-000000000001");
+    int synced = disk.read(segment).length;
+    store.write(List.of(persist(VOTED, entries(3, 5))));
+    disk.damage(segment, synced - 20, new byte[20]);
+    StorageException e = expectThrows(StorageException.class, this::open);
+    assertEquals(e.fault(), StorageException.Fault.CORRUPT);
+  }
+
+  /** A segment is missing in the middle of the log. */
+  @Test
+  public void refusesLogWithGap() throws StorageException {
+    open().write(List.of(persist(VOTED, entries(1, 5))));
+    open().write(List.of(append(6, 7)));
+    open().write(List.of(append(8, 9)));
+    disk.delete(FOLDER.resolve("segment-000000000002"));
+    StorageException e = expectThrows(StorageException.class, this::open);
+    assertEquals(e.fault(), StorageException.Fault.CORRUPT);
+  }
+
+  /** Entries that follow a snapshot of another branch are kept. */
+  @Test
+  public void keepsEntriesThatFollowReplacedBranch() throws StorageException {
+    LogStore store = open();
+    store.write(List.of(persist(VOTED, entries(1, 9))));
+    Snapshot other = new Snapshot(5, 8, 0, VoterSet.EMPTY, Bytes.EMPTY);
+    store.write(
+        List.of(
+            new RaftEffect.Persist(
+                1, Optional.empty(), Optional.of(other), OptionalLong.empty(), List.of())));
+    store.write(List.of(append(6, 7)));
+    assertEquals(open().recovered().entries(), entries(6, 7));
+  }
+
+  /** The vote of a voter is gone if the name of its log's folder is. */
+  @Test
+  public void keepsFolderOfGroup() throws StorageException {
+    try (DataFolder folder = DataFolder.open(disk, FOLDER, "cluster", "a")) {
+      new LogStore(disk, folder.group(1), GroupId.CONTROL)
+          .write(List.of(persist(VOTED, entries(1, 5))));
+    }
+    disk.losePower();
+    LogStore store = new LogStore(disk, FOLDER.resolve("group-1"), GroupId.CONTROL);
+    assertEquals(store.recovered().hardState(), VOTED);
+  }
+
+  /**
+   * A kill at any operation of the first start must not leave a folder that is refused for ever.
+   */
+  @Test
+  public void opensFolderAfterKillDuringCreation() throws StorageException {
+    for (int operations = 0; operations < 10; operations++) {
+      disk = new ModelDisk(operations);
+      disk.killAfter(operations);
+      try {
+        DataFolder.open(disk, FOLDER, "cluster", "a").close();
+      } catch (ModelDisk.ProcessKilled e) {
+        disk.restart();
+      }
+      long incarnation = incarnation();
+      disk.losePower();
+      assertEquals(incarnation(), incarnation, operations + " operations");
+    }
+  }
+
+  /** An epoch that a start has read is known after the next one too. */
+  @Test
+  public void keepsEpochReadBackAfterKill() throws StorageException {
+    EpochFile.Content epoch = new EpochFile.Content(7, ShardLayout.UNDIVIDED);
+    disk.killAfter(4);
+    assertThrows(ModelDisk.ProcessKilled.class, () -> new EpochFile(disk, FOLDER).write(epoch));
+    disk.restart();
+    assertEquals(new EpochFile(disk, FOLDER).read(), epoch);
+    disk.losePower();
+    assertEquals(new EpochFile(disk, FOLDER).read(), epoch);
+  }
+
+  private long incarnation() throws StorageException {
+    try (DataFolder folder = DataFolder.open(disk, FOLDER, "cluster", "a")) {
+      return folder.incarnation();
+    }
+  }
+
+  private LogStore open() throws StorageException {
+    return new LogStore(disk, FOLDER, GroupId.CONTROL);
+  }
+
+  private static RaftEffect.Persist persist(HardState state, List<LogEntry> entries) {
+    return new RaftEffect.Persist(
+        1, Optional.of(state), Optional.empty(), OptionalLong.empty(), entries);
+  }
+
+  private static RaftEffect.Persist append(long from, long to) {
+    return new RaftEffect.Persist(
+        1, Optional.empty(), Optional.empty(), OptionalLong.empty(), entries(from, to));
+  }
+
+  private static List<LogEntry> entries(long from, long to) {
+    List<LogEntry> entries = new ArrayList<>();
+    for (long index = from; index <= to; index++) {
+      byte[] data = ("entry " + index).getBytes(StandardCharsets.UTF_8);
+      entries.add(new LogEntry(index, 1, 0, new EntryContent.Command(Bytes.copyOf(data))));
+    }
+    return entries;
+  }
+}
