Sync the newest segment at the start before its entries count as synced

Cause: a kill leaves writes without their sync in the newest segment. The next start read them, counted them as synced, and began a new segment behind them; the older file was never synced. The next power loss took its tail, and the newer segment then followed an entry that was no longer there. Besides the start that failed on it, the voter had acknowledged and voted on entries that it could lose.

Evidence: in the incident entry 360 followed 0, on another host entry 298, on a disk that had been killed during changes. Why it holds: the sync comes before anything is built on the entries, and a segment gets a successor only after it was synced, so all older ones are.

--- a/burdockbay-server/src/main/java/org/burdockbay/server/storage/Disk.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/storage/Disk.java
@@ -12,7 +12,8 @@
  *
  * <p>After a kill of the process, everything that it wrote and renamed is still visible, synced or
  * not. After a power loss only what was synced is certain: the content of a file by a sync of the
- * file, names by a sync of their folder.
+ * file, names by a sync of their folder. So whoever reads something back that an earlier process
+ * wrote has to sync it before building on it.
  */
 interface Disk {
 
@@ -38,9 +39,12 @@
   /** Creates a file, or empties it, and opens it for writing. */
   Writer create(Path file) throws IOException;
 
-  /** Cuts a file to a size and syncs it. */
+  /** Cuts a file to a size; durable after the next {@link #sync}. */
   void truncate(Path file, long size) throws IOException;
 
+  /** Makes the content of a file durable, whichever process wrote it. */
+  void sync(Path file) throws IOException;
+
   /** Renames a file, replacing the one that has the name. */
   void move(Path from, Path to) throws IOException;
 
--- a/burdockbay-server/src/main/java/org/burdockbay/server/storage/FileDisk.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/storage/FileDisk.java
@@ -72,6 +72,12 @@
   public void truncate(Path file, long size) throws IOException {
     try (FileChannel channel = FileChannel.open(file, StandardOpenOption.WRITE)) {
       channel.truncate(size);
+    }
+  }
+
+  @Override
+  public void sync(Path file) throws IOException {
+    try (FileChannel channel = FileChannel.open(file, StandardOpenOption.WRITE)) {
       channel.force(true);
     }
   }
--- a/burdockbay-server/src/main/java/org/burdockbay/server/storage/LogStore.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/storage/LogStore.java
@@ -185,6 +185,11 @@
     for (Path file : segments.values()) {
       readSegment(file, reader);
     }
+    if (!segments.isEmpty()) {
+      // A process that was killed may have left writes without their sync, and the entries read
+      // here count as synced from now on. Older segments were synced before their successor.
+      disk.sync(segments.lastEntry().getValue());
+    }
     return reader;
   }
 
--- a/burdockbay-server/src/test/java/org/burdockbay/server/storage/ModelDisk.java
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/storage/ModelDisk.java
@@ -140,7 +140,6 @@
   public void truncate(Path file, long size) throws IOException {
     operation();
     inode(file).resize((int) size);
-    sync(file);
   }
 
   @Override
@@ -170,7 +169,8 @@
     unsyncedNames.removeIf(change -> change.folder.equals(folder));
   }
 
-  private void sync(Path file) throws IOException {
+  @Override
+  public void sync(Path file) throws IOException {
     operation();
     inode(file).sync();
   }
