Refuse a log that lacks entries as corrupt

Now the log is refused as corrupt, with the entries that are missing. PowerLossTest.refusesLogWithGap: taken before, refused now.

--- a/burdockbay-server/src/main/java/org/burdockbay/server/storage/LogStore.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/storage/LogStore.java
@@ -201,18 +201,22 @@
 
   private RecoveredLog recover(SegmentReader reader) throws StorageException {
     Optional<Snapshot> snapshot = loadSnapshot();
+    long covered = snapshot.map(Snapshot::index).orElse(0L);
+    if (reader.baseIndex() > covered) {
+      throw new StorageException(
+          Fault.CORRUPT,
+          folder + " lacks the entries from " + (covered + 1) + " to " + reader.baseIndex());
+    }
     List<LogEntry> entries = new ArrayList<>();
     if (snapshot.isEmpty()) {
       entries.addAll(reader.entries());
     } else if (reader.holds(snapshot.get().index(), snapshot.get().term())) {
       // Entries after the snapshot count only if the log held the snapshot's last entry itself;
       // otherwise they stem from a branch that the snapshot replaced.
-      long index = snapshot.get().index();
-      reader.entries().stream().filter(entry -> entry.index() > index).forEach(entries::add);
+      reader.entries().stream().filter(entry -> entry.index() > covered).forEach(entries::add);
     }
     hardState = reader.lastHardState();
-    lastIndex =
-        entries.isEmpty() ? snapshot.map(Snapshot::index).orElse(0L) : entries.getLast().index();
+    lastIndex = entries.isEmpty() ? covered : entries.getLast().index();
     lastTerm =
         entries.isEmpty() ? snapshot.map(Snapshot::term).orElse(0L) : entries.getLast().term();
     return new RecoveredLog(hardState, snapshot, entries);
--- a/burdockbay-server/src/main/java/org/burdockbay/server/storage/SegmentReader.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/storage/SegmentReader.java
@@ -67,6 +67,10 @@
     return hardState;
   }
 
+  long baseIndex() {
+    return baseIndex;
+  }
+
   long lastIndex() {
     return entries.isEmpty() ? baseIndex : entries.getLast().index();
   }
