Sync the name of a log's folder before its first segment

A power loss soon after a voter's first start could take the folder of its log and leave its identity, and the voter would have voted again in a term in which it had voted.

Cause: the folder was created and never synced into its parent. The parent is synced now as long as the log has no segment, so also after a kill between the two. PowerLossTest.keepsFolderOfGroup: vote lost before, kept now. LogStoreFuzzTest starts with the data folder, which isn't the log's to create.

--- a/burdockbay-server/src/main/java/org/burdockbay/server/storage/LogStore.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/storage/LogStore.java
@@ -58,6 +58,9 @@
     try {
       disk.createFolders(folder);
       findSegments();
+      if (segments.isEmpty()) {
+        disk.syncFolder(folder.toAbsolutePath().getParent());
+      }
       SegmentReader reader = readSegments();
       this.recovered = recover(reader);
       this.report = reportOf(reader);
--- a/burdockbay-server/src/test/java/org/burdockbay/server/storage/LogStoreFuzzTest.java
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/storage/LogStoreFuzzTest.java
@@ -50,6 +50,7 @@
       this.seed = seed;
       this.random = new SplittableRandom(seed);
       this.disk = new ModelDisk(seed);
+      disk.createFoldersDurably(FOLDER.getParent());
     }
 
     void run() throws StorageException {
