Open a data folder whose creation was cut short, and sync its names

A host killed during its first start could leave a draft of its identity and was then refused for ever as "not empty and has no identity". A host killed after the rename went on with an identity that the next power loss took, so it came back as another voter.

Cause: the draft counted as foreign content, and names that an earlier process left were taken for durable. A leftover draft is written again now, the folder's own name is synced before the identity, and the names in it at each start. PowerLossTest.opensFolderAfterKillDuringCreation kills at each of the first ten operations; red before. Its loop now always starts a new process: a kill that didn't come in the first process came in the second, where the test expects none.

--- a/burdockbay-server/src/main/java/org/burdockbay/server/storage/DataFolder.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/storage/DataFolder.java
@@ -23,6 +23,7 @@
 
   private static final int FORMAT = 1;
   private static final String IDENTITY = "identity";
+  private static final String IDENTITY_DRAFT = IDENTITY + RecordFile.DRAFT_SUFFIX;
   private static final String LOCK = "lock";
 
   private final Path path;
@@ -110,6 +111,8 @@
       if (!disk.exists(file)) {
         create(disk, path, file, cluster, host, newIncarnation);
       }
+      // A process that was killed may have created the identity without syncing its name.
+      disk.syncFolder(path);
       return new DataFolder(path, lock, identity(disk, file, cluster, host));
     } catch (IOException e) {
       throw new StorageException(Fault.FAILED, path + " can't be opened: " + e, e);
@@ -119,9 +122,10 @@
   private static void create(
       Disk disk, Path path, Path file, String cluster, String host, long incarnation)
       throws IOException, StorageException {
-    if (disk.list(path).stream().anyMatch(entry -> !entry.getFileName().toString().equals(LOCK))) {
+    if (!disk.list(path).stream().map(Path::getFileName).allMatch(DataFolder::leftByCreation)) {
       throw new StorageException(Fault.FOREIGN, path + " is not empty and has no identity");
     }
+    disk.syncFolder(path.toAbsolutePath().getParent());
     Wire.FolderIdentity identity =
         Wire.FolderIdentity.newBuilder()
             .setFormat(FORMAT)
@@ -132,6 +136,11 @@
     RecordFile.replace(disk, file, identity.toByteArray());
   }
 
+  /** Returns whether a creation that was cut short leaves a file of this name. */
+  private static boolean leftByCreation(Path name) {
+    return name.equals(Path.of(LOCK)) || name.equals(Path.of(IDENTITY_DRAFT));
+  }
+
   private static Wire.FolderIdentity identity(Disk disk, Path file, String cluster, String host)
       throws StorageException {
     RecordFile.Content content = RecordFile.read(disk, file);
--- a/burdockbay-server/src/main/java/org/burdockbay/server/storage/RecordFile.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/storage/RecordFile.java
@@ -17,6 +17,10 @@
 final class RecordFile {
 
   static final int HEADER_BYTES = 8;
+
+  /** Ending of the file that {@link #replace} writes first. */
+  static final String DRAFT_SUFFIX = ".new";
+
   private static final int LARGEST_RECORD = 64 * 1024 * 1024;
 
   private RecordFile() {}
@@ -69,7 +73,7 @@
 
   /** Replaces a file by one record; the name is durable when this returns. */
   static void replace(Disk disk, Path file, byte[] payload) throws IOException {
-    Path draft = file.resolveSibling(file.getFileName() + ".new");
+    Path draft = file.resolveSibling(file.getFileName() + DRAFT_SUFFIX);
     writeWhole(disk, draft, payload);
     disk.move(draft, file);
     disk.syncFolder(file.getParent());
--- a/burdockbay-server/src/test/java/org/burdockbay/server/storage/PowerLossTest.java
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/storage/PowerLossTest.java
@@ -128,8 +128,9 @@
       try {
         DataFolder.open(disk, FOLDER, "cluster", "a").close();
       } catch (ModelDisk.ProcessKilled e) {
-        disk.restart();
+        // The next process goes on with what is left.
       }
+      disk.restart();
       long incarnation = incarnation();
       disk.losePower();
       assertEquals(incarnation(), incarnation, operations + " operations");
