The epoch that a start reads is synced with the data folder

A dispatcher's epoch whose file was renamed but not synced when its process was killed was read back, counted as saved and not written again; the next power loss took it.

The folder's sync at each start, added before, covers it: with that one line switched off the test is red. The test now opens the data folder before it reads the epoch, as every host does, and still asks that the epoch is there after the power loss.

--- a/burdockbay-server/src/main/java/org/burdockbay/server/storage/EpochFile.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/storage/EpochFile.java
@@ -22,7 +22,7 @@
   private final Disk disk;
   private final Path file;
 
-  /** Names the file in a data folder. */
+  /** Names the file in a data folder, which is opened before the file is read. */
   public EpochFile(Path folder) {
     this(FileDisk.INSTANCE, folder);
   }
--- a/burdockbay-server/src/test/java/org/burdockbay/server/storage/PowerLossTest.java
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/storage/PowerLossTest.java
@@ -131,25 +131,27 @@
         // The next process goes on with what is left.
       }
       disk.restart();
-      long incarnation = incarnation();
+      long incarnation = openedIncarnation();
       disk.losePower();
-      assertEquals(incarnation(), incarnation, operations + " operations");
+      assertEquals(openedIncarnation(), incarnation, operations + " operations");
     }
   }
 
   /** An epoch that a start has read is known after the next one too. */
   @Test
   public void keepsEpochReadBackAfterKill() throws StorageException {
+    openedIncarnation();
     EpochFile.Content epoch = new EpochFile.Content(7, ShardLayout.UNDIVIDED);
     disk.killAfter(4);
     assertThrows(ModelDisk.ProcessKilled.class, () -> new EpochFile(disk, FOLDER).write(epoch));
     disk.restart();
+    openedIncarnation();
     assertEquals(new EpochFile(disk, FOLDER).read(), epoch);
     disk.losePower();
     assertEquals(new EpochFile(disk, FOLDER).read(), epoch);
   }
 
-  private long incarnation() throws StorageException {
+  private long openedIncarnation() throws StorageException {
     try (DataFolder folder = DataFolder.open(disk, FOLDER, "cluster", "a")) {
       return folder.incarnation();
     }
