--- a/burdockbay-server/src/main/java/org/burdockbay/server/storage/LogStore.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/storage/LogStore.java
@@ -37,8 +37,7 @@
   private final RecoveryReport report;
   private int cutBytes;
   private HardState hardState = HardState.INITIAL;
-  private long lastIndex;
-  private long lastTerm;
+  private final LogOutline outline = new LogOutline();
   private Disk.Writer segment;
   private boolean failed;
 
@@ -119,20 +118,22 @@
     }
     if (persist.truncateFrom().isPresent()) {
       append(LogRecordCodec.truncateFrom(persist.truncateFrom().getAsLong()));
+      outline.truncateFrom(persist.truncateFrom().getAsLong());
     }
     for (LogEntry entry : persist.entries()) {
       append(LogRecordCodec.entry(entry));
-      lastIndex = entry.index();
-      lastTerm = entry.term();
+      outline.append(entry.index(), entry.term());
     }
   }
 
   private void writeSnapshot(Snapshot snapshot) throws IOException {
     segment.sync();
     RecordFile.replace(disk, folder.resolve(SNAPSHOT), LogRecordCodec.snapshot(snapshot));
-    if (snapshot.index() > lastIndex) {
-      lastIndex = snapshot.index();
-      lastTerm = snapshot.term();
+    if (outline.holds(snapshot.index(), snapshot.term())) {
+      outline.discardBefore(snapshot.index());
+    } else {
+      // The entries are of a branch that the snapshot replaces.
+      outline.reset(snapshot.index(), snapshot.term());
     }
     segment.close();
     segment = startSegment();
@@ -152,7 +153,7 @@
     segments.put(number, file);
     Disk.Writer opened = disk.create(file);
     segment = opened;
-    append(LogRecordCodec.base(group.number(), lastIndex, lastTerm));
+    append(LogRecordCodec.base(group.number(), outline.lastIndex(), outline.lastTerm()));
     append(LogRecordCodec.hardState(hardState));
     opened.sync();
     disk.syncFolder(folder);
@@ -219,9 +220,8 @@
       reader.entries().stream().filter(entry -> entry.index() > covered).forEach(entries::add);
     }
     hardState = reader.lastHardState();
-    lastIndex = entries.isEmpty() ? covered : entries.getLast().index();
-    lastTerm =
-        entries.isEmpty() ? snapshot.map(Snapshot::term).orElse(0L) : entries.getLast().term();
+    outline.reset(covered, snapshot.map(Snapshot::term).orElse(0L));
+    entries.forEach(entry -> outline.append(entry.index(), entry.term()));
     return new RecoveredLog(hardState, snapshot, entries);
   }
 
