Write a batch at once, so that a power loss can't leave a hole in it

Cause: a batch was written record by record and synced once. A power loss may take an earlier write and keep a later one; the reader sees good records behind damage and takes it for corruption of what was synced. Now at most one write is unsynced at a time, up to 1 MB. The reader's checks stay as strict as they were.

--- a/burdockbay-server/src/main/java/org/burdockbay/server/storage/LogStore.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/storage/LogStore.java
@@ -1,6 +1,8 @@
 package org.burdockbay.server.storage;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -23,12 +25,18 @@
  * before it can be deleted once a snapshot covers their entries. After a failed write or sync
  * nothing more is written: the kernel may have dropped the pages, so a second sync that succeeds
  * would prove nothing.
+ *
+ * <p>At most one write is unsynced at any time. Of several, a power loss may take an earlier one
+ * and keep a later one, which can't be told from corruption of synced records.
  */
 public final class LogStore implements AutoCloseable {
 
   private static final String SEGMENT = "segment-";
   private static final String SNAPSHOT = "snapshot";
 
+  /** Size at which buffered records are written, in bytes; bounds the memory of a write. */
+  private static final int LARGEST_WRITE = 1024 * 1024;
+
   private final Disk disk;
   private final Path folder;
   private final GroupId group;
@@ -38,6 +46,7 @@
   private int cutBytes;
   private HardState hardState = HardState.INITIAL;
   private final LogOutline outline = new LogOutline();
+  private final ByteArrayOutputStream buffered = new ByteArrayOutputStream();
   private Disk.Writer segment;
   private boolean failed;
 
@@ -92,7 +101,7 @@
       for (RaftEffect.Persist persist : batch) {
         writeOne(persist);
       }
-      segment.sync();
+      flush();
     } catch (IOException e) {
       failed = true;
       throw new StorageException(Fault.FAILED, folder + " can't be written: " + e, e);
@@ -127,7 +136,7 @@
   }
 
   private void writeSnapshot(Snapshot snapshot) throws IOException {
-    segment.sync();
+    flush();
     RecordFile.replace(disk, folder.resolve(SNAPSHOT), LogRecordCodec.snapshot(snapshot));
     if (outline.holds(snapshot.index(), snapshot.term())) {
       outline.discardBefore(snapshot.index());
@@ -155,13 +164,22 @@
     segment = opened;
     append(LogRecordCodec.base(group.number(), outline.lastIndex(), outline.lastTerm()));
     append(LogRecordCodec.hardState(hardState));
-    opened.sync();
+    flush();
     disk.syncFolder(folder);
     return opened;
   }
 
   private void append(byte[] payload) throws IOException {
-    segment.write(RecordFile.frame(payload));
+    buffered.write(RecordFile.frame(payload).array());
+    if (buffered.size() >= LARGEST_WRITE) {
+      flush();
+    }
+  }
+
+  private void flush() throws IOException {
+    segment.write(ByteBuffer.wrap(buffered.toByteArray()));
+    buffered.reset();
+    segment.sync();
   }
 
   private long baseOf(Path file) throws IOException {
