Read a log whose older segment is gone, and one whose newest segment is empty

The segments' bases are kept in memory now instead of being read from their heads again. PowerLossTest.opensSegmentThatTruncatedDeletedOne and compactsAfterSegmentLostItsContent: both red before.

--- a/burdockbay-server/src/main/java/org/burdockbay/server/storage/LogStore.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/storage/LogStore.java
@@ -5,7 +5,9 @@
 import java.nio.ByteBuffer;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
 import org.burdockbay.core.agreement.GroupId;
@@ -41,6 +43,10 @@
   private final Path folder;
   private final GroupId group;
   private final TreeMap<Long, Path> segments = new TreeMap<>();
+
+  /** The entry that each segment follows, by the segment's number. */
+  private final Map<Long, Long> segmentBases = new HashMap<>();
+
   private final RecoveredLog recovered;
   private final RecoveryReport report;
   private int cutBytes;
@@ -149,9 +155,10 @@
     // A segment whose successor begins at or before the snapshot holds nothing that is needed.
     while (segments.size() > 1) {
       long next = segments.higherKey(segments.firstKey());
-      if (baseOf(segments.get(next)) > snapshot.index()) {
+      if (segmentBases.get(next) > snapshot.index()) {
         break;
       }
+      segmentBases.remove(segments.firstKey());
       disk.delete(segments.pollFirstEntry().getValue());
     }
   }
@@ -160,6 +167,7 @@
     long number = segments.isEmpty() ? 1 : segments.lastKey() + 1;
     Path file = folder.resolve(String.format("%s%012d", SEGMENT, number));
     segments.put(number, file);
+    segmentBases.put(number, outline.lastIndex());
     Disk.Writer opened = disk.create(file);
     segment = opened;
     append(LogRecordCodec.base(group.number(), outline.lastIndex(), outline.lastTerm()));
@@ -182,17 +190,6 @@
     segment.sync();
   }
 
-  private long baseOf(Path file) throws IOException {
-    SegmentReader reader = new SegmentReader(group);
-    try {
-      List<byte[]> records = RecordFile.read(disk, file).records();
-      LogRecordCodec.decode(records.getFirst(), reader);
-    } catch (StorageException | WireException e) {
-      throw new IOException(file + " has no readable head", e);
-    }
-    return reader.lastIndex();
-  }
-
   private void findSegments() throws IOException {
     for (Path file : disk.list(folder)) {
       String name = file.getFileName().toString();
@@ -204,8 +201,10 @@
 
   private SegmentReader readSegments() throws IOException, StorageException {
     SegmentReader reader = new SegmentReader(group);
-    for (Path file : segments.values()) {
-      readSegment(file, reader);
+    for (Map.Entry<Long, Path> next : segments.entrySet()) {
+      reader.beginSegment();
+      readSegment(next.getValue(), reader);
+      segmentBases.put(next.getKey(), reader.segmentBase());
     }
     if (!segments.isEmpty()) {
       // A process that was killed may have left writes without their sync, and the entries read
--- a/burdockbay-server/src/main/java/org/burdockbay/server/storage/SegmentReader.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/storage/SegmentReader.java
@@ -11,22 +11,31 @@
 /** Replays the records of the segments, oldest first. */
 final class SegmentReader implements LogRecordCodec.Visitor {
 
+  private static final long UNKNOWN_TERM = -1;
+
   private final GroupId group;
   private final List<LogEntry> entries = new ArrayList<>();
   private final List<LogGap> gaps = new ArrayList<>();
   private HardState hardState = HardState.INITIAL;
   private long baseIndex;
   private long baseTerm;
+  private long segmentBase;
 
   SegmentReader(GroupId group) {
     this.group = group;
   }
 
+  /** A segment that lost its content in a power loss follows the last entry read before it. */
+  void beginSegment() {
+    segmentBase = lastIndex();
+  }
+
   @Override
   public void base(int number, long index, long term) throws WireException {
     if (number != group.number()) {
       throw new WireException("a segment of group " + number + ", not of " + group.number());
     }
+    segmentBase = index;
     if (index != lastIndex() || term != lastTerm()) {
       // The log was replaced by a snapshot here, or the segments before were deleted.
       gaps.add(new LogGap(lastIndex(), lastTerm(), index, term));
@@ -43,12 +52,17 @@
 
   @Override
   public void truncateFrom(long index) {
-    entries.removeIf(entry -> entry.index() >= index);
+    removeFrom(index);
+    if (index <= baseIndex) {
+      // The entries before were in older segments, which a snapshot has covered since.
+      baseIndex = index - 1;
+      baseTerm = UNKNOWN_TERM;
+    }
   }
 
   @Override
   public void entry(LogEntry entry) throws WireException {
-    truncateFrom(entry.index());
+    removeFrom(entry.index());
     if (entry.index() != lastIndex() + 1) {
       throw new WireException("entry " + entry.index() + " follows " + lastIndex());
     }
@@ -67,6 +81,11 @@
     return hardState;
   }
 
+  /** Returns the entry that the segment read last follows. */
+  long segmentBase() {
+    return segmentBase;
+  }
+
   long baseIndex() {
     return baseIndex;
   }
@@ -82,6 +101,10 @@
     return entries.stream().anyMatch(entry -> entry.index() == index && entry.term() == term);
   }
 
+  private void removeFrom(long index) {
+    entries.removeIf(entry -> entry.index() >= index);
+  }
+
   private long lastTerm() {
     return entries.isEmpty() ? baseTerm : entries.getLast().term();
   }
--- a/burdockbay-server/src/test/java/org/burdockbay/server/storage/LogStoreFuzzTest.java
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/storage/LogStoreFuzzTest.java
@@ -74,7 +74,7 @@
       if (random.nextInt(3) > 0) {
         disk.killAfter(random.nextInt(60));
       }
-      LogStore store = new LogStore(disk, FOLDER, GroupId.CONTROL);
+      LogStore store = open();
       RecoveredLog recovered = store.recovered();
       assertTrue(
           possible.contains(recovered),
@@ -90,6 +90,14 @@
       }
     }
 
+    private LogStore open() {
+      try {
+        return new LogStore(disk, FOLDER, GroupId.CONTROL);
+      } catch (StorageException e) {
+        throw new AssertionError("seed " + seed + ": expected one of " + possible, e);
+      }
+    }
+
     private List<RaftEffect.Persist> batch(RecoveredLog before) {
       List<RaftEffect.Persist> batch = new ArrayList<>();
       RecoveredLog state = before;
--- a/burdockbay-server/src/test/java/org/burdockbay/server/storage/ModelDisk.java
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/storage/ModelDisk.java
@@ -49,6 +49,12 @@
     endPower(change -> false);
   }
 
+  /** Loses all unsynced writes, but no name. */
+  void losePowerButNames() {
+    durableNames = new TreeMap<>(names);
+    losePower();
+  }
+
   /** Loses one unsynced write of each file, by its place among these, and keeps the others. */
   void losePowerAndWrite(int lost) {
     endPower(change -> change != lost);
--- a/burdockbay-server/src/test/java/org/burdockbay/server/storage/PowerLossTest.java
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/storage/PowerLossTest.java
@@ -113,6 +113,32 @@
     assertEquals(open().recovered().entries(), entries(6, 7));
   }
 
+  /** A segment that replaced entries of an older one is read without the older one. */
+  @Test
+  public void opensSegmentThatTruncatedDeletedOne() throws StorageException {
+    open().write(List.of(persist(VOTED, entries(1, 3))));
+    LogStore store = open();
+    store.write(
+        List.of(
+            new RaftEffect.Persist(
+                1, Optional.of(VOTED), Optional.empty(), OptionalLong.of(2), entries(2, 7))));
+    store.write(List.of(snapshot(6)));
+    assertEquals(open().recovered().entries(), entries(7, 7));
+  }
+
+  /** A segment whose first write is lost must not stop the store at the next snapshot. */
+  @Test
+  public void compactsAfterSegmentLostItsContent() throws StorageException {
+    open().write(List.of(persist(VOTED, entries(1, 5))));
+    disk.killAfter(3);
+    assertThrows(ModelDisk.ProcessKilled.class, this::open);
+    disk.losePowerButNames();
+    LogStore store = open();
+    store.write(List.of(append(6, 9)));
+    store.write(List.of(snapshot(8)));
+    assertEquals(open().recovered().entries(), entries(9, 9));
+  }
+
   /** The vote of a voter is gone if the name of its log's folder is. */
   @Test
   public void keepsFolderOfGroup() throws StorageException {
@@ -174,6 +200,12 @@
         1, Optional.of(state), Optional.empty(), OptionalLong.empty(), entries);
   }
 
+  private static RaftEffect.Persist snapshot(long index) {
+    Snapshot snapshot = new Snapshot(index, 1, 0, VoterSet.EMPTY, Bytes.EMPTY);
+    return new RaftEffect.Persist(
+        1, Optional.empty(), Optional.of(snapshot), OptionalLong.empty(), List.of());
+  }
+
   private static RaftEffect.Persist append(long from, long to) {
     return new RaftEffect.Persist(
         1, Optional.empty(), Optional.empty(), OptionalLong.empty(), entries(from, to));
