Sync the names that a start has found before it begins a new segment

Its disk was then given up, since the log lacked the entries between.

Names that were read are synced at the start now, like the newest segment's content.

--- a/burdockbay-server/src/main/java/org/burdockbay/server/storage/LogStore.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/storage/LogStore.java
@@ -72,9 +72,8 @@
     try {
       disk.createFolders(folder);
       findSegments();
-      if (segments.isEmpty()) {
-        disk.syncFolder(folder.toAbsolutePath().getParent());
-      }
+      // What an earlier process created or renamed may be unsynced, the folder itself included.
+      disk.syncFolder(segments.isEmpty() ? folder.toAbsolutePath().getParent() : folder);
       SegmentReader reader = readSegments();
       this.recovered = recover(reader);
       this.report = reportOf(reader);
--- a/burdockbay-server/src/test/java/org/burdockbay/server/storage/LogStoreFuzzTest.java
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/storage/LogStoreFuzzTest.java
@@ -37,6 +37,14 @@
     }
   }
 
+  /** Seeds that once failed. */
+  @Test
+  public void keepsHoldingForSeedsThatOnceFailed() throws StorageException {
+    for (long seed : new long[] {20261203, 20261207, 20270636}) {
+      new Play(seed).run();
+    }
+  }
+
   /** One disk and the processes that follow each other on it. */
   private static final class Play {
 
