Report defects in the log writer's thread as failed storage

What callers saw: nothing yet; found with LogStoreFuzzTest.

Any exception in that thread now counts as failed storage, which ends the voter's part with a line. LogWriterTest.tellsOfDefectsInItsThread: no report within 10 s before, at once now.

--- a/burdockbay-server/src/main/java/org/burdockbay/server/storage/LogWriter.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/storage/LogWriter.java
@@ -7,6 +7,7 @@
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import org.burdockbay.core.agreement.RaftEffect;
+import org.burdockbay.server.storage.StorageException.Fault;
 
 /**
  * Writes on a thread of its own, so that a slow sync delays no heartbeat; what has queued up during
@@ -63,6 +64,9 @@
       Thread.currentThread().interrupt();
     } catch (StorageException e) {
       failed.accept(e);
+    } catch (RuntimeException e) {
+      // Without this thread nothing is synced, while the host would go on as a voter.
+      failed.accept(new StorageException(Fault.FAILED, "the log writer failed: " + e, e));
     }
   }
 }
--- /dev/null
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/storage/LogWriterTest.java
@@ -0,0 +1,33 @@
+package org.burdockbay.server.storage;
+
+import static org.testng.Assert.assertEquals;
+
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.burdockbay.core.agreement.GroupId;
+import org.burdockbay.core.agreement.HardState;
+import org.burdockbay.core.agreement.RaftEffect;
+import org.testng.annotations.Test;
+
+/** What a {@link LogWriter} tells. */
+public class LogWriterTest {
+
+  /** A defect in the writer's thread must not leave a voter whose writes are never synced. */
+  @Test
+  public void tellsOfDefectsInItsThread() throws Exception {
+    ModelDisk disk = new ModelDisk(1);
+    LogStore store = new LogStore(disk, Path.of("/data"), GroupId.CONTROL);
+    CompletableFuture<StorageException> failure = new CompletableFuture<>();
+    LogWriter writer = new LogWriter(store, ticket -> {}, failure::complete);
+    disk.killAfter(0);
+    writer.submit(
+        new RaftEffect.Persist(
+            1, Optional.of(HardState.INITIAL), Optional.empty(), OptionalLong.empty(), List.of()));
+    assertEquals(failure.get(10, TimeUnit.SECONDS).fault(), StorageException.Fault.FAILED);
+    writer.close();
+  }
+}
