End a process whose start throws

Cause: only checked exceptions ended the process. Any other ended the main thread, and the threads of the half-started host lived on.

--- a/burdockbay-app/src/main/java/org/burdockbay/app/Main.java
+++ b/burdockbay-app/src/main/java/org/burdockbay/app/Main.java
@@ -73,7 +73,7 @@
     return run(command, err);
   }
 
-  private static ExitCode run(Command command, PrintStream err) {
+  static ExitCode run(Command command, PrintStream err) {
     try {
       return command.run();
     } catch (ConfigurationException e) {
@@ -89,6 +89,10 @@
         case INVALID_CONFIGURATION -> ExitCode.INVALID;
         default -> ExitCode.FAILED;
       };
+    } catch (RuntimeException e) {
+      // Uncaught, it would end this thread only, and those of a half-started host would live on.
+      e.printStackTrace(err);
+      return ExitCode.FAILED;
     }
   }
 
