--- a/burdockbay-core/src/test/java/org/burdockbay/core/agreement/RaftFuzzTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/agreement/RaftFuzzTest.java
@@ -78,7 +78,7 @@
     } else if (action < 70) {
       model.propose(member);
     } else if (action < 73) {
-      target.crash();
+      target.crash(number / model.members.size() % 4);
     } else if (action < 82) {
       target.restartIfDown();
     } else if (action < 84) {
--- a/burdockbay-core/src/test/java/org/burdockbay/core/agreement/RaftModel.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/agreement/RaftModel.java
@@ -190,7 +190,7 @@
     }
   }
 
-  /** One host with its disk; what isn't synced is lost in a crash. */
+  /** One host with its disk; a crash loses what isn't synced, or the end of it. */
   final class Member {
 
     VoterId id;
@@ -215,6 +215,12 @@
     }
 
     void crash() {
+      crash(0);
+    }
+
+    /** Crashes after the first writes reached the disk; the node wasn't told of these. */
+    void crash(int written) {
+      unsynced.stream().limit(written).forEach(this::write);
       node = null;
       unsynced.clear();
     }
