--- a/burdockbay-core/src/main/java/org/burdockbay/core/agreement/RecoveredLog.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/agreement/RecoveredLog.java
@@ -4,7 +4,8 @@
 import java.util.Optional;
 
 /**
- * What a voter's data folder held at the start.
+ * What a voter's data folder held at the start. All of it is synced: the voter counts and
+ * acknowledges it from the start on.
  *
  * @param hardState term and vote
  * @param snapshot the newest snapshot, if any
--- a/burdockbay-server/src/main/java/org/burdockbay/server/storage/LogStore.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/storage/LogStore.java
@@ -47,12 +47,12 @@
   /** The entry that each segment follows, by the segment's number. */
   private final Map<Long, Long> segmentBases = new HashMap<>();
 
+  private final LogOutline outline = new LogOutline();
+  private final ByteArrayOutputStream buffered = new ByteArrayOutputStream();
   private final RecoveredLog recovered;
   private final RecoveryReport report;
   private int cutBytes;
   private HardState hardState = HardState.INITIAL;
-  private final LogOutline outline = new LogOutline();
-  private final ByteArrayOutputStream buffered = new ByteArrayOutputStream();
   private Disk.Writer segment;
   private boolean failed;
 
@@ -77,7 +77,7 @@
       SegmentReader reader = readSegments();
       this.recovered = recover(reader);
       this.report = reportOf(reader);
-      this.segment = startSegment();
+      startSegment();
     } catch (IOException e) {
       throw new StorageException(Fault.FAILED, folder + " can't be opened: " + e, e);
     }
@@ -150,7 +150,7 @@
       outline.reset(snapshot.index(), snapshot.term());
     }
     segment.close();
-    segment = startSegment();
+    startSegment();
     // A segment whose successor begins at or before the snapshot holds nothing that is needed.
     while (segments.size() > 1) {
       long next = segments.higherKey(segments.firstKey());
@@ -162,18 +162,16 @@
     }
   }
 
-  private Disk.Writer startSegment() throws IOException {
+  private void startSegment() throws IOException {
     long number = segments.isEmpty() ? 1 : segments.lastKey() + 1;
     Path file = folder.resolve(String.format("%s%012d", SEGMENT, number));
     segments.put(number, file);
     segmentBases.put(number, outline.lastIndex());
-    Disk.Writer opened = disk.create(file);
-    segment = opened;
+    segment = disk.create(file);
     append(LogRecordCodec.base(group.number(), outline.lastIndex(), outline.lastTerm()));
     append(LogRecordCodec.hardState(hardState));
     flush();
     disk.syncFolder(folder);
-    return opened;
   }
 
   private void append(byte[] payload) throws IOException {
