--- a/burdockbay-server/src/test/java/org/burdockbay/server/storage/ModelDisk.java
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/storage/ModelDisk.java
@@ -27,6 +27,7 @@
   private TreeMap<Path, Inode> names = new TreeMap<>();
   private TreeMap<Path, Inode> durableNames = new TreeMap<>();
   private int operationsLeft = Integer.MAX_VALUE;
+  private boolean nextSyncFails;
 
   ModelDisk(long seed) {
     this.random = new SplittableRandom(seed);
@@ -44,6 +45,11 @@
     operationsLeft = Integer.MAX_VALUE;
   }
 
+  /** Lets the next sync of a file fail. */
+  void failNextSync() {
+    nextSyncFails = true;
+  }
+
   /** Loses everything that wasn't synced. */
   void losePower() {
     endPower(change -> false);
@@ -178,7 +184,15 @@
   @Override
   public void sync(Path file) throws IOException {
     operation();
-    inode(file).sync();
+    sync(inode(file));
+  }
+
+  private void sync(Inode inode) throws IOException {
+    if (nextSyncFails) {
+      nextSyncFails = false;
+      throw new IOException("the disk fails");
+    }
+    inode.sync();
   }
 
   private void bind(Path path, Inode inode) {
@@ -286,9 +300,9 @@
     }
 
     @Override
-    public void sync() {
+    public void sync() throws IOException {
       operation();
-      inode.sync();
+      ModelDisk.this.sync(inode);
     }
 
     @Override
--- a/burdockbay-server/src/test/java/org/burdockbay/server/storage/PowerLossTest.java
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/storage/PowerLossTest.java
@@ -139,6 +139,21 @@
     assertEquals(open().recovered().entries(), entries(9, 9));
   }
 
+  /** A sync that succeeds after one that failed proves nothing, so the store takes no more. */
+  @Test
+  public void takesNothingAfterFailedSync() throws StorageException {
+    LogStore store = open();
+    store.write(List.of(persist(VOTED, entries(1, 5))));
+    disk.failNextSync();
+    for (int attempt = 0; attempt < 2; attempt++) {
+      StorageException e =
+          expectThrows(StorageException.class, () -> store.write(List.of(append(6, 7))));
+      assertEquals(e.fault(), StorageException.Fault.FAILED);
+    }
+    disk.losePower();
+    assertEquals(open().recovered().entries(), entries(1, 5));
+  }
+
   /** The vote of a voter is gone if the name of its log's folder is. */
   @Test
   public void keepsFolderOfGroup() throws StorageException {
