--- a/burdockbay-server/src/test/java/org/burdockbay/server/storage/LogStoreFuzzTest.java
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/storage/LogStoreFuzzTest.java
@@ -58,7 +58,7 @@
       this.seed = seed;
       this.random = new SplittableRandom(seed);
       this.disk = new ModelDisk(seed);
-      disk.createFoldersDurably(FOLDER.getParent());
+      disk.createDurableFolder(FOLDER.getParent());
     }
 
     void run() throws StorageException {
--- a/burdockbay-server/src/test/java/org/burdockbay/server/storage/LogStoreTest.java
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/storage/LogStoreTest.java
@@ -1,11 +1,15 @@
 package org.burdockbay.server.storage;
 
+import static org.burdockbay.server.storage.LogRecords.VOTED;
+import static org.burdockbay.server.storage.LogRecords.entries;
+import static org.burdockbay.server.storage.LogRecords.entry;
+import static org.burdockbay.server.storage.LogRecords.persist;
+import static org.burdockbay.server.storage.LogRecords.snapshot;
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 import static org.testng.Assert.expectThrows;
 
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
@@ -14,16 +18,10 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.stream.Stream;
-import org.burdockbay.core.agreement.Bytes;
-import org.burdockbay.core.agreement.EntryContent;
 import org.burdockbay.core.agreement.GroupId;
-import org.burdockbay.core.agreement.HardState;
 import org.burdockbay.core.agreement.LogEntry;
 import org.burdockbay.core.agreement.RaftEffect;
 import org.burdockbay.core.agreement.RecoveredLog;
-import org.burdockbay.core.agreement.Snapshot;
-import org.burdockbay.core.agreement.VoterId;
-import org.burdockbay.core.agreement.VoterSet;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -31,7 +29,6 @@
 /** Damage to the files of a group. */
 public class LogStoreTest {
 
-  private static final HardState VOTED = new HardState(3, Optional.of(new VoterId("b", 1)));
   private Path folder;
 
   /** Makes a folder for each test. */
@@ -106,7 +103,7 @@
       for (int i = 0; i < 20; i++) {
         long from = i * 10L + 1;
         store.write(List.of(persist(VOTED, entries(from, from + 9))));
-        store.write(List.of(snapshot(from + 9)));
+        store.write(List.of(snapshot(from + 9, 1)));
       }
     }
     RecoveredLog recovered = reopen();
@@ -124,13 +121,7 @@
   @Test
   public void forgetsEntriesOfReplacedBranches() throws StorageException {
     write(persist(VOTED, entries(1, 9)));
-    write(
-        new RaftEffect.Persist(
-            1,
-            Optional.empty(),
-            Optional.of(new Snapshot(5, 8, 0, VoterSet.EMPTY, Bytes.EMPTY)),
-            OptionalLong.empty(),
-            List.of()));
+    write(snapshot(5, 8));
     RecoveredLog recovered = reopen();
     assertEquals(recovered.snapshot().orElseThrow().term(), 8);
     assertEquals(recovered.entries(), List.of());
@@ -183,28 +174,4 @@
           .orElseThrow();
     }
   }
-
-  private static RaftEffect.Persist persist(HardState state, List<LogEntry> entries) {
-    return new RaftEffect.Persist(
-        1, Optional.of(state), Optional.empty(), OptionalLong.empty(), entries);
-  }
-
-  private static RaftEffect.Persist snapshot(long index) {
-    Snapshot snapshot = new Snapshot(index, 1, 0, VoterSet.EMPTY, Bytes.EMPTY);
-    return new RaftEffect.Persist(
-        1, Optional.empty(), Optional.of(snapshot), OptionalLong.empty(), List.of());
-  }
-
-  private static List<LogEntry> entries(long from, long to) {
-    List<LogEntry> entries = new ArrayList<>();
-    for (long i = from; i <= to; i++) {
-      entries.add(entry(i, 1));
-    }
-    return entries;
-  }
-
-  private static LogEntry entry(long index, long term) {
-    byte[] data = ("entry " + index).getBytes(StandardCharsets.UTF_8);
-    return new LogEntry(index, term, 0, new EntryContent.Command(Bytes.copyOf(data)));
-  }
 }
--- a/burdockbay-server/src/test/java/org/burdockbay/server/storage/ModelDisk.java
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/storage/ModelDisk.java
@@ -72,7 +72,7 @@
   }
 
   /** Creates a folder whose name isn't lost. */
-  void createFoldersDurably(Path folder) {
+  void createDurableFolder(Path folder) {
     names.put(folder, new Inode());
     durableNames.put(folder, names.get(folder));
   }
--- a/burdockbay-server/src/test/java/org/burdockbay/server/storage/PowerLossTest.java
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/storage/PowerLossTest.java
@@ -1,25 +1,22 @@
 package org.burdockbay.server.storage;
 
+import static org.burdockbay.server.storage.LogRecords.VOTED;
+import static org.burdockbay.server.storage.LogRecords.append;
+import static org.burdockbay.server.storage.LogRecords.entries;
+import static org.burdockbay.server.storage.LogRecords.persist;
+import static org.burdockbay.server.storage.LogRecords.snapshot;
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertThrows;
 import static org.testng.Assert.expectThrows;
 
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
-import org.burdockbay.core.agreement.Bytes;
-import org.burdockbay.core.agreement.EntryContent;
 import org.burdockbay.core.agreement.GroupId;
-import org.burdockbay.core.agreement.HardState;
 import org.burdockbay.core.agreement.LogEntry;
 import org.burdockbay.core.agreement.RaftEffect;
-import org.burdockbay.core.agreement.Snapshot;
-import org.burdockbay.core.agreement.VoterId;
-import org.burdockbay.core.agreement.VoterSet;
 import org.burdockbay.core.shard.ShardLayout;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -28,7 +25,6 @@
 public class PowerLossTest {
 
   private static final Path FOLDER = Path.of("/data");
-  private static final HardState VOTED = new HardState(3, Optional.of(new VoterId("b", 1)));
 
   private ModelDisk disk;
 
@@ -36,7 +32,7 @@
   @BeforeMethod
   public void makeDisk() {
     disk = new ModelDisk(1);
-    disk.createFoldersDurably(FOLDER);
+    disk.createDurableFolder(FOLDER);
   }
 
   /** A kill between write and sync, a start that reads the write back, and then a power loss. */
@@ -104,11 +100,7 @@
   public void keepsEntriesThatFollowReplacedBranch() throws StorageException {
     LogStore store = open();
     store.write(List.of(persist(VOTED, entries(1, 9))));
-    Snapshot other = new Snapshot(5, 8, 0, VoterSet.EMPTY, Bytes.EMPTY);
-    store.write(
-        List.of(
-            new RaftEffect.Persist(
-                1, Optional.empty(), Optional.of(other), OptionalLong.empty(), List.of())));
+    store.write(List.of(snapshot(5, 8)));
     store.write(List.of(append(6, 7)));
     assertEquals(open().recovered().entries(), entries(6, 7));
   }
@@ -122,7 +114,7 @@
         List.of(
             new RaftEffect.Persist(
                 1, Optional.of(VOTED), Optional.empty(), OptionalLong.of(2), entries(2, 7))));
-    store.write(List.of(snapshot(6)));
+    store.write(List.of(snapshot(6, 1)));
     assertEquals(open().recovered().entries(), entries(7, 7));
   }
 
@@ -135,7 +127,7 @@
     disk.losePowerButNames();
     LogStore store = open();
     store.write(List.of(append(6, 9)));
-    store.write(List.of(snapshot(8)));
+    store.write(List.of(snapshot(8, 1)));
     assertEquals(open().recovered().entries(), entries(9, 9));
   }
 
@@ -209,29 +201,4 @@
   private LogStore open() throws StorageException {
     return new LogStore(disk, FOLDER, GroupId.CONTROL);
   }
-
-  private static RaftEffect.Persist persist(HardState state, List<LogEntry> entries) {
-    return new RaftEffect.Persist(
-        1, Optional.of(state), Optional.empty(), OptionalLong.empty(), entries);
-  }
-
-  private static RaftEffect.Persist snapshot(long index) {
-    Snapshot snapshot = new Snapshot(index, 1, 0, VoterSet.EMPTY, Bytes.EMPTY);
-    return new RaftEffect.Persist(
-        1, Optional.empty(), Optional.of(snapshot), OptionalLong.empty(), List.of());
-  }
-
-  private static RaftEffect.Persist append(long from, long to) {
-    return new RaftEffect.Persist(
-        1, Optional.empty(), Optional.empty(), OptionalLong.empty(), entries(from, to));
-  }
-
-  private static List<LogEntry> entries(long from, long to) {
-    List<LogEntry> entries = new ArrayList<>();
-    for (long index = from; index <= to; index++) {
-      byte[] data = ("entry " + index).getBytes(StandardCharsets.UTF_8);
-      entries.add(new LogEntry(index, 1, 0, new EntryContent.Command(Bytes.copyOf(data))));
-    }
-    return entries;
-  }
 }
