--- a/burdockbay-server/src/test/java/org/burdockbay/server/storage/PowerLossTest.java
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/storage/PowerLossTest.java
@@ -71,7 +71,7 @@
     }
   }
 
-  /** A synced block reads as zeros; later batches show that it was synced. */
+  /** A synced block reads as zeros; the good records after it show that it was synced. */
   @Test
   public void refusesHoleInSyncedBatch() throws StorageException, IOException {
     LogStore store = open();
@@ -158,9 +158,7 @@
     assertEquals(store.recovered().hardState(), VOTED);
   }
 
-  /**
-   * A kill at any operation of the first start must not leave a folder that is refused for ever.
-   */
+  /** A kill during the first start must not leave a folder that is refused for ever. */
   @Test
   public void opensFolderAfterKillDuringCreation() throws StorageException {
     for (int operations = 0; operations < 10; operations++) {
