Start threads only once everything is loaded

Cause: whole crash reports show SIGILL on the main thread in the C library's read(), while the first event loop's thread was 2 to 8 ms old: the platform rewrites that system call's instructions while the main thread is inside it. That defect isn't ours. But the product started the event loop in the middle of its own loading: traced with strace, the main thread then read the data folder, the logging and security properties, /dev/urandom, libextnet.so, if_inet6, somaxconn and the jar.

The log lines' thread still starts earlier; it only writes.

--- a/burdockbay-app/src/main/java/org/burdockbay/app/command/ServeCommand.java
+++ b/burdockbay-app/src/main/java/org/burdockbay/app/command/ServeCommand.java
@@ -6,6 +6,7 @@
 import org.burdockbay.app.ExitCode;
 import org.burdockbay.core.error.BurdockbayException;
 import org.burdockbay.server.Host;
+import org.burdockbay.server.LazyResources;
 import org.burdockbay.server.settings.HostSettings;
 import org.burdockbay.server.wiring.DaggerHostComponent;
 import org.kohsuke.args4j.Option;
@@ -23,6 +24,7 @@
 
   @Override
   public ExitCode run() throws BurdockbayException {
+    LazyResources.load();
     Host host = DaggerHostComponent.factory().create(HostSettings.read(settings)).host();
     // SIGTERM begins the planned stop; the hook holds the process until it is done. It must not
     // wait for the main thread: where the stop fails, that thread exits, and exiting waits for
--- /dev/null
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/LazyResources.java
@@ -0,0 +1,33 @@
+package org.burdockbay.server;
+
+import io.netty.channel.Channel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.security.SecureRandom;
+import java.util.logging.LogManager;
+
+/**
+ * Loads what the runtime and the network library read from disk on first use.
+ *
+ * <p>A process calls this before it starts its threads, so that nothing is read on one thread while
+ * others begin to run. A start then doesn't depend on the order in which the threads get to run.
+ */
+public final class LazyResources {
+
+  private static final int SEED_BYTES = 8;
+
+  private LazyResources() {}
+
+  /** Loads native libraries, kernel limits, and security and logging properties. */
+  public static void load() {
+    LogManager.getLogManager();
+    new SecureRandom().nextBytes(new byte[SEED_BYTES]);
+    // Channels that aren't registered start no event loop.
+    close(new NioServerSocketChannel());
+    close(new NioSocketChannel());
+  }
+
+  private static void close(Channel channel) {
+    channel.unsafe().closeForcibly();
+  }
+}
--- a/burdockbay-server/src/main/java/org/burdockbay/server/host/AgreementDriver.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/host/AgreementDriver.java
@@ -55,6 +55,11 @@
     snapshot.ifPresent(this::restore);
   }
 
+  /** Starts to write to the data folder. */
+  public void start() {
+    writer.start();
+  }
+
   /** Returns the member of the group. */
   public RaftNode node() {
     return node;
--- a/burdockbay-server/src/main/java/org/burdockbay/server/host/HostController.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/host/HostController.java
@@ -102,6 +102,7 @@
   public void start() throws ServerException {
     parts.transport().start(this);
     parts.settings().peers().forEach(parts.transport()::connect);
+    agreement.ifPresent(AgreementDriver::start);
     parts.thread().start(this::tick, this::flush);
   }
 
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
@@ -169,6 +169,7 @@
    */
   public void start() throws ServerException {
     parts.transport().start(this);
+    agreement.ifPresent(AgreementDriver::start);
     parts.thread().start(this::tick, this::flush);
     onControl(() -> settings.seeds().forEach(this::connectSeed));
   }
--- a/burdockbay-server/src/main/java/org/burdockbay/server/storage/LogWriter.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/storage/LogWriter.java
@@ -22,7 +22,7 @@
   private final Thread thread;
 
   /**
-   * Starts the writer.
+   * Creates a writer; {@link #start} runs it.
    *
    * @param synced told of the last ticket of each synced batch
    * @param failed told once if writing fails; nothing is written after that
@@ -31,7 +31,12 @@
     this.store = store;
     this.synced = synced;
     this.failed = failed;
-    this.thread = Thread.ofPlatform().name("log-writer").daemon().start(this::run);
+    this.thread = Thread.ofPlatform().name("log-writer").daemon().unstarted(this::run);
+  }
+
+  /** Starts to write what is queued. */
+  public void start() {
+    thread.start();
   }
 
   /** Queues a write. */
--- a/burdockbay-server/src/main/java/org/burdockbay/server/web/WebListener.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/web/WebListener.java
@@ -16,26 +16,29 @@
 import org.burdockbay.server.ServerException;
 import org.burdockbay.server.logging.EventLog;
 import org.burdockbay.server.settings.HostAddress;
+import org.jspecify.annotations.Nullable;
 
 /** Listens on one address and hands whole requests to a handler. */
 public final class WebListener implements AutoCloseable {
 
   private static final int BACKLOG = 1_024;
 
-  private final Channel server;
+  private final HostAddress address;
+  private final ServerBootstrap bootstrap;
   private final ChannelGroup connections =
       new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
+  private @Nullable Channel server;
   private volatile boolean draining;
 
-  /**
-   * Starts to listen.
-   *
-   * @throws ServerException if the address can't be used
-   */
+  /** Creates a listener; {@link #start} opens it. */
   public WebListener(
-      EventLoopGroup loops, HostAddress address, WebLimits limits, WebHandler handler, EventLog log)
-      throws ServerException {
-    var bound =
+      EventLoopGroup loops,
+      HostAddress address,
+      WebLimits limits,
+      WebHandler handler,
+      EventLog log) {
+    this.address = address;
+    this.bootstrap =
         new ServerBootstrap()
             .group(loops)
             .channel(NioServerSocketChannel.class)
@@ -57,9 +60,16 @@
                         .addLast(new HttpObjectAggregator(limits.maxBodyBytes()))
                         .addLast(new WebConnection(handler, () -> draining, log));
                   }
-                })
-            .bind(address.socket())
-            .awaitUninterruptibly();
+                });
+  }
+
+  /**
+   * Starts to listen.
+   *
+   * @throws ServerException if the address can't be used
+   */
+  public void start() throws ServerException {
+    var bound = bootstrap.bind(address.socket()).awaitUninterruptibly();
     if (!bound.isSuccess()) {
       throw new ServerException(
           "address " + address + " can't be used: " + bound.cause().getMessage(), bound.cause());
@@ -75,7 +85,7 @@
    */
   public void drain() {
     draining = true;
-    server.close().awaitUninterruptibly();
+    stopListening();
     connections.forEach(
         channel -> channel.eventLoop().execute(() -> WebConnection.closeIfIdle(channel)));
   }
@@ -87,7 +97,14 @@
 
   @Override
   public void close() {
-    server.close().awaitUninterruptibly();
+    stopListening();
     connections.close().awaitUninterruptibly();
   }
+
+  private void stopListening() {
+    Channel bound = server;
+    if (bound != null) {
+      bound.close().awaitUninterruptibly();
+    }
+  }
 }
--- a/burdockbay-server/src/test/java/org/burdockbay/server/storage/LogWriterTest.java
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/storage/LogWriterTest.java
@@ -23,6 +23,7 @@
     LogStore store = new LogStore(disk, Path.of("/data"), GroupId.CONTROL);
     CompletableFuture<StorageException> failure = new CompletableFuture<>();
     LogWriter writer = new LogWriter(store, ticket -> {}, failure::complete);
+    writer.start();
     disk.killAfter(0);
     writer.submit(
         new RaftEffect.Persist(
