Planned stop: write the answers in flight before the server closes

What callers saw: a host that is stopped as planned closed connections whose answer was still being written; a caller that reads slowly got a part of it. Requests on open connections were cut off too.

Cause: a request leaves the in-flight count when its outcome is known. The server was closed a second later, whether the answer had left or not.

Change: the HTTP server stops gracefully with its library's handler: it closes the port, answers what still arrives on open connections with `refused` and Retry-After, and closes once every answer is written, within what is left of drain-ms (a second at least). The fixed pause of a second is gone.

Tests, both failing before: HttpServerTest.writesWholeAnswersBeforeItStops (225,444 bytes of 32 MB came) and refusesRequestsOnOpenConnectionsWhileItStops (the connection just ended).

--- a/burdockbay-server/src/main/java/org/burdockbay/server/Host.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/Host.java
@@ -60,7 +60,7 @@
               "host-started",
               "domain=" + parts.settings().domain() + " http=" + parts.settings().httpAddress());
       drainAsked.await();
-      drain(controller);
+      drain(controller, http);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     } finally {
@@ -90,7 +90,7 @@
   }
 
   /** Leaves the balancer, hands over, and waits until nothing is in flight. */
-  private void drain(HostController controller) throws InterruptedException {
+  private void drain(HostController controller, HttpServer http) throws InterruptedException {
     controller.drain();
     // The balancer needs a moment to see that the host isn't ready; requests until then are served.
     Thread.sleep(BALANCER_MILLIS);
@@ -98,9 +98,8 @@
     while (parts.clock().millis() < giveUpAt && inFlight(controller) > 0) {
       Thread.sleep(POLL_MILLIS);
     }
-    // A request leaves the count when its outcome is known. Its answer is still being written, and
-    // closing the server at once would cut it off.
-    Thread.sleep(WRITE_MILLIS);
+    // A request leaves the count when its outcome is known, before its answer is written.
+    http.stop(Math.max(WRITE_MILLIS, giveUpAt - parts.clock().millis()));
   }
 
   private int inFlight(HostController controller) throws InterruptedException {
--- a/burdockbay-server/src/main/java/org/burdockbay/server/http/HttpServer.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/http/HttpServer.java
@@ -47,6 +47,8 @@
               config.http.maxRequestSize = settings.limits().bodyBytes();
               config.http.asyncTimeout = NO_TIMEOUT;
               config.jetty.threadPool = new QueuedThreadPool(MOST_THREADS, LEAST_THREADS);
+              config.jetty.modifyServer(
+                  server -> server.setHandler(new StoppingHandler(responder)));
               tls.ifPresent(
                   factory ->
                       config.jetty.addConnector(
@@ -104,6 +106,17 @@
     }
   }
 
+  /**
+   * Stops listening, refuses what still arrives on open connections, and closes them once every
+   * answer in flight is written.
+   *
+   * @param patienceMillis time after which unfinished answers are cut off, in milliseconds
+   */
+  public void stop(long patienceMillis) {
+    javalin.jettyServer().server().setStopTimeout(patienceMillis);
+    javalin.stop();
+  }
+
   @Override
   public void close() {
     javalin.stop();
--- a/burdockbay-server/src/main/java/org/burdockbay/server/http/Responder.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/http/Responder.java
@@ -53,6 +53,17 @@
   /** Answers with an error. */
   public void problem(
       Context context, ErrorKind kind, String detail, long retryAfterMillis, String submission) {
+    if (retryAfterMillis > 0) {
+      context.header("Retry-After", retryAfterSeconds(retryAfterMillis));
+    }
+    context
+        .status(kind.httpStatus())
+        .contentType(PROBLEM_JSON)
+        .result(problemText(kind, detail, retryAfterMillis, submission));
+  }
+
+  /** Returns the document that describes an error. */
+  String problemText(ErrorKind kind, String detail, long retryAfterMillis, String submission) {
     Map<String, Object> problem = new LinkedHashMap<>();
     problem.put("type", PROBLEM_TYPE + kind.code());
     problem.put("title", kind.code());
@@ -63,11 +74,14 @@
       problem.put("submission", submission);
     }
     if (retryAfterMillis > 0) {
-      long seconds = (retryAfterMillis + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND;
-      context.header("Retry-After", Long.toString(seconds));
       problem.put("retryAfterMillis", retryAfterMillis);
     }
-    context.status(kind.httpStatus()).contentType(PROBLEM_JSON).result(text(problem));
+    return text(problem);
+  }
+
+  /** Returns the value of the header that tells when to come back, in whole seconds. */
+  static String retryAfterSeconds(long millis) {
+    return Long.toString((millis + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND);
   }
 
   private String text(Object value) {
--- a/burdockbay-server/src/test/java/org/burdockbay/server/http/HttpServerTest.java
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/http/HttpServerTest.java
@@ -1,17 +1,25 @@
 package org.burdockbay.server.http;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 import static org.testng.Assert.expectThrows;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.BufferedReader;
+import java.io.IOException;
 import java.io.InputStream;
+import java.io.InputStreamReader;
+import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.nio.file.Path;
 import java.security.KeyStore;
 import java.security.cert.CertificateFactory;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.Collectors;
 import javax.net.ssl.SSLContext;
 import javax.net.ssl.TrustManagerFactory;
 import javax.net.ssl.X509TrustManager;
@@ -28,6 +36,12 @@
 /** The HTTP server: TLS by settings, errors by the table, and addresses in use. */
 public class HttpServerTest {
 
+  /** More than the kernel's buffers of a connection take. */
+  private static final byte[] LARGE_ANSWER = new byte[32 * 1024 * 1024];
+
+  private static final int RECEIVE_BYTES = 4_096;
+  private static final long POLL_MILLIS = 10;
+
   /** With a certificate in the settings, callers reach the host over TLS and by no other way. */
   @Test
   public void servesOverTls() throws Exception {
@@ -53,6 +67,54 @@
     }
   }
 
+  /** A planned stop cut off answers that were still being written. */
+  @Test
+  public void writesWholeAnswersBeforeItStops() throws Exception {
+    HostSettings settings = settings(freePort(), "", "");
+    try (HttpServer server = server(settings);
+        Socket caller = new Socket()) {
+      server.start();
+      caller.setReceiveBufferSize(RECEIVE_BYTES);
+      caller.connect(settings.httpAddress().socket());
+      send(caller, "GET /large HTTP/1.1");
+      caller.getInputStream().readNBytes(RECEIVE_BYTES);
+      CompletableFuture<Void> stopped = CompletableFuture.runAsync(() -> server.stop(60_000));
+      awaitClosedPort(settings);
+      long rest = caller.getInputStream().transferTo(OutputStream.nullOutputStream());
+      assertTrue(rest + RECEIVE_BYTES > LARGE_ANSWER.length, "only " + rest + " bytes came");
+      stopped.join();
+    }
+  }
+
+  /** A request that arrives during a planned stop must be refused, not cut off. */
+  @Test
+  public void refusesRequestsOnOpenConnectionsWhileItStops() throws Exception {
+    HostSettings settings = settings(freePort(), "", "");
+    try (HttpServer server = server(settings);
+        Socket slow = new Socket();
+        Socket late = new Socket()) {
+      server.start();
+      slow.setReceiveBufferSize(RECEIVE_BYTES);
+      slow.connect(settings.httpAddress().socket());
+      late.connect(settings.httpAddress().socket());
+      send(slow, "GET /large HTTP/1.1");
+      slow.getInputStream().readNBytes(RECEIVE_BYTES);
+      send(late, "GET /hello HTTP/1.1");
+      BufferedReader answers =
+          new BufferedReader(new InputStreamReader(late.getInputStream(), UTF_8));
+      assertEquals(answers.readLine(), "HTTP/1.1 200 OK");
+      CompletableFuture<Void> stopped = CompletableFuture.runAsync(() -> server.stop(60_000));
+      awaitClosedPort(settings);
+      send(late, "GET /hello HTTP/1.1");
+      String rest = answers.lines().collect(Collectors.joining("\n"));
+      assertTrue(rest.contains("HTTP/1.1 503 Service Unavailable\n"), rest);
+      assertTrue(rest.contains("Retry-After: 1\n"), rest);
+      assertTrue(rest.contains("\"type\":\"urn:burdockbay:error:refused\""), rest);
+      slow.getInputStream().transferTo(OutputStream.nullOutputStream());
+      stopped.join();
+    }
+  }
+
   /** A port that another process uses is named in one line. */
   @Test
   public void namesAddressesInUse() throws Exception {
@@ -82,6 +144,7 @@
         List.of(
             routes -> {
               routes.get("/hello", context -> context.result("hello"));
+              routes.get("/large", context -> context.result(LARGE_ANSWER));
               routes.get(
                   "/refused",
                   context -> {
@@ -90,6 +153,23 @@
             }));
   }
 
+  private static void send(Socket caller, String requestLine) throws IOException {
+    String request = requestLine + "\r\nHost: test\r\n\r\n";
+    caller.getOutputStream().write(request.getBytes(UTF_8));
+  }
+
+  /** Waits until the server takes no more connections. */
+  private static void awaitClosedPort(HostSettings settings) throws InterruptedException {
+    while (true) {
+      try (Socket socket = new Socket()) {
+        socket.connect(settings.httpAddress().socket());
+      } catch (IOException e) {
+        return;
+      }
+      Thread.sleep(POLL_MILLIS);
+    }
+  }
+
   private static String get(HostSettings settings, String scheme, String path) throws Exception {
     KeyStore trusted = KeyStore.getInstance("PKCS12");
     trusted.load(null, null);
