Planned stop on the platform: close no connection before its answers are written

What callers saw: a host that is stopped as planned cut off an answer that was still being written on a connection that is kept alive: a slow caller or a full link got a part of it.

A connection without a request being handled counted as idle, though its last answer was still being written, and was closed at once. And a request left the count of those in flight when its outcome was known; two pauses of 25 ms were meant to cover the rest. Hosts that serve only operators and upstreams didn't wait at all.

Change: an idle connection is closed behind what is written on it.

Tests: WebListenerTest.writesWholeAnswersBeforeItClosesIdleConnections failed before (2,805,831 bytes of 32 MB came); the count is new and has two tests.

--- a/burdockbay-server/src/main/java/org/burdockbay/server/web/WebConnection.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/web/WebConnection.java
@@ -16,6 +16,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import org.burdockbay.server.logging.EventLog;
 import org.jspecify.annotations.Nullable;
@@ -27,21 +28,32 @@
 
   private final WebHandler handler;
   private final BooleanSupplier draining;
+  private final AtomicInteger openRequests;
   private final EventLog log;
   private final Deque<Exchange> waiting = new ArrayDeque<>();
   private @Nullable Exchange current;
 
-  WebConnection(WebHandler handler, BooleanSupplier draining, EventLog log) {
+  /**
+   * Creates a connection.
+   *
+   * @param openRequests counts requests from their arrival until their answers are written
+   */
+  WebConnection(
+      WebHandler handler, BooleanSupplier draining, AtomicInteger openRequests, EventLog log) {
     this.handler = handler;
     this.draining = draining;
+    this.openRequests = openRequests;
     this.log = log;
   }
 
-  /** Closes a connection on which no request is being handled; call it on the channel's loop. */
+  /**
+   * Closes a connection on which no request is being handled, once its last answer is written; call
+   * it on the channel's loop.
+   */
   static void closeIfIdle(Channel channel) {
     WebConnection connection = channel.pipeline().get(WebConnection.class);
     if (connection == null || connection.current == null) {
-      channel.close();
+      channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
     }
   }
 
@@ -49,6 +61,7 @@
   protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
     boolean keepAlive = HttpUtil.isKeepAlive(request);
     Exchange exchange = new Exchange(context, WebRequest.of(request), keepAlive);
+    openRequests.incrementAndGet();
     if (request.decoderResult().isFailure()) {
       log.warn(
           "request-unreadable",
@@ -67,6 +80,7 @@
 
   @Override
   public void channelInactive(ChannelHandlerContext context) {
+    openRequests.addAndGet(-waiting.size());
     waiting.clear();
     Exchange abandoned = current;
     current = null;
@@ -130,6 +144,7 @@
     private void abandoned() {
       if (!answered) {
         answered = true;
+        openRequests.decrementAndGet();
         abandonment.run();
       }
     }
@@ -141,6 +156,7 @@
       answered = true;
       boolean keep = keepAlive && !draining.getAsBoolean();
       var written = context.writeAndFlush(response(reply, keep));
+      written.addListener(done -> openRequests.decrementAndGet());
       if (!keep) {
         written.addListener(ChannelFutureListener.CLOSE);
       }
--- a/burdockbay-server/src/main/java/org/burdockbay/server/web/WebListener.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/web/WebListener.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.util.concurrent.GlobalEventExecutor;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.burdockbay.server.ServerException;
 import org.burdockbay.server.logging.EventLog;
 import org.burdockbay.server.settings.HostAddress;
@@ -27,6 +28,7 @@
   private final ServerBootstrap bootstrap;
   private final ChannelGroup connections =
       new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
+  private final AtomicInteger openRequests = new AtomicInteger();
   private @Nullable Channel server;
   private volatile boolean draining;
 
@@ -58,7 +60,7 @@
                                     .setMaxHeaderSize(limits.maxHeaderBytes())
                                     .setMaxInitialLineLength(limits.maxHeaderBytes())))
                         .addLast(new HttpObjectAggregator(limits.maxBodyBytes()))
-                        .addLast(new WebConnection(handler, () -> draining, log));
+                        .addLast(new WebConnection(handler, () -> draining, openRequests, log));
                   }
                 });
   }
@@ -95,6 +97,11 @@
     return connections.size();
   }
 
+  /** Returns the number of requests whose answers aren't written yet. */
+  public int openRequests() {
+    return openRequests.get();
+  }
+
   @Override
   public void close() {
     stopListening();
--- /dev/null
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/web/WebListenerTest.java
@@ -0,0 +1,110 @@
+package org.burdockbay.server.web;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import org.burdockbay.server.logging.EventLog;
+import org.burdockbay.server.settings.HostAddress;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** What a planned stop learns from a listener about the requests in flight. */
+public class WebListenerTest {
+
+  private static final int RECEIVE_BYTES = 4_096;
+  private static final long POLL_MILLIS = 5;
+
+  /** More than the kernel's buffers of a connection take. */
+  private static final String LARGE_ANSWER = "x".repeat(32 * 1024 * 1024);
+
+  private final BlockingQueue<WebExchange> unanswered = new LinkedBlockingQueue<>();
+  private EventLoopGroup loops;
+  private HostAddress address;
+  private WebListener listener;
+
+  /** Starts a listener whose requests are answered by the test. */
+  @BeforeMethod
+  public void listen() throws Exception {
+    loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      address = new HostAddress("127.0.0.1", socket.getLocalPort());
+    }
+    unanswered.clear();
+    listener =
+        new WebListener(loops, address, WebLimits.CALLERS, unanswered::add, new EventLog("test"));
+    listener.start();
+  }
+
+  /** Stops everything. */
+  @AfterMethod(alwaysRun = true)
+  public void close() {
+    listener.close();
+    loops.shutdownGracefully().awaitUninterruptibly();
+  }
+
+  /** A planned stop cut off answers whose requests counted as done before they were written. */
+  @Test
+  public void countsRequestsUntilTheirAnswersAreWritten() throws Exception {
+    try (Socket caller = new Socket()) {
+      caller.setReceiveBufferSize(RECEIVE_BYTES);
+      caller.connect(address.socket());
+      request(caller);
+      WebExchange exchange = unanswered.take();
+      assertEquals(listener.openRequests(), 1);
+      exchange.reply(WebReply.text(200, LARGE_ANSWER));
+      caller.getInputStream().readNBytes(RECEIVE_BYTES);
+      assertEquals(listener.openRequests(), 1);
+      caller.getInputStream().skipNBytes(LARGE_ANSWER.length() - RECEIVE_BYTES);
+      awaitNoRequests();
+    }
+  }
+
+  /** A planned stop took connections for idle while their last answer was being written. */
+  @Test
+  public void writesWholeAnswersBeforeItClosesIdleConnections() throws Exception {
+    try (Socket caller = new Socket()) {
+      caller.setReceiveBufferSize(RECEIVE_BYTES);
+      caller.connect(address.socket());
+      request(caller);
+      unanswered.take().reply(WebReply.text(200, LARGE_ANSWER));
+      caller.getInputStream().readNBytes(RECEIVE_BYTES);
+      listener.drain();
+      long rest = caller.getInputStream().transferTo(OutputStream.nullOutputStream());
+      assertTrue(rest + RECEIVE_BYTES > LARGE_ANSWER.length(), "only " + rest + " bytes came");
+    }
+  }
+
+  /** A planned stop must not wait for callers that have left. */
+  @Test
+  public void forgetsRequestsOfClosedConnections() throws Exception {
+    try (Socket caller = new Socket()) {
+      caller.connect(address.socket());
+      request(caller);
+      request(caller);
+      unanswered.take();
+    }
+    awaitNoRequests();
+  }
+
+  private void awaitNoRequests() throws InterruptedException {
+    while (listener.openRequests() > 0) {
+      Thread.sleep(POLL_MILLIS);
+    }
+    assertEquals(listener.openRequests(), 0);
+  }
+
+  private static void request(Socket caller) throws Exception {
+    caller.getOutputStream().write("GET / HTTP/1.1\r\nHost: test\r\n\r\n".getBytes(UTF_8));
+  }
+}
