Lease model: connections between hosts can keep the order of messages

In its trace the entry host submits the work again and cancels it in the same second; the cancellation arrives first and drops the work, the late submission starts it anew. Over one connection that order is impossible, and a process also repeats a cancellation behind the submissions that wait.

Change: with `ordered`, what one host sends to another arrives in that order, is lost when the connection breaks, and a cancellation is handled at once and again behind the work. The plays that existed are unchanged, unordered and as strict as before; new ones play the divided fleet ordered in all three kinds of network.

--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseFuzzTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseFuzzTest.java
@@ -5,6 +5,7 @@
 import org.burdockbay.core.FuzzDepth;
 import org.burdockbay.core.shard.ShardLayout;
 import org.testng.annotations.AfterClass;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Drives hosts, upstreams and callers through faults against {@link LeaseModel}. */
@@ -61,12 +62,28 @@
     playAll(LeaseModel.Network.TIED, true);
   }
 
+  /** A task ran twice after a connection broke with a submission or cancellation under way. */
+  @Test(dataProvider = "networks")
+  public void overlapsNoTwoRunsOfTaskOverOrderedConnections(LeaseModel.Network network) {
+    playAll(network, true, true);
+  }
+
+  /** Returns all kinds of network. */
+  @DataProvider
+  public Object[] networks() {
+    return LeaseModel.Network.values();
+  }
+
   private static void playAll(LeaseModel.Network network, boolean divided) {
+    playAll(network, divided, false);
+  }
+
+  private static void playAll(LeaseModel.Network network, boolean divided, boolean ordered) {
     int runs = FuzzDepth.examples(RUNS);
     for (int run = 0; run < runs; run++) {
       long seed = FuzzDepth.seed() + run;
       try {
-        play(seed, network, divided ? divided(seed) : ShardLayout.UNDIVIDED, true);
+        play(seed, network, divided ? divided(seed) : ShardLayout.UNDIVIDED, true, ordered);
       } catch (AssertionError e) {
         throw new AssertionError("seed " + seed + ": " + e.getMessage(), e);
       }
@@ -103,7 +120,7 @@
 
   /** Plays a seed with the faults that there were when it showed one. */
   private static void playAsFound(long seed, LeaseModel.Network network) {
-    play(seed, network, ShardLayout.UNDIVIDED, false);
+    play(seed, network, ShardLayout.UNDIVIDED, false, false);
   }
 
   /** Returns a layout of one or two shards in each domain. */
@@ -112,9 +129,14 @@
   }
 
   private static void play(
-      long seed, LeaseModel.Network network, ShardLayout layout, boolean connectionsBreak) {
+      long seed,
+      LeaseModel.Network network,
+      ShardLayout layout,
+      boolean connectionsBreak,
+      boolean ordered) {
     LeaseModel model = new LeaseModel(seed, network, layout, 2 + layout.shardsPerDomain() / 2, 3);
     model.connectionsBreak = connectionsBreak;
+    model.ordered = ordered;
     SplittableRandom random = new SplittableRandom(~seed);
     for (int step = 0; step < STEPS; step++) {
       if (step == GROWS_AT) {
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseModel.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseModel.java
@@ -1,6 +1,8 @@
 package org.burdockbay.core.lease;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -60,6 +62,12 @@
   /** Whether connections between hosts break, and hosts are told. */
   boolean connectionsBreak;
 
+  /**
+   * Whether what one host sends to another arrives in that order, and is lost with the connection.
+   * Otherwise each submission and cancellation takes a time of its own.
+   */
+  boolean ordered;
+
   /** Share of calls to upstreams that aren't answered and carried out seconds later. */
   double heldUp;
 
@@ -150,6 +158,7 @@
       trace("faults", "reset " + one.name + " " + other.name + " millis=" + millis);
       link.down = true;
       link.generation++;
+      link.streams.clear();
       after(millis, () -> connectAgain(link, one, other));
     }
   }
@@ -374,6 +383,30 @@
     boolean lossy;
 
     long generation;
+    final Map<ModelEntryHost, Stream> streams = new HashMap<>();
+
+    Stream streamTo(ModelEntryHost receiver) {
+      return streams.computeIfAbsent(receiver, host -> new Stream());
+    }
+  }
+
+  /** One direction of a connection: messages that haven't arrived, in the order of sending. */
+  static final class Stream {
+
+    private final Deque<Runnable> underWay = new ArrayDeque<>();
+    private long lastArrivesAt;
+
+    /** Sends a message; returns when it arrives, not before those sent earlier. */
+    long send(Runnable message, long earliestAt) {
+      underWay.add(message);
+      lastArrivesAt = Math.max(lastArrivesAt, earliestAt);
+      return lastArrivesAt;
+    }
+
+    /** Returns the message under way that was sent first. */
+    Runnable receive() {
+      return underWay.remove();
+    }
   }
 
   private record Timed(long at, long order, Runnable action) implements Comparable<Timed> {
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelEntryHost.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelEntryHost.java
@@ -178,18 +178,19 @@
 
   /** Runs a task of the work, which waits while the host is behind; it gets the arrival time. */
   private void deliverWork(long delay, LongConsumer action) {
-    deliver(
-        delay,
-        () -> {
-          long arrivedAt = clock();
-          if (!model.lags()) {
-            action.accept(arrivedAt);
-            return;
-          }
-          workUntil = Math.max(workUntil, model.now()) + model.handlingMillis();
-          workUntil = Math.min(workUntil, model.now() + MOST_LAG_MILLIS);
-          deliver(workUntil - model.now(), () -> action.accept(arrivedAt));
-        });
+    deliver(delay, () -> queueWork(action));
+  }
+
+  /** Runs a task of the work that has arrived behind the work that waits. */
+  private void queueWork(LongConsumer action) {
+    long arrivedAt = clock();
+    if (!model.lags()) {
+      action.accept(arrivedAt);
+      return;
+    }
+    workUntil = Math.max(workUntil, model.now()) + model.handlingMillis();
+    workUntil = Math.min(workUntil, model.now() + MOST_LAG_MILLIS);
+    deliver(workUntil - model.now(), () -> action.accept(arrivedAt));
   }
 
   private void arrive(long meant, Runnable action) {
@@ -365,11 +366,15 @@
   private void deliverOver(LeaseModel.Link link, long delay, Runnable action) {
     long meant = life;
     long sentOver = link.generation;
+    LeaseModel.Stream stream = link.streamTo(this);
+    boolean inOrder = model.ordered;
+    long earliestAt = model.now() + delay;
+    long arrivesAt = inOrder ? stream.send(action, earliestAt) : earliestAt;
     model.after(
-        delay,
+        arrivesAt - model.now(),
         () -> {
           if (link.generation == sentOver) {
-            arrive(meant, action);
+            arrive(meant, inOrder ? stream.receive() : action);
           }
         });
   }
@@ -377,6 +382,8 @@
   private void sendWork(ModelEntryHost other, LongConsumer action) {
     if (other == this) {
       deliverWork(0, action);
+    } else if (model.ordered) {
+      send(other, () -> other.queueWork(action));
     } else if (model.connected(domain, other.domain)) {
       other.deliverWork(model.oneWayMillis(domain, other.domain), action);
     }
@@ -445,6 +452,9 @@
           ModelEntryHost target = model.hosts.get(cancel.to().host());
           LeaseEvent cancelled =
               new LeaseEvent.Cancelled(name, cancel.to().token(), cancel.workId());
+          if (model.ordered && target != this) {
+            send(target, () -> target.dispatch(cancelled));
+          }
           sendWork(target, arrivedAt -> target.dispatch(cancelled, arrivedAt));
         }
         case IntakeEffect.Answer answer -> {
