Process test: a host that crashes again and again while it starts

CrashDuringStartTest ends host c of a real cluster with a fatal signal at six moments of its start, from 150 ms to 1.1 s, while callers book at another host: every booking is answered whole, no task starts twice, and the host comes back as the same voter with the configuration in force.

TestCluster runs its programs in its own folder, so that core files go with it, shows the ends of all logs when a wait times out, and ends its processes when its own start fails; until now they were left behind. ProcessFailureTest itself is unchanged.

--- /dev/null
+++ b/burdockbay-app/src/test/java/org/burdockbay/app/CrashDuringStartTest.java
@@ -0,0 +1,71 @@
+package org.burdockbay.app;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.Test;
+
+/** A process that crashes in native code while it starts, several times in a row. */
+public class CrashDuringStartTest {
+
+  /** Times after the beginning of the process; a start takes about a second. */
+  private static final List<Integer> MOMENTS_MILLIS = List.of(150, 300, 500, 700, 900, 1_100);
+
+  /** Exit code of a process that the runtime ends after a fatal signal. */
+  private static final int ABORTED = 134;
+
+  private static final int TASKS_A_JOB = 2;
+  private static final int RUN_MILLIS = 400;
+  private TestCluster cluster;
+
+  /** Starts the hosts. */
+  @BeforeClass
+  public void startCluster() throws Exception {
+    cluster = new TestCluster();
+  }
+
+  /** Stops everything. */
+  @AfterClass(alwaysRun = true)
+  public void stopCluster() throws Exception {
+    if (cluster != null) {
+      cluster.close();
+    }
+  }
+
+  /**
+   * Callers of other hosts must lose nothing, and the host must come back with what it promised.
+   */
+  @Test
+  public void losesNothingWhenHostCrashesAgainAndAgain() throws Exception {
+    String voters = voters();
+    final int before = cluster.startedTasks();
+    List<CompletableFuture<TestCluster.Answer>> answers = new ArrayList<>();
+    cluster.kill("c");
+    for (int moment : MOMENTS_MILLIS) {
+      answers.add(cluster.submit("a", "booking", "crash-" + moment, RUN_MILLIS));
+      cluster.start("c");
+      Thread.sleep(moment);
+      cluster.signal("c", "ILL");
+      assertEquals(cluster.awaitExit("c"), ABORTED);
+    }
+    cluster.start("c");
+    cluster.await("c is ready", () -> cluster.get("c", "/ready", "").code() == 200);
+    for (CompletableFuture<TestCluster.Answer> answer : answers) {
+      TestCluster.Answer got = answer.join();
+      assertEquals(got.code(), 200, got.body().toString());
+      assertEquals(got.body().path("answers").size(), TASKS_A_JOB);
+    }
+    assertEquals(
+        cluster.startedTasks(), before + MOMENTS_MILLIS.size() * TASKS_A_JOB, "a task ran twice");
+    assertEquals(voters(), voters);
+    assertEquals(cluster.report("c").path("self").path("configurationVersion").asLong(), 1);
+  }
+
+  private String voters() {
+    return cluster.report("a").path("agreement").path("voters").toString();
+  }
+}
--- a/burdockbay-app/src/test/java/org/burdockbay/app/TestCluster.java
+++ b/burdockbay-app/src/test/java/org/burdockbay/app/TestCluster.java
@@ -59,6 +59,15 @@
   /** Starts hosts a and b in domain north and c in domain south, all voters. */
   TestCluster() throws Exception {
     folder = Files.createTempDirectory("cluster");
+    try {
+      startHosts();
+    } catch (Exception | AssertionError e) {
+      close();
+      throw e;
+    }
+  }
+
+  private void startHosts() throws Exception {
     domains.put("a", "north");
     domains.put("b", "north");
     domains.put("c", "south");
@@ -129,7 +138,7 @@
 
   /** Sends a signal to a host. */
   void signal(String host, String name) throws Exception {
-    if (name.equals("TERM")) {
+    if (name.equals("TERM") || name.equals("ILL")) {
       meantToRun.remove(host);
     }
     new ProcessBuilder("kill", "-" + name, Long.toString(processes.get(host).pid()))
@@ -195,7 +204,7 @@
         }
       }
       if (System.currentTimeMillis() > until) {
-        throw new AssertionError("timed out: " + what);
+        throw new AssertionError("timed out: " + what + endsOfLogs());
       }
       Thread.sleep(50);
     }
@@ -291,13 +300,18 @@
     List<String> command = new ArrayList<>();
     command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
     command.addAll(List.of("-Xmx96m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1"));
+    command.add("-XX:+ErrorFileToStdout");
     command.addAll(List.of("--sun-misc-unsafe-memory-access=allow", "-cp"));
     command.add(System.getProperty("java.class.path"));
     command.add(Main.class.getName());
     command.addAll(List.of(arguments));
     File log = folder.resolve(arguments[0] + "-" + System.nanoTime() + ".log").toFile();
     Process process =
-        new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(log).start();
+        new ProcessBuilder(command)
+            .directory(folder.toFile())
+            .redirectErrorStream(true)
+            .redirectOutput(log)
+            .start();
     logs.put(process, log.toPath());
     return process;
   }
@@ -307,6 +321,14 @@
     return String.join("\n", lines.subList(Math.max(0, lines.size() - LOG_LINES), lines.size()));
   }
 
+  private String endsOfLogs() throws IOException {
+    StringBuilder text = new StringBuilder();
+    for (String host : processes.keySet()) {
+      text.append("\nlog of ").append(host).append(":\n").append(endOfLog(host));
+    }
+    return text.toString();
+  }
+
   private Request.Builder request(String host, String path, String token) {
     return new Request.Builder()
         .url("http://127.0.0.1:" + httpPorts.get(host) + path)
