--- a/burdockbay-server/src/test/java/org/burdockbay/server/http/HttpServerTest.java
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/http/HttpServerTest.java
@@ -105,7 +105,7 @@
       BufferedReader answers =
           new BufferedReader(new InputStreamReader(late.getInputStream(), UTF_8));
       assertEquals(answers.readLine(), "HTTP/1.1 200 OK");
-      CompletableFuture<Void> stopped = CompletableFuture.runAsync(() -> server.stop(60_000));
+      final CompletableFuture<Void> stopped = CompletableFuture.runAsync(() -> server.stop(60_000));
       awaitClosedPort(settings);
       send(late, "GET /hello HTTP/1.1");
       String rest = answers.lines().collect(Collectors.joining("\n"));
