--- a/burdockbay-core/src/main/java/org/burdockbay/core/control/ControlCommand.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/control/ControlCommand.java
@@ -24,6 +24,17 @@
   /** Puts a catalog in force, unless the current one has the same or a higher version. */
   record PublishCatalog(CompressedCatalog catalog) implements ControlCommand {}
 
+  /**
+   * Starts or ends the evacuation of a failure domain, if no other change was made since the
+   * expected version. A copy that arrives late can't undo a later order this way.
+   *
+   * @param domain name of the failure domain
+   * @param evacuated whether the domain is to be evacuated
+   * @param expectedVersion version of the evacuations on which the order is based
+   */
+  record ChangeEvacuation(String domain, boolean evacuated, long expectedVersion)
+      implements ControlCommand {}
+
   /**
    * Reads the current catalog. The read is ordered by the log, so the result is at least as new as
    * every version that was acknowledged before.
--- a/burdockbay-core/src/main/java/org/burdockbay/core/control/ControlImage.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/control/ControlImage.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.burdockbay.core.catalog.CompressedCatalog;
+import org.burdockbay.core.evacuation.Evacuations;
 import org.burdockbay.core.ledger.LedgerImage;
 
 /**
@@ -11,12 +12,14 @@
  * @param changes accepted changes with the versions that they created, oldest first
  * @param ledger state of the ledger
  * @param catalog catalog in force; version 0 before the first one
+ * @param evacuations evacuated failure domains
  */
 public record ControlImage(
     List<ConfigurationVersion> configuration,
     List<AcceptedChange> changes,
     LedgerImage ledger,
-    CompressedCatalog catalog) {
+    CompressedCatalog catalog,
+    Evacuations evacuations) {
 
   /** Copies the lists. */
   public ControlImage {
--- a/burdockbay-core/src/main/java/org/burdockbay/core/control/ControlReply.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/control/ControlReply.java
@@ -10,16 +10,17 @@
   record LedgerResult(LedgerReply reply) implements ControlReply {}
 
   /**
-   * The configuration or catalog was accepted, or had been accepted before.
+   * The configuration, catalog or evacuation was accepted, or had been accepted before.
    *
-   * @param version version of the configuration, or of the catalog that is in force
+   * @param version version of the configuration, or of the catalog or the evacuations that are in
+   *     force
    */
   record Accepted(long version) implements ControlReply {}
 
   /**
-   * The change is based on an outdated version of the configuration.
+   * The change is based on an outdated version of the configuration or of the evacuations.
    *
-   * @param currentVersion version of the current configuration
+   * @param currentVersion the current version
    */
   record VersionConflict(long currentVersion) implements ControlReply {}
 
--- a/burdockbay-core/src/main/java/org/burdockbay/core/control/ControlState.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/control/ControlState.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.burdockbay.core.catalog.CompressedCatalog;
+import org.burdockbay.core.evacuation.Evacuations;
 import org.burdockbay.core.ledger.Ledger;
 
 /**
@@ -35,6 +36,7 @@
   private final Map<String, Long> acceptedChanges = new LinkedHashMap<>();
   private int retainedCharacters;
   private CompressedCatalog catalog = CompressedCatalog.EMPTY;
+  private Evacuations evacuations = Evacuations.NONE;
 
   /**
    * Applies a command.
@@ -47,6 +49,7 @@
           new ControlReply.LedgerResult(ledger.apply(toLedger.command(), now));
       case ControlCommand.ApplyConfiguration apply -> applyConfiguration(apply, now);
       case ControlCommand.PublishCatalog publish -> publishCatalog(publish);
+      case ControlCommand.ChangeEvacuation change -> changeEvacuation(change);
       case ControlCommand.ReadCatalog read -> new ControlReply.CatalogContent(catalog);
     };
   }
@@ -56,6 +59,11 @@
     return catalog;
   }
 
+  /** Returns the evacuated failure domains. */
+  public Evacuations evacuations() {
+    return evacuations;
+  }
+
   /** Returns the current version of the configuration, or empty if none was applied yet. */
   public Optional<ControlImage.ConfigurationVersion> configuration() {
     return Optional.ofNullable(versions.peekLast());
@@ -76,7 +84,7 @@
     List<ControlImage.AcceptedChange> accepted = new ArrayList<>();
     acceptedChanges.forEach(
         (id, version) -> accepted.add(new ControlImage.AcceptedChange(id, version)));
-    return new ControlImage(history(), accepted, ledger.image(), catalog);
+    return new ControlImage(history(), accepted, ledger.image(), catalog, evacuations);
   }
 
   /** Replaces the complete state. */
@@ -88,6 +96,7 @@
     image.changes().forEach(change -> acceptedChanges.put(change.changeId(), change.version()));
     ledger.restore(image.ledger());
     catalog = image.catalog();
+    evacuations = image.evacuations();
   }
 
   /**
@@ -103,6 +112,23 @@
     return new ControlReply.Accepted(catalog.version());
   }
 
+  /**
+   * Changes the evacuation of a failure domain.
+   *
+   * <p>An order that is already carried out is accepted whatever version it is based on, as it may
+   * be the resend of one whose reply was lost.
+   */
+  private ControlReply changeEvacuation(ControlCommand.ChangeEvacuation change) {
+    if (evacuations.contains(change.domain()) == change.evacuated()) {
+      return new ControlReply.Accepted(evacuations.version());
+    }
+    if (change.expectedVersion() != evacuations.version()) {
+      return new ControlReply.VersionConflict(evacuations.version());
+    }
+    evacuations = evacuations.with(change.domain(), change.evacuated());
+    return new ControlReply.Accepted(evacuations.version());
+  }
+
   private ControlReply applyConfiguration(ControlCommand.ApplyConfiguration apply, long now) {
     Long accepted = acceptedChanges.get(apply.changeId());
     if (accepted != null) {
--- a/burdockbay-core/src/main/java/org/burdockbay/core/intake/IntakeEvent.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/intake/IntakeEvent.java
@@ -1,6 +1,7 @@
 package org.burdockbay.core.intake;
 
 import java.util.Map;
+import java.util.Set;
 import org.burdockbay.core.dispatch.DomainLoad;
 import org.burdockbay.core.shard.ShardId;
 import org.burdockbay.core.work.WorkOutcome;
@@ -39,6 +40,20 @@
     }
   }
 
+  /**
+   * The set of evacuated failure domains has changed.
+   *
+   * @param domains the domains whose shards start no tasks
+   * @param complete whether these are all domains of the fleet
+   */
+  record EvacuationsChanged(Set<String> domains, boolean complete) implements IntakeEvent {
+
+    /** Copies the set. */
+    public EvacuationsChanged {
+      domains = Set.copyOf(domains);
+    }
+  }
+
   /** A host has reported the free capacity of the upstreams of its shard. */
   record LoadReported(String host, DomainLoad load) implements IntakeEvent {}
 
--- a/burdockbay-core/src/main/java/org/burdockbay/core/intake/ShardSelector.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/intake/ShardSelector.java
@@ -28,6 +28,9 @@
   private final String ownDomain;
   private final Map<String, DomainLoad> loads = new HashMap<>();
   private Map<ShardId, IntakeEvent.Dispatcher> dispatchers = Map.of();
+  private Set<String> evacuatedDomains = Set.of();
+
+  /** The shards that have a dispatcher and whose domain isn't evacuated. */
   private ShardMap shards = ShardMap.of(Set.of());
 
   /**
@@ -42,10 +45,31 @@
   /** Replaces the dispatchers, and discards the loads of hosts that aren't among them. */
   void updateDispatchers(Map<ShardId, IntakeEvent.Dispatcher> changed) {
     dispatchers = changed;
-    shards = ShardMap.of(changed.keySet());
+    updateShards();
     loads.keySet().retainAll(changed.values().stream().map(IntakeEvent.Dispatcher::host).toList());
   }
 
+  /** Excludes the shards of the given failure domains from selection. */
+  void updateEvacuations(Set<String> domains) {
+    evacuatedDomains = domains;
+    updateShards();
+  }
+
+  private void updateShards() {
+    shards =
+        ShardMap.of(dispatchers.keySet().stream().filter(shard -> !isEvacuated(shard)).toList());
+  }
+
+  /** Returns whether the failure domain of a shard is evacuated. */
+  boolean isEvacuated(ShardId shard) {
+    return evacuatedDomains.contains(shard.domain());
+  }
+
+  /** Returns whether no shard can be selected. */
+  boolean isEmpty() {
+    return shards.shards().isEmpty();
+  }
+
   /** Records the load of a host's shard; ignored if the host isn't a dispatcher. */
   void updateLoad(String host, DomainLoad load) {
     if (dispatchers.values().stream().anyMatch(dispatcher -> dispatcher.host().equals(host))) {
@@ -53,7 +77,7 @@
     }
   }
 
-  /** Returns the shard for new work; empty if there is no dispatcher. */
+  /** Returns the shard for new work; empty if no shard with a dispatcher can start tasks. */
   Optional<ShardId> select(WorkRequest request) {
     return selectBest(request, shards.preferenceOrder(request.id()));
   }
--- a/burdockbay-core/src/main/java/org/burdockbay/core/intake/WorkIntake.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/intake/WorkIntake.java
@@ -59,6 +59,7 @@
   private final Map<ShardId, Long> withoutDispatcherSince = new HashMap<>();
   private final Map<IntakeEffect.Cancel, Long> cancellations = new LinkedHashMap<>();
   private Map<ShardId, IntakeEvent.Dispatcher> dispatchers = Map.of();
+  private boolean allDomainsEvacuated;
   private List<IntakeEffect> effects = new ArrayList<>();
   private long now;
 
@@ -90,6 +91,10 @@
       case IntakeEvent.CallerDisconnected disconnected -> handleDisconnect(disconnected.ticket());
       case IntakeEvent.OutcomeReported reported -> handleOutcome(reported);
       case IntakeEvent.DispatchersChanged changed -> updateDispatchers(changed.dispatchers());
+      case IntakeEvent.EvacuationsChanged changed -> {
+        allDomainsEvacuated = changed.complete();
+        shardSelector.updateEvacuations(changed.domains());
+      }
       case IntakeEvent.LoadReported report ->
           shardSelector.updateLoad(report.host(), report.load());
       case IntakeEvent.DispatcherMessageReceived received -> recordContact(received.host());
@@ -115,6 +120,9 @@
     work.callers.put(received.ticket(), caller);
     workByTicket.put(received.ticket(), work);
     submit(work, caller);
+    if (allDomainsEvacuated && work.submittedTo.isEmpty()) {
+      giveUp(work, caller, "all failure domains are evacuated");
+    }
   }
 
   private void handleDisconnect(long ticket) {
@@ -170,11 +178,11 @@
   /** Offers refused work to another shard, or answers the callers if there is none. */
   private void handleRefusal(PendingWork work, WorkOutcome.NotRun notRun) {
     PendingWork.Caller first = work.callers.values().iterator().next();
-    work.submittedTo.map(IntakeEvent.Dispatcher::host).ifPresent(work.refusedBy::add);
-    Optional<ShardId> next =
-        work.refusedBy.size() <= MAX_SPILLS
-            ? shardSelector.selectAlternative(first.request, work.refusedBy)
-            : Optional.empty();
+    boolean evacuated = work.shard.filter(shardSelector::isEvacuated).isPresent();
+    if (!evacuated) {
+      work.submittedTo.map(IntakeEvent.Dispatcher::host).ifPresent(work.refusedBy::add);
+    }
+    Optional<ShardId> next = selectNext(work, first);
     if (next.isEmpty()) {
       answerAll(work, refusalOutcome(work, notRun));
       return;
@@ -185,6 +193,19 @@
     submitAll(work);
   }
 
+  /**
+   * Returns the shard to which refused work is offered next. Work that only evacuated shards have
+   * refused goes to any other one, like new work.
+   */
+  private Optional<ShardId> selectNext(PendingWork work, PendingWork.Caller caller) {
+    if (work.refusedBy.isEmpty()) {
+      return shardSelector.select(caller.request);
+    }
+    return work.refusedBy.size() <= MAX_SPILLS
+        ? shardSelector.selectAlternative(caller.request, work.refusedBy)
+        : Optional.empty();
+  }
+
   /** Returns the refusal, or a given-up outcome if an earlier dispatcher may have run the work. */
   private static WorkOutcome refusalOutcome(PendingWork work, WorkOutcome.NotRun notRun) {
     return work.mayHaveRun ? new WorkOutcome.GivenUp(notRun.reason()) : notRun;
@@ -340,13 +361,17 @@
     long age = now - caller.arrivedAt;
     if (age >= caller.request.budgetMillis()) {
       giveUp(work, caller, "no outcome in time");
-    } else if (dispatchers.isEmpty() && age >= DISPATCHER_TIMEOUT_MILLIS) {
+    } else if (hasNoDispatcher(work) && age >= DISPATCHER_TIMEOUT_MILLIS) {
       giveUp(work, caller, "no dispatcher");
     } else if (now - caller.lastSubmittedAt >= SUBMISSION_RETRY_INTERVAL_MILLIS) {
       submit(work, caller);
     }
   }
 
+  private boolean hasNoDispatcher(PendingWork work) {
+    return dispatchers.isEmpty() || (work.submittedTo.isEmpty() && shardSelector.isEmpty());
+  }
+
   private void giveUp(PendingWork work, PendingWork.Caller caller, String reason) {
     boolean neverSubmitted = work.submittedTo.isEmpty() && !work.mayHaveRun;
     answer(
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseDispatcher.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseDispatcher.java
@@ -131,6 +131,13 @@
         leases.shardsChanged(changed.ownShard(), changed.liveShards());
         placementNeeded = true;
       }
+      case LeaseEvent.EvacuationsChanged changed -> {
+        leases.evacuationsChanged(changed.domains());
+        if (context.isDispatching()) {
+          works.endEvacuatedWork(leases);
+        }
+        placementNeeded = true;
+      }
       case LeaseEvent.ProcessPaused paused -> {
         if (context.isDispatching()) {
           releaseRoleAfterPause(paused.pausedMillis());
@@ -217,6 +224,7 @@
     leases.tick();
     runs.tick();
     runs.moveStragglers(stragglers, leases::usableUpstreams);
+    works.endEvacuatedWork(leases);
     works.tick();
   }
 
@@ -301,7 +309,7 @@
    */
   private void placeTasks(Iterable<TaskState> tasks, PlacementPolicy placement) {
     for (TaskState task : tasks) {
-      if (task.isWaiting() && !runs.hasOpenRun(task.id)) {
+      if (runs.isWaiting(task)) {
         var chosen = placement.choose(task);
         if (chosen.isEmpty()) {
           return;
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseEvent.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseEvent.java
@@ -31,6 +31,19 @@
     }
   }
 
+  /**
+   * The set of evacuated failure domains has changed.
+   *
+   * @param domains the domains on whose upstreams no task may start
+   */
+  record EvacuationsChanged(Set<String> domains) implements LeaseEvent {
+
+    /** Copies the set. */
+    public EvacuationsChanged {
+      domains = Set.copyOf(domains);
+    }
+  }
+
   /**
    * An entry host has submitted work; it repeats the submission until it gets the outcome.
    *
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseTable.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseTable.java
@@ -59,6 +59,7 @@
   private final Map<String, UpstreamLease> upstreams = new LinkedHashMap<>();
   private ShardId ownShard = ShardId.WHOLE_FLEET;
   private ShardMap shards = ShardMap.of(Set.of(ShardId.WHOLE_FLEET));
+  private Set<String> evacuatedDomains = Set.of();
   private long lastRenewalNumber;
 
   LeaseTable(DispatchContext context, LeaseTiming timing, RunTable runs, WorkTable works) {
@@ -79,6 +80,11 @@
         .toList();
   }
 
+  /** Returns the upstreams of this host's shard whose failure domain isn't evacuated. */
+  List<UpstreamLease> startableUpstreams() {
+    return ownUpstreams().stream().filter(upstream -> !upstream.evacuated).toList();
+  }
+
   /** Returns the upstreams of this host's shard. */
   List<UpstreamLease> ownUpstreams() {
     return upstreams.values().stream().filter(upstream -> upstream.inOwnShard).toList();
@@ -114,6 +120,21 @@
     upstreams.values().forEach(this::updateShardMembership);
   }
 
+  /**
+   * Stops starts in the given failure domains, and permits them again in all others. Runs that are
+   * under way go on, and their leases are extended.
+   */
+  void evacuationsChanged(Set<String> domains) {
+    evacuatedDomains = domains;
+    for (UpstreamLease upstream : upstreams.values()) {
+      boolean evacuated = domains.contains(upstream.announcement.domain());
+      if (upstream.evacuated && !evacuated) {
+        upstream.beginRampUp();
+      }
+      upstream.evacuated = evacuated;
+    }
+  }
+
   private void updateShardMembership(UpstreamLease upstream) {
     boolean inOwnShard = belongsToOwnShard(upstream.announcement);
     if (inOwnShard == upstream.inOwnShard) {
@@ -141,7 +162,9 @@
   }
 
   private UpstreamLease createLease(UpstreamAnnouncement announcement) {
-    return new UpstreamLease(announcement, belongsToOwnShard(announcement));
+    UpstreamLease upstream = new UpstreamLease(announcement, belongsToOwnShard(announcement));
+    upstream.evacuated = evacuatedDomains.contains(announcement.domain());
+    return upstream;
   }
 
   void upstreamAnnounced(UpstreamAnnouncement announcement) {
@@ -379,11 +402,12 @@
   }
 
   private void runSucceeded(LeasedRun run) {
-    TaskState task = run.task;
+    final TaskState task = run.task;
     runs.endRun(run);
     if (!run.overdue) {
       run.upstream.consecutiveFailures = 0;
     }
+    run.upstream.recordSuccess();
     if (task != null) {
       task.work.recordRunTime(task.id.step(), context.now() - run.beganAt);
       works.finishTask(task);
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/RunTable.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/RunTable.java
@@ -83,6 +83,11 @@
         timing.answerTimeoutMillis());
   }
 
+  /** Returns whether a task is neither done nor may have a run under way. */
+  boolean isWaiting(TaskState task) {
+    return task.isWaiting() && !hasOpenRun(task.id);
+  }
+
   /** Returns whether a run of the task may be under way. */
   boolean hasOpenRun(TaskId task) {
     return openRuns.containsKey(task);
@@ -350,7 +355,8 @@
   }
 
   /**
-   * Sends an unanswered order again if it counts as lost.
+   * Sends an unanswered order again if it counts as lost; a start isn't sent again to an upstream
+   * whose failure domain was evacuated meanwhile.
    *
    * <p>An order or its answer may be lost or delayed for seconds while the next call succeeds. The
    * copies carry the same run, so the upstream carries out at most one of them. They also carry the
@@ -376,7 +382,10 @@
     TaskState task = run.task;
     if (context.now() - run.beganAt >= timing.answerTimeoutMillis()) {
       markUnsure(run);
-    } else if (task != null && run.startsSent < MAX_COPIES && isLost(run.lastStartSentAt)) {
+    } else if (task != null
+        && !run.upstream.evacuated
+        && run.startsSent < MAX_COPIES
+        && isLost(run.lastStartSentAt)) {
       run.lastStartSentAt = context.now();
       run.startsSent++;
       run.unansweredStarts++;
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/UpstreamLease.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/UpstreamLease.java
@@ -19,6 +19,12 @@
   /** Longest pause, in milliseconds; consecutive failures double the pause up to this. */
   static final long MAX_PAUSE_MILLIS = 3_000;
 
+  /**
+   * Number of tasks that have to succeed after an evacuation before the number of concurrent runs
+   * is no longer limited; two or three tasks fill an upstream.
+   */
+  private static final int RAMP_UP_TASKS = 4;
+
   /** Maximum number of times that the pause before a renewal doubles. */
   private static final int MAX_BACKOFF_DOUBLINGS = 3;
 
@@ -28,6 +34,12 @@
   /** Whether the upstream belongs to this host's shard. */
   boolean inOwnShard;
 
+  /** Whether the upstream's failure domain is evacuated, so that no task may start there. */
+  boolean evacuated;
+
+  /** Maximum number of concurrent runs. */
+  private int maxRuns = Integer.MAX_VALUE;
+
   /** Whether a renewal under the current token was answered. */
   boolean tokenAccepted;
 
@@ -89,6 +101,7 @@
   /** Returns whether new tasks may start on the upstream now. */
   boolean isUsable(long now) {
     return inOwnShard
+        && !evacuated
         && tokenAccepted
         && hasClockReading
         && unansweredRenewals == 0
@@ -194,7 +207,22 @@
    * upstream that fails fast looks idle and would attract all tasks of the next jobs.
    */
   boolean acceptsAnotherTask() {
-    return consecutiveFailures == 0 || runs.isEmpty();
+    return runs.size() < maxRuns && (consecutiveFailures == 0 || runs.isEmpty());
+  }
+
+  /**
+   * Limits the number of concurrent runs until tasks have succeeded.
+   *
+   * <p>An upstream that was evacuated may have become slow. The limit rises by one with each task
+   * that succeeds, so an upstream that is slow gets its load back slowly.
+   */
+  void beginRampUp() {
+    maxRuns = 1;
+  }
+
+  /** Records that a task succeeded there. */
+  void recordSuccess() {
+    maxRuns = maxRuns >= RAMP_UP_TASKS ? Integer.MAX_VALUE : maxRuns + 1;
   }
 
   /**
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/WorkTable.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/WorkTable.java
@@ -26,6 +26,8 @@
    */
   private static final int MAX_RETAINED_RUN_NUMBERS = 20_000;
 
+  private static final String EVACUATED = "failure domain evacuated";
+
   private final String self;
   private final DispatchContext context;
   private final RunTable runs;
@@ -57,6 +59,42 @@
     refusals.clear();
   }
 
+  /**
+   * Ends the work that waits for tasks which only evacuated upstreams could run.
+   *
+   * <p>Work that has not started is refused, so that its entry host can offer it to another shard.
+   * Work that has started in part can't be completed there, and is given up.
+   */
+  void endEvacuatedWork(LeaseTable leases) {
+    List<UpstreamLease> own = leases.ownUpstreams();
+    List<UpstreamLease> startable = leases.startableUpstreams();
+    if (startable.size() == own.size()) {
+      return;
+    }
+    for (WorkState work : List.copyOf(works.values())) {
+      if (context.now() >= work.quietPeriodEndsAt && needsEvacuated(work, own, startable)) {
+        if (work.mayHaveStarted) {
+          context.logEvent(
+              "work-evacuated",
+              "work=" + work.request.id() + " age=" + (context.now() - work.arrivedAt));
+          answer(work, new WorkOutcome.GivenUp(EVACUATED));
+        } else {
+          refuse(work, EVACUATED, AdmissionRule.RETRY_AFTER_MILLIS);
+        }
+      }
+    }
+  }
+
+  private boolean needsEvacuated(
+      WorkState work, List<UpstreamLease> own, List<UpstreamLease> startable) {
+    return work.steps.stream()
+        .flatMap(tasks -> tasks.stream().filter(runs::isWaiting).limit(1))
+        .anyMatch(
+            task ->
+                PlacementPolicy.canEverRun(own, task)
+                    && !PlacementPolicy.canEverRun(startable, task));
+  }
+
   /** Records that a message of an entry host has arrived. */
   void recordContact(String entryHost) {
     lastContactByHost.merge(entryHost, context.arrivedAt(), Math::max);
@@ -117,8 +155,8 @@
   }
 
   /**
-   * Refuses work immediately if no upstream, or none of this shard, can run it; in the latter case
-   * another shard may be tried.
+   * Refuses work immediately if no upstream, or none of this shard that isn't evacuated, can run
+   * it; in the latter case another shard may be tried.
    */
   private void refuseImpossible(WorkState work, LeaseTable leases) {
     if (leases.allUpstreams().isEmpty() || work.mayHaveStarted) {
@@ -128,6 +166,8 @@
       refuse(work, "no upstream can run it", AdmissionRule.RETRY_AFTER_MILLIS);
     } else if (!canEverRun(work, leases.ownUpstreams())) {
       refuse(work, "no upstream of the shard can run it", AdmissionRule.RETRY_AFTER_MILLIS);
+    } else if (!canEverRun(work, leases.startableUpstreams())) {
+      refuse(work, EVACUATED, AdmissionRule.RETRY_AFTER_MILLIS);
     }
   }
 
--- a/burdockbay-core/src/main/java/org/burdockbay/core/membership/HostStatus.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/membership/HostStatus.java
@@ -1,6 +1,7 @@
 package org.burdockbay.core.membership;
 
 import org.burdockbay.core.dispatch.DomainLoad;
+import org.burdockbay.core.evacuation.Evacuations;
 import org.burdockbay.core.shard.ShardId;
 import org.burdockbay.core.shard.ShardLayout;
 
@@ -20,6 +21,7 @@
  * @param failureDomain failure domain of the host; empty if it equals the group
  * @param layout largest shard layout known to the host
  * @param shard shard that the host dispatches; meaningful only while the host dispatches
+ * @param evacuations evacuated failure domains known to the host
  */
 public record HostStatus(
     String host,
@@ -34,7 +36,8 @@
     DomainLoad load,
     String failureDomain,
     ShardLayout layout,
-    ShardId shard) {
+    ShardId shard,
+    Evacuations evacuations) {
 
   /** Creates the status of a host in a fleet that isn't divided into shards. */
   public HostStatus(
@@ -61,7 +64,8 @@
         load,
         "",
         ShardLayout.UNDIVIDED,
-        ShardId.WHOLE_FLEET);
+        ShardId.WHOLE_FLEET,
+        Evacuations.NONE);
   }
 
   /** Returns whether this status equals another one, apart from the load. */
@@ -79,7 +83,8 @@
             other.load,
             failureDomain,
             layout,
-            shard)
+            shard,
+            evacuations)
         .equals(other);
   }
 }
--- a/burdockbay-core/src/test/java/org/burdockbay/core/intake/WorkIntakeTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/intake/WorkIntakeTest.java
@@ -5,6 +5,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.burdockbay.core.dispatch.DomainLoad;
 import org.burdockbay.core.shard.ShardId;
 import org.burdockbay.core.work.TaskSize;
@@ -288,6 +289,63 @@
     assertEquals(submits(effects).getFirst().to(), successor);
   }
 
+  /** Guards against submitting new work to a shard whose domain is evacuated. */
+  @Test
+  public void submitsNothingToEvacuatedShards() {
+    changeDispatchers(Map.of(NORTH, FIRST, SOUTH, SECOND));
+    reportLoad("a", 10);
+    evacuate(Set.of("north"), false);
+    List<IntakeEffect> effects = handle(new IntakeEvent.RequestReceived(1, WORK));
+    assertEquals(submits(effects).getFirst().to(), SECOND);
+  }
+
+  /**
+   * Guards against answering a caller with a refusal because two shards of an evacuated domain
+   * refused the work in turn: their refusals don't use up the attempts at other shards, and the
+   * other shard gets the work although it hasn't reported free capacity.
+   */
+  @Test
+  public void offersWorkRefusedByEvacuatedShardsElsewhere() {
+    IntakeEvent.Dispatcher third = new IntakeEvent.Dispatcher("c", 3);
+    changeDispatchers(Map.of(NORTH, FIRST, new ShardId("north", 1), SECOND, SOUTH, third));
+    reportLoad("a", 10);
+    reportLoad("b", 10);
+    handle(new IntakeEvent.RequestReceived(1, WORK));
+    evacuate(Set.of("north"), false);
+    List<IntakeEffect> effects = refuse("a");
+    effects = submits(effects).isEmpty() ? refuse("b") : effects;
+    assertEquals(submits(effects).getFirst().to(), third);
+    assertTrue(answers(effects).isEmpty());
+  }
+
+  /** Guards against waiting when all domains are evacuated, as nothing can be served then. */
+  @Test
+  public void refusesAtOnceWhenAllDomainsAreEvacuated() {
+    changeDispatchers(Map.of(NORTH, FIRST, SOUTH, SECOND));
+    evacuate(Set.of("north", "south"), true);
+    List<IntakeEffect> effects = handle(new IntakeEvent.RequestReceived(1, WORK));
+    assertTrue(submits(effects).isEmpty());
+    assertTrue(answers(effects).getFirst().outcome() instanceof WorkOutcome.NotRun);
+  }
+
+  /** Guards against giving up work that an evacuated shard has started and will finish. */
+  @Test
+  public void keepsWorkThatEvacuatedShardHasStarted() {
+    changeDispatchers(Map.of(NORTH, FIRST));
+    handle(new IntakeEvent.RequestReceived(1, WORK));
+    evacuate(Set.of("north"), false);
+    now += 1_100;
+    handle(new IntakeEvent.DispatcherMessageReceived("a"));
+    assertTrue(answers(handle(new IntakeEvent.Tick())).isEmpty());
+    List<IntakeEffect> effects =
+        handle(new IntakeEvent.OutcomeReported("a", "w", new WorkOutcome.Completed()));
+    assertEquals(answers(effects).getFirst().outcome(), new WorkOutcome.Completed());
+  }
+
+  private List<IntakeEffect> evacuate(Set<String> domains, boolean complete) {
+    return handle(new IntakeEvent.EvacuationsChanged(domains, complete));
+  }
+
   private List<IntakeEffect> handle(IntakeEvent event) {
     return intake.handle(event, now);
   }
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseDispatcherTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseDispatcherTest.java
@@ -756,6 +756,96 @@
     assertEquals(logEvents(effects, "lease-over").size(), 1, "the run has ended with its lease");
   }
 
+  /**
+   * Guards against starting tasks in an evacuated domain. Runs under way there end normally, the
+   * upstreams of other domains go on, and no free capacity is reported for the evacuated ones.
+   */
+  @Test
+  public void startsNothingInEvacuatedDomain() {
+    final UpstreamAnnouncement upstream = addUpstream("u1");
+    final RunId run = starts(submit("w", 1, HALF_CAPACITY)).getFirst().run();
+    addUpstream("u2", "south");
+    assertTrue(reports(evacuate("north")).isEmpty());
+    assertEquals(dispatcher.load().freeSlots(), 32);
+    List<LeaseEffect.Start> starts = starts(submit("v", 3, HALF_CAPACITY));
+    assertEquals(starts.stream().map(start -> start.upstream().id()).toList(), List.of("u2", "u2"));
+    assertEquals(
+        reports(endRun(upstream, run, 1, RunEnd.Cause.DONE)).getFirst().outcome(),
+        new WorkOutcome.Completed());
+  }
+
+  /**
+   * Guards against work that waits for its caller's timeout at a shard whose domain is evacuated:
+   * what has not started is refused at once, so that another shard gets it, and what has started in
+   * part and can't be completed is given up.
+   */
+  @Test
+  public void endsWaitingWorkOfEvacuatedShardAtOnce() {
+    changeShards(OWN_SHARD, OTHER_SHARD);
+    addUpstream("u1");
+    submit("partial", 3, HALF_CAPACITY);
+    submit("waiting", 1, HALF_CAPACITY);
+    List<LeaseEffect.Report> reports = reports(evacuate("north"));
+    assertEquals(
+        reports.stream().map(LeaseEffect.Report::workId).toList(), List.of("partial", "waiting"));
+    assertTrue(reports.get(0).outcome() instanceof WorkOutcome.GivenUp);
+    assertTrue(reports.get(1).outcome() instanceof WorkOutcome.NotRun);
+    assertTrue(
+        reports(submit("new", 1, HALF_CAPACITY)).getFirst().outcome()
+            instanceof WorkOutcome.NotRun);
+  }
+
+  /**
+   * Guards against giving up work of an earlier dispatcher before its runs, which may go on in an
+   * evacuated domain, are found or over.
+   */
+  @Test
+  public void keepsWorkInEvacuatedShardDuringQuietPeriod() {
+    changeShards(OWN_SHARD, OTHER_SHARD);
+    UpstreamAnnouncement upstream = addUpstream("u1");
+    evacuate("north");
+    RunId run = new RunId(new TaskId("w", 0, 0), 1);
+    handle(new LeaseEvent.Submitted("entry", TOKEN, 1, request("w", 1, HALF_CAPACITY), 0, 500));
+    answerOpenRenewal(upstream, List.of(run), List.of());
+    now += 100;
+    assertEquals(
+        reports(endRun(upstream, run, 1, RunEnd.Cause.DONE)).getFirst().outcome(),
+        new WorkOutcome.Completed());
+    handle(new LeaseEvent.Submitted("entry", TOKEN, 2, request("v", 1, HALF_CAPACITY), 0, 100));
+    now += 100;
+    assertTrue(
+        reports(handle(new LeaseEvent.Tick())).getFirst().outcome() instanceof WorkOutcome.GivenUp);
+  }
+
+  /** Guards against a copy of an unanswered start that starts a task in an evacuated domain. */
+  @Test
+  public void resendsNoStartInEvacuatedDomain() {
+    UpstreamAnnouncement upstream = addUpstream("u1");
+    submit("w", 1, HALF_CAPACITY);
+    evacuate("north");
+    answerLaterCallsFirst(upstream);
+    assertTrue(starts(handle(new LeaseEvent.Tick())).isEmpty());
+  }
+
+  /**
+   * Guards against filling upstreams at once when their evacuation ends: they may have become slow,
+   * so each gets one task more than it has completed since.
+   */
+  @Test
+  public void returnsLoadInStepWithCompletedTasksAfterEvacuation() {
+    final UpstreamAnnouncement upstream = addUpstream("u1");
+    evacuate("north");
+    handle(new LeaseEvent.EvacuationsChanged(Set.of()));
+    assertEquals(dispatcher.load().freeSlots(), 32);
+    List<LeaseEffect.Start> starts = starts(submit("w", 4, HALF_CAPACITY));
+    assertEquals(starts.size(), 1);
+    assertEquals(starts(endRun(upstream, starts.getFirst().run(), 1, RunEnd.Cause.DONE)).size(), 2);
+  }
+
+  private List<LeaseEffect> evacuate(String domain) {
+    return handle(new LeaseEvent.EvacuationsChanged(Set.of(domain)));
+  }
+
   private List<LeaseEffect> changeShards(ShardId own, ShardId other) {
     return handle(new LeaseEvent.ShardsChanged(own, Set.of(own, other)));
   }
@@ -765,13 +855,18 @@
   }
 
   private static UpstreamAnnouncement announcement(String id, long sequence, boolean leaving) {
+    return announcement(id, "north", sequence, leaving);
+  }
+
+  private static UpstreamAnnouncement announcement(
+      String id, String domain, long sequence, boolean leaving) {
     return new UpstreamAnnouncement(
         id,
         1,
         sequence,
         "desk",
         id + ":1",
-        "north",
+        domain,
         leaving,
         new TaskSize(32_000, 64_000, 0),
         Set.of());
@@ -779,7 +874,11 @@
 
   /** Announces an upstream, and answers its first renewal. */
   private UpstreamAnnouncement addUpstream(String id) {
-    UpstreamAnnouncement announcement = announcement(id, 1, false);
+    return addUpstream(id, "north");
+  }
+
+  private UpstreamAnnouncement addUpstream(String id, String domain) {
+    UpstreamAnnouncement announcement = announcement(id, domain, 1, false);
     List<LeaseEffect> effects = handle(new LeaseEvent.Announced(announcement));
     recordRenewals(effects, announcement);
     answerOpenRenewal(announcement, List.of(), List.of());
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseFuzzTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseFuzzTest.java
@@ -74,6 +74,24 @@
     simulateAll(network, true, true);
   }
 
+  /**
+   * Guards against a host in touch that starts a task in an evacuated domain, and against callers
+   * that stay unanswered while domains are evacuated and taken back among other faults.
+   */
+  @Test(dataProvider = "networks")
+  public void startsNothingInEvacuatedDomains(LeaseModel.Network network) {
+    int runs = FuzzOptions.exampleCount(RUNS);
+    for (int run = 0; run < runs; run++) {
+      long seed = FuzzOptions.seed() + run;
+      ShardLayout layout = (seed & 4) == 0 ? ShardLayout.UNDIVIDED : dividedLayout(seed);
+      try {
+        simulate(seed, network, layout, true, true, true);
+      } catch (AssertionError e) {
+        throw new AssertionError("seed " + seed + ": " + e.getMessage(), e);
+      }
+    }
+  }
+
   /** Returns all kinds of networks. */
   @DataProvider
   public Object[] networks() {
@@ -95,7 +113,8 @@
             network,
             divided ? dividedLayout(seed) : ShardLayout.UNDIVIDED,
             true,
-            orderedDelivery);
+            orderedDelivery,
+            false);
       } catch (AssertionError e) {
         throw new AssertionError("seed " + seed + ": " + e.getMessage(), e);
       }
@@ -139,7 +158,7 @@
 
   /** Replays a seed without broken connections, which the model didn't have when it failed. */
   private static void simulateOriginalFaults(long seed, LeaseModel.Network network) {
-    simulate(seed, network, ShardLayout.UNDIVIDED, false, false);
+    simulate(seed, network, ShardLayout.UNDIVIDED, false, false, false);
   }
 
   /** Returns a layout of one or two shards in each domain. */
@@ -152,10 +171,12 @@
       LeaseModel.Network network,
       ShardLayout layout,
       boolean breaksConnections,
-      boolean orderedDelivery) {
+      boolean orderedDelivery,
+      boolean evacuates) {
     LeaseModel model = new LeaseModel(seed, network, layout, 2 + layout.shardsPerDomain() / 2, 3);
     model.breaksConnections = breaksConnections;
     model.orderedDelivery = orderedDelivery;
+    model.evacuates = evacuates;
     SplittableRandom random = new SplittableRandom(~seed);
     for (int step = 0; step < STEPS; step++) {
       if (step == GROWTH_STEP) {
@@ -171,6 +192,9 @@
       if (breaksConnections) {
         breakConnections(model);
       }
+      if (evacuates) {
+        changeEvacuations(model);
+      }
       model.advance(20 + random.nextLong(300));
     }
     model.recoverAndVerify();
@@ -193,6 +217,15 @@
     }
   }
 
+  /** Starts or ends an evacuation now and then; at times all domains are evacuated. */
+  private static void changeEvacuations(LeaseModel model) {
+    SplittableRandom random = model.faultRandom();
+    if (random.nextInt(8) == 0) {
+      String domain = LeaseModel.DOMAINS.get(random.nextInt(LeaseModel.DOMAINS.size()));
+      model.changeEvacuation(domain, random.nextInt(3) != 0);
+    }
+  }
+
   private static void injectFault(LeaseModel model, SplittableRandom random) {
     ModelEntryHost host = host(model, random);
     ModelUpstream upstream = model.upstreams.get(random.nextInt(model.upstreams.size()));
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseModel.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseModel.java
@@ -11,6 +11,7 @@
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.SplittableRandom;
+import org.burdockbay.core.evacuation.Evacuations;
 import org.burdockbay.core.shard.ShardLayout;
 import org.burdockbay.core.work.RunId;
 import org.burdockbay.core.work.TaskId;
@@ -28,7 +29,7 @@
 
   static final int TASK_CPU = 14_000;
 
-  private static final List<String> DOMAINS = List.of("north", "south", "east");
+  static final List<String> DOMAINS = List.of("north", "south", "east");
   private static final long FAULT_SEED_MASK = 0x5DEECE66DL;
 
   private static final long CALLER_RETRY_DELAY_MILLIS = 1_300;
@@ -37,6 +38,9 @@
   /** The stated objective for the time from the last fault until callers are served again. */
   static final long MAX_RECOVERY_MILLIS = 12_000;
 
+  /** The stated objective for the time from an evacuation's agreement until it is in force. */
+  private static final long MAX_EVACUATION_MILLIS = 1_000;
+
   private static final long RECONNECT_INTERVAL_MILLIS = 100;
   private static final long MAX_RUN_MILLIS = 900;
   private static final long MAX_HANDLING_MILLIS = 200;
@@ -80,6 +84,13 @@
   /** Processor time of a host for one event, in microseconds; 0 for an unlimited processor. */
   long eventMicros;
 
+  /** Whether failure domains are evacuated during the simulation. */
+  boolean evacuates;
+
+  private final Map<String, Long> evacuatedSince = new HashMap<>();
+  private final Map<RunId, Long> startSentAt = new HashMap<>();
+  private Evacuations evacuations = Evacuations.NONE;
+
   /**
    * Whether the fleet has reached the size for its layout. In half of the simulations this happens
    * only later.
@@ -245,6 +256,30 @@
     return network == Network.SIMULTANEOUS;
   }
 
+  /** Starts or ends the evacuation of a failure domain, as agreed by the hosts with a disk. */
+  void changeEvacuation(String domain, boolean evacuated) {
+    if (evacuations.contains(domain) != evacuated) {
+      evacuations = evacuations.with(domain, evacuated);
+      evacuatedSince.put(domain, now);
+      trace("operator", "evacuations " + evacuations);
+    }
+  }
+
+  /** Returns the agreed evacuations. */
+  Evacuations evacuations() {
+    return evacuations;
+  }
+
+  /** Checks that a host in touch starts nothing in a domain whose evacuation is in force. */
+  void recordStartSent(ModelEntryHost host, RunId run, String upstreamDomain) {
+    startSentAt.put(run, now);
+    long inForceMillis =
+        evacuations.contains(upstreamDomain) ? now - evacuatedSince.get(upstreamDomain) : 0;
+    check(
+        Math.min(inForceMillis, host.millisInTouch()) <= MAX_EVACUATION_MILLIS,
+        host.name + " starts " + run + " in " + upstreamDomain + ", evacuated " + inForceMillis);
+  }
+
   /** Returns whether two domains can reach each other. */
   boolean isConnected(String one, String other) {
     return one.equals(other) || !(isolatedDomains.contains(one) || isolatedDomains.contains(other));
@@ -311,6 +346,10 @@
     starts++;
     trace(upstream.id, "began " + run);
     startedWork.add(run.task().work());
+    long delay = now - startSentAt.getOrDefault(run, now);
+    check(
+        delay <= LeaseTiming.DEFAULT.maxLeaseMillis(),
+        run + " starts on " + upstream.id + " " + delay + " ms after its order");
     check(!refusedWork.contains(run.task().work()), run + " starts after a refusal");
     ModelUpstream other = runningOn.put(run.task(), upstream);
     check(other == null, run + " starts on " + upstream.id + " while it runs on " + idOf(other));
@@ -331,6 +370,7 @@
   /** Ends all faults, and checks that all waiting callers are answered and new work is served. */
   void recoverAndVerify() {
     faultsEnded = true;
+    DOMAINS.forEach(domain -> changeEvacuation(domain, false));
     isolatedDomains.clear();
     delayedCallShare = 0;
     lostAnswerShare = 0;
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelEntryHost.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelEntryHost.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.function.LongConsumer;
+import org.burdockbay.core.evacuation.Evacuations;
 import org.burdockbay.core.fleet.UpstreamAnnouncement;
 import org.burdockbay.core.intake.IntakeEffect;
 import org.burdockbay.core.intake.IntakeEvent;
@@ -65,6 +66,10 @@
   private Membership membership;
   private WorkIntake intake;
   private LeaseDispatcher dispatcher;
+  private Evacuations evacuations = Evacuations.NONE;
+
+  /** When this host was last down, paused or cut off from the hosts with a disk. */
+  private long lastOutOfTouchAt;
 
   ModelEntryHost(LeaseModel model, String name, String domain) {
     this.model = model;
@@ -93,6 +98,8 @@
         new WorkIntake(name, domain, SILENCE_TIMEOUT_MILLIS + LeaseTiming.DEFAULT.maxLeaseMillis());
     dispatcher = new LeaseDispatcher(name, LeaseTiming.DEFAULT);
     incarnations.clear();
+    evacuations = Evacuations.NONE;
+    lastOutOfTouchAt = model.now();
     long started = generation;
     model.schedule(model.random().nextLong(TICK_INTERVAL_MILLIS), () -> tickPeriodically(started));
     model.schedule(
@@ -126,6 +133,7 @@
       return;
     }
     paused = false;
+    lastOutOfTouchAt = model.now();
     if (pausesClock) {
       clockPausedMillis += model.now() - pausedAt;
     }
@@ -275,6 +283,9 @@
     if (!paused) {
       runInOrder(this::handleTick);
     }
+    if (model.isolatedDomains.contains(domain)) {
+      lastOutOfTouchAt = model.now();
+    }
     model.schedule(TICK_INTERVAL_MILLIS, () -> tickPeriodically(expectedGeneration));
   }
 
@@ -292,9 +303,37 @@
     if (!paused) {
       runInOrder(this::sendHeartbeats);
     }
+    receiveAgreedEvacuations();
     model.schedule(HEARTBEAT_INTERVAL_MILLIS, () -> heartbeatPeriodically(expectedGeneration));
   }
 
+  /** Receives the agreed evacuations from a host with a disk, in some of its heartbeats. */
+  private void receiveAgreedEvacuations() {
+    if (model.evacuates
+        && !model.isolatedDomains.contains(domain)
+        && model.faultRandom().nextInt(3) == 0) {
+      Evacuations agreed = model.evacuations();
+      deliver(2, () -> adopt(agreed));
+    }
+  }
+
+  /** Adopts newer evacuations in the order in which a host's process does. */
+  private void adopt(Evacuations offered) {
+    if (offered.version() > evacuations.version()) {
+      evacuations = offered;
+      sendHeartbeats();
+      handleIntake(
+          new IntakeEvent.EvacuationsChanged(
+              evacuations.domains(), evacuations.containsAll(LeaseModel.DOMAINS)));
+      dispatch(new LeaseEvent.EvacuationsChanged(evacuations.domains()));
+    }
+  }
+
+  /** Returns for how long this host has been up, running and connected, in milliseconds. */
+  long millisInTouch() {
+    return model.now() - lastOutOfTouchAt;
+  }
+
   private void sendHeartbeats() {
     HostStatus status =
         new HostStatus(
@@ -310,7 +349,8 @@
             dispatcher.load(),
             domain,
             membership.layout(),
-            membership.claimedShard().orElse(ShardId.WHOLE_FLEET));
+            membership.claimedShard().orElse(ShardId.WHOLE_FLEET),
+            evacuations);
     handleIntake(new IntakeEvent.LoadReported(name, status.load()));
     for (ModelEntryHost other : model.hosts.values()) {
       if (other != this) {
@@ -343,6 +383,7 @@
   }
 
   private void receiveStatus(HostStatus status) {
+    adopt(status.evacuations());
     Long previous = incarnations.put(status.host(), status.incarnation());
     if (previous != null && previous < status.incarnation()) {
       restartSeenAt.put(status.host(), clock());
@@ -498,17 +539,19 @@
   private void applyEffects(List<LeaseEffect> effects) {
     for (LeaseEffect effect : effects) {
       switch (effect) {
-        case LeaseEffect.Start start ->
-            callUpstream(
-                start.upstream(),
-                0,
-                upstream -> {
-                  OrderResult result = upstream.start(start);
-                  return new LeaseEvent.StartAnswered(
-                      start.upstream(), start.run(), result, clockOf(upstream, result));
-                },
-                new LeaseEvent.StartAnswered(
-                    start.upstream(), start.run(), OrderResult.NO_ANSWER, OptionalLong.empty()));
+        case LeaseEffect.Start start -> {
+          model.recordStartSent(this, start.run(), start.upstream().domain());
+          callUpstream(
+              start.upstream(),
+              0,
+              upstream -> {
+                OrderResult result = upstream.start(start);
+                return new LeaseEvent.StartAnswered(
+                    start.upstream(), start.run(), result, clockOf(upstream, result));
+              },
+              new LeaseEvent.StartAnswered(
+                  start.upstream(), start.run(), OrderResult.NO_ANSWER, OptionalLong.empty()));
+        }
         case LeaseEffect.Stop stop ->
             callUpstream(
                 stop.upstream(),
--- a/burdockbay-core/src/test/java/org/burdockbay/core/membership/ShardRolesTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/membership/ShardRolesTest.java
@@ -15,6 +15,7 @@
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.burdockbay.core.dispatch.DomainLoad;
+import org.burdockbay.core.evacuation.Evacuations;
 import org.burdockbay.core.shard.ShardId;
 import org.burdockbay.core.shard.ShardLayout;
 import org.testng.annotations.BeforeMethod;
@@ -365,7 +366,8 @@
         new DomainLoad(load, 0),
         domains.get(host),
         membership.layout(),
-        membership.claimedShard().orElse(ShardId.WHOLE_FLEET));
+        membership.claimedShard().orElse(ShardId.WHOLE_FLEET),
+        Evacuations.NONE);
   }
 
   /** Returns the claims of all hosts that aren't silent. */
--- a/burdockbay-server/src/main/java/org/burdockbay/server/metrics/HostMetrics.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/metrics/HostMetrics.java
@@ -1,9 +1,11 @@
 package org.burdockbay.server.metrics;
 
+import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Snapshot;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.burdockbay.core.submission.JobOutcome;
 
 /** Records response times and outcomes of jobs and work, and counts events. */
@@ -15,10 +17,13 @@
   private static final String OUTCOME_PREFIX = "outcome";
 
   private final MetricRegistry registry;
+  private final AtomicInteger evacuatedDomains = new AtomicInteger();
 
   /** Creates metrics that are registered in the given registry. */
   public HostMetrics(MetricRegistry registry) {
     this.registry = registry;
+    Gauge<Integer> gauge = evacuatedDomains::get;
+    registry.gauge("evacuated-domains", () -> gauge);
   }
 
   /** Returns the registry. */
@@ -38,6 +43,11 @@
     registry.counter(MetricRegistry.name(OUTCOME_PREFIX, "queue", queue, outcome)).inc();
   }
 
+  /** Records the number of evacuated failure domains. */
+  public void recordEvacuatedDomains(int count) {
+    evacuatedDomains.set(count);
+  }
+
   /** Counts an event by its name. */
   public void countEvent(String name) {
     registry.counter(MetricRegistry.name("event", name)).inc();
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
@@ -21,7 +21,9 @@
 import org.burdockbay.core.clock.Clock;
 import org.burdockbay.core.control.ControlCommand;
 import org.burdockbay.core.control.ControlReply;
+import org.burdockbay.core.control.ControlState;
 import org.burdockbay.core.dispatch.DomainLoad;
+import org.burdockbay.core.evacuation.Evacuations;
 import org.burdockbay.core.fleet.UpstreamAnnouncement;
 import org.burdockbay.core.intake.IntakeEvent;
 import org.burdockbay.core.lease.LeaseEffect;
@@ -40,6 +42,7 @@
 import org.burdockbay.server.ServerException;
 import org.burdockbay.server.host.AgreementDriver;
 import org.burdockbay.server.host.AgreementStorage;
+import org.burdockbay.server.host.EvacuationKeeper;
 import org.burdockbay.server.host.ProposalClient;
 import org.burdockbay.server.host.VoterKeeper;
 import org.burdockbay.server.logging.EventLog;
@@ -88,6 +91,7 @@
   private final Clock clock;
   private final EventLog log;
   private final CatalogKeeper catalog;
+  private final EvacuationKeeper evacuations;
   private final Membership membership;
   private final HostDirectory directory;
   private final HeartbeatSchedule heartbeatSchedule;
@@ -113,6 +117,7 @@
   private volatile boolean hasDispatcher;
   private volatile boolean draining;
   private Optional<CompressedCatalog> agreedCatalog = Optional.empty();
+  private Evacuations agreedEvacuations = Evacuations.NONE;
 
   /**
    * Difference between the wall clock and the monotonic clock at the last tick, in milliseconds.
@@ -144,6 +149,12 @@
             this::sendHeartbeats,
             log,
             clock);
+    this.evacuations =
+        new EvacuationKeeper(
+            (command, callback) -> proposals().propose(command, callback),
+            this::applyEvacuations,
+            log,
+            clock);
     this.membership =
         Membership.withDiscovery(
             settings.descriptor(),
@@ -223,6 +234,21 @@
     return propose(new ControlCommand.ReadCatalog());
   }
 
+  /**
+   * Starts or ends the evacuation of a failure domain, on whose upstreams no task starts meanwhile.
+   * The future completes with the reply of the voters.
+   */
+  public CompletableFuture<ControlReply> changeEvacuation(String domain, boolean evacuated) {
+    CompletableFuture<ControlReply> reply = new CompletableFuture<>();
+    executeControl(() -> evacuations.change(domain, evacuated, reply::complete));
+    return reply;
+  }
+
+  /** Returns whether the fleet has a failure domain; true if its domains aren't known. */
+  public boolean isKnownDomain(String domain) {
+    return settings.domains().isEmpty() || settings.domains().contains(domain);
+  }
+
   /** Returns the catalog in force on this host. */
   public Catalog catalog() {
     return catalog.current();
@@ -343,7 +369,7 @@
         settings.host(),
         parts.incarnation(),
         (host, message) -> send(host, new PeerMessage.Agreement(GroupId.CONTROL, message)),
-        state -> agreedCatalog = Optional.of(state.catalog()),
+        this::recordAgreedState,
         log,
         clock);
   }
@@ -361,13 +387,21 @@
                 }));
   }
 
+  private void recordAgreedState(ControlState state) {
+    agreedCatalog = Optional.of(state.catalog());
+    agreedEvacuations = state.evacuations();
+  }
+
   /**
-   * Offers the newest agreed catalog to the catalog keeper.
+   * Puts the newest agreed evacuations in force, and offers the newest agreed catalog to the
+   * catalog keeper.
    *
    * <p>This is done once per batch: a restarted host applies its whole log at once, and announcing
-   * every intermediate version would delay the newest.
+   * every intermediate version would delay the newest. Other hosts receive the evacuations no later
+   * than the catalog, without which they accept no work.
    */
-  private void offerAgreedCatalog() {
+  private void offerAgreedState() {
+    evacuations.offer(agreedEvacuations, "log");
     agreedCatalog.ifPresent(agreed -> catalog.offer(agreed, "log"));
     agreedCatalog = Optional.empty();
   }
@@ -472,6 +506,7 @@
       restartDetectedAt.put(status.host(), arrivedAt);
       workHandler.handleLeaseEvent(new LeaseEvent.EntryHostLost(status.host()));
     }
+    evacuations.offer(status.evacuations(), status.host());
     execute(membership.heartbeat(status, now));
     if (heartbeatSchedule.triggersHeartbeat(status.host(), now)) {
       sendHeartbeats();
@@ -518,6 +553,21 @@
     }
   }
 
+  /**
+   * Applies evacuations to the work of this host.
+   *
+   * <p>The heartbeats go out first: an entry host that knows of the evacuation offers refused work
+   * to other shards without counting the refusal.
+   */
+  private void applyEvacuations(Evacuations changed) {
+    sendHeartbeats();
+    workHandler.applyEvacuations(changed, changed.containsAll(settings.domains()));
+  }
+
+  private ProposalClient proposals() {
+    return proposals;
+  }
+
   private void connectSeed(HostAddress seed) {
     HostDescriptor descriptor = new HostDescriptor(seed.ip(), "", "", seed.toString());
     boolean known = directory.otherHosts().contains(seed.ip());
@@ -673,7 +723,7 @@
   }
 
   private void flush() {
-    offerAgreedCatalog();
+    offerAgreedState();
     workHandler.placeTasks();
     agreement.ifPresent(AgreementDriver::flush);
   }
@@ -725,7 +775,8 @@
         membership.claimedEpoch() == 0 ? NO_LOAD : workHandler.load(),
         settings.descriptor().domain(),
         membership.layout(),
-        membership.claimedShard().orElse(ShardId.WHOLE_FLEET));
+        membership.claimedShard().orElse(ShardId.WHOLE_FLEET),
+        evacuations.current());
   }
 
   private Optional<String> leader() {
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeSettings.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeSettings.java
@@ -3,6 +3,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.burdockbay.core.membership.HostDescriptor;
 import org.burdockbay.server.settings.HostAddress;
 
@@ -12,6 +13,7 @@
  * @param cluster name of the cluster
  * @param descriptor descriptor announced to other hosts; its id is the IP address of the host
  * @param address address on which the host listens for other hosts
+ * @param domains the failure domains of the fleet; empty if they aren't known in advance
  * @param mayDispatch whether the host may take the dispatcher role
  * @param seeds peer addresses of some hosts with a data folder; may be outdated
  * @param dataFolder the data folder, if the host has a disk
@@ -21,13 +23,15 @@
     String cluster,
     HostDescriptor descriptor,
     HostAddress address,
+    Set<String> domains,
     boolean mayDispatch,
     List<HostAddress> seeds,
     Optional<Path> dataFolder,
     boolean firstStart) {
 
-  /** Creates settings with a copy of the list of seeds. */
+  /** Copies the domains and the seeds. */
   public NodeSettings {
+    domains = Set.copyOf(domains);
     seeds = List.copyOf(seeds);
   }
 
@@ -39,6 +43,6 @@
   /** Returns a copy of the settings with the given seeds. */
   public NodeSettings withSeeds(List<HostAddress> newSeeds) {
     return new NodeSettings(
-        cluster, descriptor, address, mayDispatch, newSeeds, dataFolder, firstStart);
+        cluster, descriptor, address, domains, mayDispatch, newSeeds, dataFolder, firstStart);
   }
 }
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/WorkHandler.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/WorkHandler.java
@@ -7,6 +7,7 @@
 import java.util.function.Consumer;
 import org.burdockbay.core.clock.Clock;
 import org.burdockbay.core.dispatch.DomainLoad;
+import org.burdockbay.core.evacuation.Evacuations;
 import org.burdockbay.core.intake.IntakeEffect;
 import org.burdockbay.core.intake.IntakeEvent;
 import org.burdockbay.core.intake.WorkIntake;
@@ -40,6 +41,7 @@
   private final Executor workExecutor;
   private final Consumer<LeaseEffect.Superseded> onSuperseded;
   private final Runnable onRoleReleased;
+  private Evacuations evacuations = Evacuations.NONE;
 
   /**
    * Creates a handler.
@@ -100,6 +102,18 @@
     return dispatcher.load();
   }
 
+  /**
+   * Applies evacuations to the intake and the dispatcher.
+   *
+   * @param complete whether all failure domains of the fleet are evacuated
+   */
+  void applyEvacuations(Evacuations changed, boolean complete) {
+    evacuations = changed;
+    metrics.recordEvacuatedDomains(changed.domains().size());
+    handleIntakeEvent(new IntakeEvent.EvacuationsChanged(changed.domains(), complete));
+    handleLeaseEvent(new LeaseEvent.EvacuationsChanged(changed.domains()));
+  }
+
   void tick() {
     handleLeaseEvent(new LeaseEvent.Tick());
     handleIntakeEvent(new IntakeEvent.Tick());
@@ -144,7 +158,7 @@
   private void execute(List<LeaseEffect> effects) {
     for (LeaseEffect effect : effects) {
       switch (effect) {
-        case LeaseEffect.Start start -> upstreams.start(start, this::upstreamAnswered);
+        case LeaseEffect.Start start -> start(start);
         case LeaseEffect.Stop stop -> upstreams.stop(stop, this::upstreamAnswered);
         case LeaseEffect.Renew renew -> upstreams.renew(renew, this::upstreamAnswered);
         case LeaseEffect.Report report ->
@@ -161,6 +175,15 @@
     }
   }
 
+  private void start(LeaseEffect.Start start) {
+    if (evacuations.contains(start.upstream().domain())) {
+      metrics.countEvent("start-in-evacuated-domain");
+      log.warn(
+          "start-in-evacuated-domain", "run=" + start.run() + " upstream=" + start.upstream().id());
+    }
+    upstreams.start(start, this::upstreamAnswered);
+  }
+
   private void upstreamAnswered(LeaseEvent event) {
     long arrivedAt = clock.millis();
     workExecutor.execute(() -> handleLeaseEvent(event, arrivedAt));
--- a/burdockbay-server/src/test/java/org/burdockbay/server/node/OverloadedHostTest.java
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/node/OverloadedHostTest.java
@@ -65,6 +65,7 @@
             "c",
             new HostDescriptor(HOST, "entry", "a", address.toString()),
             address,
+            Set.of(),
             true,
             List.of(new HostAddress(OTHER, 1)),
             Optional.empty(),
--- a/burdockbay-server/src/test/java/org/burdockbay/server/transport/HeartbeatCodecTest.java
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/transport/HeartbeatCodecTest.java
@@ -3,7 +3,9 @@
 import static org.testng.Assert.assertEquals;
 
 import java.util.OptionalLong;
+import java.util.Set;
 import org.burdockbay.core.dispatch.DomainLoad;
+import org.burdockbay.core.evacuation.Evacuations;
 import org.burdockbay.core.membership.HostStatus;
 import org.burdockbay.core.message.PeerMessage;
 import org.burdockbay.core.shard.ShardId;
@@ -31,7 +33,8 @@
             new DomainLoad(7, 8),
             "north",
             new ShardLayout(3),
-            new ShardId("north", 2));
+            new ShardId("north", 2),
+            new Evacuations(5, Set.of("south", "east")));
     PeerMessage.Heartbeat heartbeat = new PeerMessage.Heartbeat(status, OptionalLong.of(40));
     assertEquals(PeerCodec.decode(PeerCodec.encode(heartbeat)), heartbeat);
   }
--- a/burdockbay-wire/src/main/java/org/burdockbay/wire/ControlCodec.java
+++ b/burdockbay-wire/src/main/java/org/burdockbay/wire/ControlCodec.java
@@ -5,12 +5,14 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.burdockbay.core.agreement.Bytes;
 import org.burdockbay.core.catalog.CompressedCatalog;
 import org.burdockbay.core.control.ControlCommand;
 import org.burdockbay.core.control.ControlImage;
 import org.burdockbay.core.control.ControlReply;
 import org.burdockbay.core.dispatch.LedgerRequest;
+import org.burdockbay.core.evacuation.Evacuations;
 import org.burdockbay.core.ledger.LedgerCommand;
 import org.burdockbay.core.ledger.LedgerImage;
 import org.burdockbay.core.ledger.LedgerReply;
@@ -55,6 +57,7 @@
       builder.addSubmissions(encode(record));
     }
     builder.setCatalog(encode(image.catalog()));
+    builder.setEvacuations(encode(image.evacuations()));
     return Bytes.copyOf(builder.build().toByteArray());
   }
 
@@ -99,6 +102,14 @@
               .build();
       case ControlCommand.PublishCatalog publish ->
           Wire.ControlCommand.newBuilder().setPublishCatalog(encode(publish.catalog())).build();
+      case ControlCommand.ChangeEvacuation change ->
+          Wire.ControlCommand.newBuilder()
+              .setChangeEvacuation(
+                  Wire.ChangeEvacuation.newBuilder()
+                      .setDomain(change.domain())
+                      .setEvacuated(change.evacuated())
+                      .setExpectedVersion(change.expectedVersion()))
+              .build();
       case ControlCommand.ReadCatalog read ->
           Wire.ControlCommand.newBuilder().setReadCatalog(true).build();
     };
@@ -199,6 +210,17 @@
         .build();
   }
 
+  static Wire.Evacuations encode(Evacuations evacuations) {
+    return Wire.Evacuations.newBuilder()
+        .setVersion(evacuations.version())
+        .addAllDomains(evacuations.domains())
+        .build();
+  }
+
+  static Evacuations decode(Wire.Evacuations evacuations) {
+    return new Evacuations(evacuations.getVersion(), Set.copyOf(evacuations.getDomainsList()));
+  }
+
   private static CompressedCatalog decode(Wire.CatalogDocument document) {
     return document.getPacked().isEmpty()
         ? CompressedCatalog.of(document.getVersion(), document.getText())
@@ -217,6 +239,11 @@
       case PUBLISH_CATALOG ->
           new ControlCommand.PublishCatalog(decode(command.getPublishCatalog()));
       case READ_CATALOG -> new ControlCommand.ReadCatalog();
+      case CHANGE_EVACUATION ->
+          new ControlCommand.ChangeEvacuation(
+              command.getChangeEvacuation().getDomain(),
+              command.getChangeEvacuation().getEvacuated(),
+              command.getChangeEvacuation().getExpectedVersion());
       case COMMAND_NOT_SET -> throw new WireException("control command of an unknown kind");
     };
   }
@@ -330,6 +357,7 @@
                     new ControlImage.AcceptedChange(change.getChangeId(), change.getVersion()))
             .toList(),
         new LedgerImage(domains, records),
-        decode(image.getCatalog()));
+        decode(image.getCatalog()),
+        decode(image.getEvacuations()));
   }
 }
--- a/burdockbay-wire/src/main/java/org/burdockbay/wire/PeerCodec.java
+++ b/burdockbay-wire/src/main/java/org/burdockbay/wire/PeerCodec.java
@@ -93,6 +93,7 @@
         .setShardsPerDomain(status.layout().shardsPerDomain())
         .setShardDomain(status.shard().domain())
         .setShardIndex(status.shard().index())
+        .setEvacuations(ControlCodec.encode(status.evacuations()))
         .build();
   }
 
@@ -167,7 +168,8 @@
         new DomainLoad(status.getFreeSlots(), status.getWaitMs()),
         status.getFailureDomain(),
         new ShardLayout(status.getShardsPerDomain()),
-        new ShardId(status.getShardDomain(), status.getShardIndex()));
+        new ShardId(status.getShardDomain(), status.getShardIndex()),
+        ControlCodec.decode(status.getEvacuations()));
   }
 
   private static Wire.Envelope.CatalogPart catalogPart(CatalogPart part) {
