Tests with real processes wait until the dispatcher knows its runners

Cause: TestCluster and ProcessFailureTest waited for the registration at the ledger only. Jobs that came before the first announcement were refused truly ("no runner is announced"), and the test then waited for their tasks in vain.

Change: both wait until the dispatcher has registered and its status counts the slots of every runner of its domain, which it does once a runner is fenced; the set-up waits for both domains. The set-up has also a command against a host and the number of tasks started in a domain.

--- a/burdockbay-app/src/test/java/org/burdockbay/app/ProcessFailureTest.java
+++ b/burdockbay-app/src/test/java/org/burdockbay/app/ProcessFailureTest.java
@@ -118,9 +118,7 @@
   private String awaitDispatcher() throws Exception {
     cluster.await("domain north has a dispatcher", () -> !cluster.northDispatcher().isEmpty());
     String dispatcher = cluster.northDispatcher();
-    cluster.await(
-        "the dispatcher starts at-most-once jobs",
-        () -> cluster.statusReport(dispatcher).path("dispatch").path("guarding").asBoolean());
+    cluster.await("the dispatcher can start jobs", () -> cluster.canStartJobs(dispatcher));
     return dispatcher;
   }
 
--- a/burdockbay-app/src/test/java/org/burdockbay/app/TestCluster.java
+++ b/burdockbay-app/src/test/java/org/burdockbay/app/TestCluster.java
@@ -43,8 +43,10 @@
   private static final MediaType JSON = MediaType.get("application/json");
   private static final long TIMEOUT_MILLIS = 60_000;
   private static final int LOG_TAIL_LINES = 30;
+  private static final int RUNNER_SLOTS = 8;
 
   final List<StandInRunner> runners = new ArrayList<>();
+  private final List<String> runnerDomains = new ArrayList<>();
   private final Map<String, String> domains = new LinkedHashMap<>();
   private final Map<String, Integer> peerPorts = new HashMap<>();
   private final Map<String, Integer> httpPorts = new HashMap<>();
@@ -93,9 +95,8 @@
     for (String host : domains.keySet()) {
       await(host + " is ready", () -> get(host, "/ready", "").code() == 200);
     }
-    await(
-        "domain north starts at-most-once jobs",
-        () -> startsAtMostOnceJobs("a") || startsAtMostOnceJobs("b"));
+    await("domain north can start jobs", () -> canStartJobs("a") || canStartJobs("b"));
+    await("domain south can start jobs", () -> canStartJobs("c"));
   }
 
   void start(String host) throws IOException {
@@ -193,6 +194,38 @@
     return "";
   }
 
+  /**
+   * Returns whether a host dispatches, has registered at the ledger and has fenced every runner of
+   * its domain; before that it refuses jobs.
+   */
+  boolean canStartJobs(String host) {
+    JsonNode dispatch = statusReport(host).path("dispatch");
+    long runnersInDomain = runnerDomains.stream().filter(domains.get(host)::equals).count();
+    return dispatch.path("guarding").asBoolean()
+        && dispatch.path("slots").asLong() == runnersInDomain * RUNNER_SLOTS;
+  }
+
+  /** Runs a command of the program against a host, as operator, and returns its exit code. */
+  int runCommand(String host, String command, String argument) throws Exception {
+    return startProgram(
+            command,
+            "--host",
+            "127.0.0.1:" + httpPorts.get(host),
+            "--token",
+            OPERATOR_TOKEN,
+            argument)
+        .waitFor();
+  }
+
+  /** Returns the number of tasks that the runners of a domain have started. */
+  int startedTasksIn(String domain) {
+    int started = 0;
+    for (int i = 0; i < runners.size(); i++) {
+      started += runnerDomains.get(i).equals(domain) ? runners.get(i).startedTasks() : 0;
+    }
+    return started;
+  }
+
   int startedTasks() {
     return runners.stream().mapToInt(StandInRunner::startedTasks).sum();
   }
@@ -229,10 +262,6 @@
     deleteRecursively(folder);
   }
 
-  private boolean startsAtMostOnceJobs(String host) {
-    return statusReport(host).path("dispatch").path("guarding").asBoolean();
-  }
-
   private boolean applyConfiguration() {
     String text =
         """
@@ -275,13 +304,14 @@
                 freePort(),
                 List.of("desk"),
                 List.of(),
-                8,
+                RUNNER_SLOTS,
                 hosts,
                 RUNNER_TOKEN,
                 RunnerFaults.NONE),
             client);
     runner.start();
     runners.add(runner);
+    runnerDomains.add(domain);
   }
 
   private String settingsText(String host) {
