Evacuate a failure domain in the daemon: dispatcher, API, commands

Cause: the daemon with one dispatcher for each domain shares the agreed state, but didn't act on evacuations, and operators had no command.

Change: the dispatcher of an evacuated domain starts nothing. A waiting idempotent job goes back to its entry host, which sends it to another domain; a waiting at-most-once job is open in this domain and ends as not run, or as failed if tasks of it have run. Entry hosts send new jobs to other domains. A change of the evacuations moves home domains of keys, so "not run" is promised again only after the retention. With all domains evacuated jobs are refused at once with a time to come back.

Ruled out: redirecting to a domain that the dispatcher chooses, as the entry host may know a newer layout of domains; closing at-most-once jobs elsewhere, as the ledger opens a key in one domain only.

--- a/burdockbay-core/src/main/java/org/burdockbay/core/dispatch/AdmissionPolicy.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/dispatch/AdmissionPolicy.java
@@ -19,6 +19,7 @@
 final class AdmissionPolicy {
 
   private static final long MIN_RETRY_AFTER_MILLIS = 200;
+  private static final long EVACUATED_RETRY_AFTER_MILLIS = 1_000;
   private static final long MAX_RETRY_AFTER_MILLIS = 60_000;
   private static final int JITTER_STEPS = 1000;
 
@@ -86,6 +87,10 @@
   }
 
   private Optional<JobOutcome.Failed> refuseUnservable(JobRule rule) {
+    if (state.isEvacuated()) {
+      String detail = "failure domain " + state.domain + " is evacuated";
+      return refuse(ErrorKind.OVERLOADED, detail, EVACUATED_RETRY_AFTER_MILLIS);
+    }
     // Where other runners exist, a matching one is not expected before the deadline. A domain
     // without any runner may be starting or partitioned from its runners.
     if (state.pool.runners().isEmpty()) {
--- a/burdockbay-core/src/main/java/org/burdockbay/core/dispatch/DispatchEvent.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/dispatch/DispatchEvent.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.burdockbay.core.configuration.DispatchConfiguration;
 import org.burdockbay.core.ledger.LedgerReply;
 import org.burdockbay.core.runner.AttemptOutcome;
@@ -65,6 +66,19 @@
    */
   record DomainLoadsReported(Map<String, DomainLoad> loads) implements DispatchEvent {}
 
+  /**
+   * The set of evacuated failure domains changed.
+   *
+   * @param domains the domains on whose runners no task may start
+   */
+  record EvacuationsChanged(Set<String> domains) implements DispatchEvent {
+
+    /** Copies the set. */
+    public EvacuationsChanged {
+      domains = Set.copyOf(domains);
+    }
+  }
+
   /** Time passed. */
   record Tick() implements DispatchEvent {}
 }
--- a/burdockbay-core/src/main/java/org/burdockbay/core/dispatch/DispatchState.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/dispatch/DispatchState.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.burdockbay.core.configuration.DispatchConfiguration;
 import org.burdockbay.core.configuration.JobRule;
 import org.burdockbay.core.submission.JobOutcome;
@@ -18,13 +19,14 @@
   private final Map<String, RecentSuccesses> recentSuccesses = new HashMap<>();
   DispatchConfiguration configuration = DispatchConfiguration.EMPTY;
   Map<String, DomainLoad> otherDomainLoads = Map.of();
+  Set<String> evacuatedDomains = Set.of();
 
   /** The epoch under which this host dispatches; 0 while it is passive. */
   long epoch;
 
   /**
-   * Time of the last change to the set of failure domains, which may change the home domain of a
-   * key, or of the grant of the epoch, whichever is later.
+   * Time of the last change to the set of failure domains or of evacuated ones, which may change
+   * the home domain of a key, or of the grant of the epoch, whichever is later.
    */
   long homeDomainsStableSince;
 
@@ -42,6 +44,16 @@
     return epoch != 0;
   }
 
+  /** Returns whether this failure domain is evacuated. */
+  boolean isEvacuated() {
+    return evacuatedDomains.contains(domain);
+  }
+
+  /** Returns whether another failure domain has a dispatcher and isn't evacuated. */
+  boolean hasOtherOpenDomain() {
+    return !evacuatedDomains.containsAll(otherDomainLoads.keySet());
+  }
+
   void emit(DispatchEffect effect) {
     effects.add(effect);
   }
--- a/burdockbay-core/src/main/java/org/burdockbay/core/dispatch/Dispatcher.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/dispatch/Dispatcher.java
@@ -53,6 +53,7 @@
       case DispatchEvent.EpochLost lost -> epochLost();
       case DispatchEvent.RunnerAnnounced announced -> runnerAnnounced(announced);
       case DispatchEvent.DomainLoadsReported loads -> domainLoadsReported(loads);
+      case DispatchEvent.EvacuationsChanged changed -> evacuationsChanged(changed);
       case DispatchEvent.JobSubmitted submitted when !state.isDispatching() -> returnJob(submitted);
       case DispatchEvent.Tick tick when !state.isDispatching() -> state.pool.expire(state.now);
       default -> {
@@ -145,6 +146,16 @@
     state.otherDomainLoads = loads.loads();
   }
 
+  private void evacuationsChanged(DispatchEvent.EvacuationsChanged changed) {
+    state.evacuatedDomains = changed.domains();
+    state.pool.setEvacuated(state.isEvacuated());
+    state.homeDomainsStableSince = state.now;
+    if (state.isDispatching()) {
+      jobs.endBlockedJobs();
+      jobs.scheduler().startWaitingTasks();
+    }
+  }
+
   private void returnJob(DispatchEvent.JobSubmitted submitted) {
     state.emit(new DispatchEffect.ReturnJob(submitted.origin(), submitted.request().key()));
   }
@@ -240,6 +251,7 @@
     recovery.tick();
     state.pool.runners().forEach(this::addToRoster);
     jobs.tick();
+    jobs.endBlockedJobs();
     jobs.scheduler().tick();
   }
 
--- a/burdockbay-core/src/main/java/org/burdockbay/core/dispatch/JobLifecycle.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/dispatch/JobLifecycle.java
@@ -98,6 +98,10 @@
     }
     JobEntry job = new JobEntry(request, rule.get(), state.now, chart);
     job.waitingHosts.add(event.origin());
+    if (state.isEvacuated() && mayRunElsewhere(job)) {
+      redirect(job, state.domain);
+      return;
+    }
     if (spillToOtherDomain(job, event)) {
       return;
     }
@@ -113,6 +117,40 @@
     }
   }
 
+  /**
+   * Ends the jobs that have waiting tasks while this failure domain is evacuated.
+   *
+   * <p>An idempotent job goes back to its entry hosts, which send it to another domain. An
+   * at-most-once job is open in this domain, so it ends here.
+   */
+  void endBlockedJobs() {
+    if (!state.isEvacuated()) {
+      return;
+    }
+    for (JobEntry job : List.copyOf(jobs.jobs())) {
+      boolean blocked =
+          job.isInState("active")
+              && job.tasks.stream().anyMatch(task -> task.state == TaskEntry.State.QUEUED);
+      if (blocked && mayRunElsewhere(job)) {
+        job.tasks.forEach(scheduler::endTask);
+        redirect(job, state.domain);
+      } else if (blocked) {
+        settle(job, evacuated(job));
+      }
+    }
+  }
+
+  private boolean mayRunElsewhere(JobEntry job) {
+    return !job.isAtMostOnce() && state.hasOtherOpenDomain();
+  }
+
+  private JobOutcome.Failed evacuated(JobEntry job) {
+    String detail = "failure domain " + state.domain + " is evacuated";
+    return job.started
+        ? failed(ErrorKind.TASK_FAILED, detail + " and tasks of the job had not started", 0)
+        : withProvenGuarantee(job, failed(ErrorKind.NOT_RUN, detail, LEDGER_RETRY_AFTER_MILLIS));
+  }
+
   /** Adds a waiting host to a known submission, or looks up an unknown one. */
   void follow(DispatchEvent.JobFollowed event) {
     JobEntry known = jobs.find(event.key());
--- a/burdockbay-core/src/main/java/org/burdockbay/core/dispatch/RunnerPool.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/dispatch/RunnerPool.java
@@ -18,6 +18,7 @@
   static final long LEASE_MILLIS = 3_000;
 
   private final Map<String, RunnerEntry> byName = new LinkedHashMap<>();
+  private boolean evacuated;
 
   /**
    * Records an announcement.
@@ -48,6 +49,11 @@
     return byName.values();
   }
 
+  /** Sets whether the failure domain is evacuated, so that no task may start on its runners. */
+  void setEvacuated(boolean changed) {
+    evacuated = changed;
+  }
+
   /** Removes and returns the runners whose lease has expired. */
   List<RunnerEntry> expire(long now) {
     List<RunnerEntry> expired = new ArrayList<>();
@@ -67,6 +73,9 @@
    * failed before is selected only if no other available runner serves the task.
    */
   @Nullable RunnerEntry select(TaskEntry task, @Nullable RunnerEntry avoided, long now) {
+    if (evacuated) {
+      return null;
+    }
     RunnerEntry best = null;
     boolean untriedExists = false;
     RunnerEntry bestRetried = null;
@@ -88,16 +97,16 @@
     return best != null || untriedExists ? best : bestRetried;
   }
 
-  /** Returns whether any runner, busy or idle, serves the kind of job. */
+  /** Returns whether any runner, busy or idle, serves the kind of job; none does if evacuated. */
   boolean isServable(JobRule rule) {
-    return byName.values().stream().anyMatch(entry -> canServe(entry, rule));
+    return !evacuated && byName.values().stream().anyMatch(entry -> canServe(entry, rule));
   }
 
   /** Returns the number of slots of the available runners that serve the kind of job. */
   int availableSlots(JobRule rule, long now) {
     int slots = 0;
     for (RunnerEntry entry : byName.values()) {
-      if (canServe(entry, rule) && entry.isAvailable(now)) {
+      if (canServe(entry, rule) && isAvailable(entry, now)) {
         slots += entry.concurrencyLimit();
       }
     }
@@ -107,7 +116,7 @@
   int freeSlots(long now) {
     int free = 0;
     for (RunnerEntry entry : byName.values()) {
-      if (entry.isAvailable(now)) {
+      if (isAvailable(entry, now)) {
         free += entry.freeSlots();
       }
     }
@@ -117,7 +126,7 @@
   int totalSlots(long now) {
     int total = 0;
     for (RunnerEntry entry : byName.values()) {
-      if (entry.isAvailable(now)) {
+      if (isAvailable(entry, now)) {
         total += entry.concurrencyLimit();
       }
     }
@@ -130,6 +139,10 @@
     return ejected + 1 <= share * byName.size();
   }
 
+  private boolean isAvailable(RunnerEntry entry, long now) {
+    return !evacuated && entry.isAvailable(now);
+  }
+
   private static boolean canServe(RunnerEntry entry, JobRule rule) {
     return entry.announcement.services().contains(rule.service())
         && entry.announcement.labels().containsAll(rule.labels());
--- a/burdockbay-core/src/main/java/org/burdockbay/core/entry/EntryGateway.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/entry/EntryGateway.java
@@ -186,6 +186,9 @@
   private void jobReturned(EntryEvent.Returned event) {
     for (PendingSubmission submission : pendingFor(event.key())) {
       if (submission.sentTo != null && submission.sentTo.host().equals(event.host())) {
+        if (!routes.openDomains().contains(submission.domain)) {
+          submission.domain = null;
+        }
         submission.arrival = Arrival.RESENT;
         submission.sentTo = null;
         submission.unroutedSince = now;
--- a/burdockbay-core/src/main/java/org/burdockbay/core/membership/HostStatus.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/membership/HostStatus.java
@@ -39,7 +39,9 @@
     ShardId shard,
     Evacuations evacuations) {
 
-  /** Creates the status of a host in a fleet that isn't divided into shards. */
+  /**
+   * Creates the status of a host in a fleet that isn't divided into shards and has no evacuations.
+   */
   public HostStatus(
       String host,
       String domain,
@@ -68,6 +70,25 @@
         Evacuations.NONE);
   }
 
+  /** Returns a copy of the status with the given evacuations. */
+  public HostStatus withEvacuations(Evacuations known) {
+    return new HostStatus(
+        host,
+        domain,
+        incarnation,
+        storageIncarnation,
+        configurationVersion,
+        dispatcherEpoch,
+        highestEpoch,
+        draining,
+        leader,
+        load,
+        failureDomain,
+        layout,
+        shard,
+        known);
+  }
+
   /** Returns whether this status equals another one, apart from the load. */
   public boolean equalsIgnoringLoad(HostStatus other) {
     return new HostStatus(
--- a/burdockbay-core/src/main/java/org/burdockbay/core/membership/RouteView.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/membership/RouteView.java
@@ -1,5 +1,6 @@
 package org.burdockbay.core.membership;
 
+import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -62,6 +63,26 @@
         .collect(Collectors.toUnmodifiableSet());
   }
 
+  /**
+   * Returns the view in which the given failure domains accept no new submissions; this view if no
+   * other domain is open.
+   */
+  public RouteView withoutDomains(Set<String> domains) {
+    Set<String> open =
+        openDomains.stream()
+            .filter(name -> !domains.contains(name))
+            .collect(Collectors.toUnmodifiableSet());
+    if (open.isEmpty()) {
+      return this;
+    }
+    Map<String, ActiveDispatcher> changed = new HashMap<>(dispatchers);
+    domains.forEach(
+        name ->
+            changed.computeIfPresent(
+                name, (key, found) -> new ActiveDispatcher(found.host(), found.epoch(), true)));
+    return new RouteView(domain, changed, open, settled, shards, liveShards);
+  }
+
   /** Returns the view of a host that hasn't contacted any other host. */
   public static RouteView empty(String domain) {
     return new RouteView(domain, Map.of(), Set.of(), false);
@@ -80,7 +101,8 @@
   /**
    * Dispatcher with the epoch of its claim.
    *
-   * @param draining whether the host is stopping and accepts no new submissions
+   * @param draining whether it accepts no new submissions, because the host is stopping or the
+   *     domain is evacuated
    */
   public record ActiveDispatcher(String host, long epoch, boolean draining) {}
 }
--- a/burdockbay-core/src/test/java/org/burdockbay/core/dispatch/DispatcherTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/dispatch/DispatcherTest.java
@@ -81,6 +81,90 @@
     tick(10);
   }
 
+  /**
+   * Guards against starting tasks in an evacuated domain. Running tasks end normally; a waiting
+   * idempotent job goes back to its entry host, which sends it to another domain; a waiting
+   * at-most-once job is reported as not run; and no free slots are reported.
+   */
+  @Test
+  public void startsNothingWhileItsDomainIsEvacuated() {
+    submitTasks("check", "running", List.of("1", "2", "3", "4"));
+    submit("check", "waiting", "x", Arrival.FIRST);
+    submit("booking", "booked", "x", Arrival.FIRST);
+    grantProposals();
+    reportOtherDomain();
+    evacuate(Set.of("north"));
+    assertEquals(starts().size(), 4);
+    assertEquals(returned(), List.of("waiting"));
+    grantProposals();
+    assertEquals(failureOf("booked").kind(), ErrorKind.NOT_RUN);
+    for (DispatchEffect.StartAttempt start : starts()) {
+      endAttempt(start, new AttemptOutcome.Succeeded("1"));
+    }
+    assertEquals(
+        reports().getLast().outcome(), new JobOutcome.Completed(List.of("1", "1", "1", "1")));
+    submit("check", "new", "x", Arrival.FIRST);
+    assertEquals(returned(), List.of("waiting", "new"));
+    assertEquals(starts().size(), 4);
+    assertEquals(dispatcher.load().freeSlots(), 0);
+    evacuate(Set.of());
+    submit("check", "after", "x", Arrival.FIRST);
+    assertEquals(starts().size(), 5);
+  }
+
+  /**
+   * Guards against sending jobs round and round when every domain is evacuated: they are refused at
+   * once, with a time to come back.
+   */
+  @Test
+  public void refusesAtOnceWhenAllDomainsAreEvacuated() {
+    reportOtherDomain();
+    evacuate(Set.of("north", "south"));
+    submit("check", "k", "x", Arrival.FIRST);
+    assertTrue(returned().isEmpty());
+    assertTrue(failureOf("k").retryAfterMillis() > 0);
+    assertTrue(starts().isEmpty());
+  }
+
+  /**
+   * Guards against a refusal as "not run" right after an evacuation moved the home domains of keys:
+   * the job may have run in the domain that was its home before.
+   */
+  @Test
+  public void promisesNothingAboutKeysWhoseHomeDomainHasMoved() {
+    tick(700_000);
+    announce("r1", 1, false);
+    announce("r2", 1, false);
+    evacuate(Set.of("south"));
+    evacuate(Set.of("south", "north"));
+    submit("check", "k", "x", Arrival.FIRST);
+    assertEquals(failureOf("k").kind(), ErrorKind.REFUSED);
+  }
+
+  private void evacuate(Set<String> domains) {
+    handle(new DispatchEvent.EvacuationsChanged(domains));
+  }
+
+  private void reportOtherDomain() {
+    handle(new DispatchEvent.DomainLoadsReported(Map.of("south", new DomainLoad(0, 500))));
+  }
+
+  /** Returns the ids of the submissions that were returned to their entry hosts. */
+  private List<String> returned() {
+    return effects.stream()
+        .filter(DispatchEffect.ReturnJob.class::isInstance)
+        .map(effect -> ((DispatchEffect.ReturnJob) effect).key().submission())
+        .toList();
+  }
+
+  private JobOutcome.Failed failureOf(String submission) {
+    return reports().stream()
+        .filter(report -> report.key().submission().equals(submission))
+        .map(report -> (JobOutcome.Failed) report.outcome())
+        .findFirst()
+        .orElseThrow();
+  }
+
   /**
    * A caller loses its connection and resubmits a job while the job runs, and again after it is
    * done. Each time the caller must get the same answer, and the runner must get one start.
--- a/burdockbay-core/src/test/java/org/burdockbay/core/entry/EntryGatewayTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/entry/EntryGatewayTest.java
@@ -101,6 +101,43 @@
     assertTrue(((JobOutcome.Failed) answer.outcome()).retryAfterMillis() > 0);
   }
 
+  /**
+   * Guards against new jobs that go to an evacuated domain, and against a job that its dispatcher
+   * returns and that is sent there again.
+   */
+  @Test
+  public void sendsJobsOfEvacuatedDomainElsewhere() {
+    RouteView both =
+        new RouteView(
+            "north",
+            Map.of(
+                "north",
+                new RouteView.ActiveDispatcher("n", 5, false),
+                "south",
+                new RouteView.ActiveDispatcher("s", 6, false)),
+            Set.of("north", "south"),
+            true);
+    handle(new EntryEvent.RoutesChanged(both));
+    submit(1, "one");
+    handle(new EntryEvent.RoutesChanged(both.withoutDomains(Set.of("north"))));
+    handle(new EntryEvent.Returned(KEY, "n"));
+    tick(100);
+    submit(2, "two");
+    assertEquals(sends().stream().map(EntryEffect.SendJob::host).toList(), List.of("n", "s", "s"));
+  }
+
+  /** Guards against callers that wait for an open domain when all of them are evacuated. */
+  @Test
+  public void keepsRoutesWhenAllDomainsAreEvacuated() {
+    RouteView view =
+        new RouteView(
+            "north",
+            Map.of("north", new RouteView.ActiveDispatcher("n", 5, false)),
+            Set.of("north"),
+            true);
+    assertEquals(view.withoutDomains(Set.of("north")), view);
+  }
+
   private void submit(long ticket, String digest) {
     JobRequest request = new JobRequest(KEY, digest, "booking", List.of("1"), 60_000, true);
     handle(new EntryEvent.Submitted(ticket, request, true));
--- a/burdockbay-server/src/main/java/org/burdockbay/server/host/AgreementStorage.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/host/AgreementStorage.java
@@ -13,7 +13,6 @@
 import org.burdockbay.core.agreement.Snapshot;
 import org.burdockbay.core.agreement.VoterId;
 import org.burdockbay.core.clock.Clock;
-import org.burdockbay.core.control.ControlImage;
 import org.burdockbay.core.control.ControlState;
 import org.burdockbay.server.logging.EventLog;
 import org.burdockbay.server.storage.DataFolder;
@@ -76,8 +75,7 @@
   AgreementDriver createDriver(
       HostParts parts,
       BiConsumer<String, RaftMessage> sender,
-      Consumer<ControlImage.ConfigurationVersion> listener) {
-    Consumer<ControlState> stateListener = state -> state.configuration().ifPresent(listener);
+      Consumer<ControlState> stateListener) {
     return createDriver(
         parts.settings().id(),
         parts.incarnation(),
--- a/burdockbay-server/src/main/java/org/burdockbay/server/host/HostController.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/host/HostController.java
@@ -13,14 +13,17 @@
 import org.burdockbay.core.control.ControlCommand;
 import org.burdockbay.core.control.ControlImage;
 import org.burdockbay.core.control.ControlReply;
+import org.burdockbay.core.control.ControlState;
 import org.burdockbay.core.dispatch.DispatchEvent;
 import org.burdockbay.core.dispatch.Dispatcher;
 import org.burdockbay.core.dispatch.DomainLoad;
 import org.burdockbay.core.entry.EntryEvent;
 import org.burdockbay.core.entry.EntryGateway;
+import org.burdockbay.core.evacuation.Evacuations;
 import org.burdockbay.core.membership.HostStatus;
 import org.burdockbay.core.membership.Membership;
 import org.burdockbay.core.membership.MembershipEffect;
+import org.burdockbay.core.membership.RouteView;
 import org.burdockbay.core.message.PeerMessage;
 import org.burdockbay.core.runner.AttemptOutcome;
 import org.burdockbay.core.runner.AttemptReport;
@@ -52,6 +55,7 @@
   private final HostParts parts;
   private final String self;
   private final ConfigurationKeeper configuration;
+  private final EvacuationKeeper evacuations;
   private final Membership membership;
   private final EntryDriver entryDriver;
   private final DispatchDriver dispatchDriver;
@@ -64,6 +68,7 @@
   private long nextHeartbeatAt;
   private long nextReconciliationAt;
   private long nextFetchAt;
+  private Evacuations agreedEvacuations = Evacuations.NONE;
 
   /**
    * Creates the components of the host.
@@ -76,13 +81,18 @@
     this.parts = parts;
     this.self = parts.settings().id();
     this.configuration = configuration;
+    this.evacuations =
+        new EvacuationKeeper(
+            (command, callback) -> proposals().propose(command, callback),
+            this::applyEvacuations,
+            parts.log(),
+            parts.clock());
     long now = parts.clock().millis();
     this.membership = new Membership(self, parts.settings().domainByHost(), now);
     Optional<AgreementStorage> storage = AgreementStorage.open(parts, this::onStorageEvent);
     this.storageIncarnation = storage.map(AgreementStorage::incarnation).orElse(0L);
     this.agreement =
-        storage.map(
-            opened -> opened.createDriver(parts, this::sendRaft, this::configurationAgreed));
+        storage.map(opened -> opened.createDriver(parts, this::sendRaft, this::stateAgreed));
     this.proposals = new ProposalClient(parts.clock(), agreement, this::leader, this::send);
     this.entryDriver =
         new EntryDriver(parts, new EntryGateway(parts.settings().domain()), this::send);
@@ -142,6 +152,17 @@
     return reply;
   }
 
+  /**
+   * Starts or ends the evacuation of a failure domain, on whose runners no task starts meanwhile.
+   * The future completes with the reply of the voters.
+   */
+  public CompletableFuture<ControlReply> changeEvacuation(String domain, boolean evacuated) {
+    CompletableFuture<ControlReply> reply = new CompletableFuture<>();
+    executeControl(
+        () -> evacuations.change(domain, evacuated, answer -> reply.completeAsync(() -> answer)));
+    return reply;
+  }
+
   /** Returns a report on the state of this host. */
   public CompletableFuture<HostReport> report() {
     return query(this::buildReport);
@@ -311,6 +332,7 @@
   }
 
   private void handleHeartbeat(HostStatus status) {
+    evacuations.offer(status.evacuations(), status.host());
     execute(membership.heartbeat(status, parts.clock().millis()));
     long now = parts.clock().millis();
     if (status.configurationVersion() > configuration.current().version() && now >= nextFetchAt) {
@@ -343,7 +365,7 @@
           sendHeartbeats();
         }
         case MembershipEffect.RoutesChanged routes ->
-            entryDriver.handle(new EntryEvent.RoutesChanged(routes.view()));
+            routesChanged(routes.view(), evacuations.current());
         case MembershipEffect.LayoutChanged changed -> {
           // Hosts with a fixed list of peers don't divide the fleet into shards.
         }
@@ -359,6 +381,27 @@
     execute(membership.handleHigherEpoch(higherEpoch, parts.clock().millis()));
   }
 
+  private void routesChanged(RouteView view, Evacuations current) {
+    entryDriver.handle(new EntryEvent.RoutesChanged(view.withoutDomains(current.domains())));
+  }
+
+  /** Applies evacuations, of which all other hosts are notified first. */
+  private void applyEvacuations(Evacuations changed) {
+    sendHeartbeats();
+    parts.metrics().recordEvacuatedDomains(changed.domains().size());
+    routesChanged(membership.routes(), changed);
+    dispatchDriver.handle(new DispatchEvent.EvacuationsChanged(changed.domains()));
+  }
+
+  private ProposalClient proposals() {
+    return proposals;
+  }
+
+  private void stateAgreed(ControlState state) {
+    agreedEvacuations = state.evacuations();
+    state.configuration().ifPresent(this::configurationAgreed);
+  }
+
   private void configurationAgreed(ControlImage.ConfigurationVersion version) {
     if (version.version() <= configuration.current().version()) {
       return;
@@ -399,6 +442,7 @@
   }
 
   private void flush() {
+    evacuations.offer(agreedEvacuations, "log");
     agreement.ifPresent(AgreementDriver::flush);
   }
 
@@ -424,16 +468,17 @@
 
   private HostStatus status() {
     return new HostStatus(
-        self,
-        parts.settings().domain(),
-        parts.incarnation(),
-        agreement.filter(AgreementDriver::hasFailed).isPresent() ? 0 : storageIncarnation,
-        configuration.current().version(),
-        membership.claimedEpoch(),
-        membership.highestEpoch(),
-        membership.isDraining(),
-        leader().orElse(""),
-        dispatchDriver.dispatcher().load());
+            self,
+            parts.settings().domain(),
+            parts.incarnation(),
+            agreement.filter(AgreementDriver::hasFailed).isPresent() ? 0 : storageIncarnation,
+            configuration.current().version(),
+            membership.claimedEpoch(),
+            membership.highestEpoch(),
+            membership.isDraining(),
+            leader().orElse(""),
+            dispatchDriver.dispatcher().load())
+        .withEvacuations(evacuations.current());
   }
 
   private Optional<String> leader() {
--- a/burdockbay-server/src/main/java/org/burdockbay/server/http/OperatorApi.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/http/OperatorApi.java
@@ -17,7 +17,10 @@
 import org.burdockbay.server.metrics.MetricsTextFormat;
 import org.burdockbay.server.settings.HostSettings;
 
-/** HTTP routes for operators: configuration, status, planned stop, and metrics for scraping. */
+/**
+ * HTTP routes for operators: configuration, evacuations, status, planned stop, and metrics for
+ * scraping.
+ */
 public final class OperatorApi {
 
   private static final long RETRY_AFTER_MILLIS = 1_000;
@@ -58,6 +61,8 @@
     routes.post("/v1/operator/configuration", this::applyConfiguration);
     routes.post("/v1/operator/configuration/check", this::checkConfiguration);
     routes.get("/v1/operator/history", this::history);
+    routes.post("/v1/operator/evacuations/{domain}", context -> changeEvacuation(context, true));
+    routes.delete("/v1/operator/evacuations/{domain}", context -> changeEvacuation(context, false));
     routes.post("/v1/operator/drain", this::drain);
   }
 
@@ -117,6 +122,16 @@
     context.future(() -> reply.thenAccept(answer -> writeReply(context, answer)));
   }
 
+  private void changeEvacuation(Context context, boolean evacuated) throws ApiException {
+    Credentials.requireToken(context, settings.operatorToken());
+    String domain = context.pathParam("domain");
+    if (!settings.domainByHost().containsValue(domain)) {
+      throw new ApiException(ErrorKind.NOT_FOUND, "there is no failure domain '" + domain + "'");
+    }
+    CompletableFuture<ControlReply> reply = controller.changeEvacuation(domain, evacuated);
+    context.future(() -> reply.thenAccept(answer -> writeReply(context, answer)));
+  }
+
   private void writeReply(Context context, ControlReply reply) {
     switch (reply) {
       case ControlReply.Accepted accepted ->
@@ -125,14 +140,14 @@
           responder.writeProblem(
               context,
               ErrorKind.VERSION_CONFLICT,
-              "the configuration is at version " + conflict.currentVersion(),
+              "the current version is " + conflict.currentVersion(),
               0,
               "");
       case ControlReply.Unavailable unavailable ->
           responder.writeProblem(
               context,
               ErrorKind.UNAVAILABLE,
-              "no quorum answered; send the same change id again to learn the outcome",
+              "no quorum answered; send the same change again to learn the outcome",
               RETRY_AFTER_MILLIS,
               "");
       case ControlReply.LedgerResult ledger ->
