Give no new work to a dispatcher that doesn't receive it

Cause: in a one-way partition an entry host receives the heartbeats of a dispatcher that receives nothing from it, so work went there and waited for its caller's timeout.

Change: heartbeats say how long ago the sender last received a message of the receiver. A dispatcher that reports more than 450 ms, the time after which it drops the work, is left out of the choice of shards until it reports less. Work that it has stays with it.

Ruled out: moving that work as well, with a quiet period from the reported contact.

The model has partitions in one direction. WorkIntakeTest.leavesDispatcherThatReceivesNothing failed before.

--- a/burdockbay-core/src/main/java/org/burdockbay/core/intake/IntakeEvent.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/intake/IntakeEvent.java
@@ -1,6 +1,7 @@
 package org.burdockbay.core.intake;
 
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.burdockbay.core.dispatch.DomainLoad;
 import org.burdockbay.core.shard.ShardId;
@@ -60,8 +61,20 @@
   /** A new connection to a host was opened; messages on the previous one may be lost. */
   record PeerReconnected(String host) implements IntakeEvent {}
 
-  /** A message has arrived from a host, which may be a dispatcher. */
-  record DispatcherMessageReceived(String host) implements IntakeEvent {}
+  /**
+   * A heartbeat has arrived from a host, which may be a dispatcher.
+   *
+   * @param lastContactAgeMillis time since that host last received a message of this one, as it
+   *     reports; empty if it doesn't know
+   */
+  record DispatcherMessageReceived(String host, OptionalLong lastContactAgeMillis)
+      implements IntakeEvent {
+
+    /** Creates the event of a heartbeat that doesn't report the last contact. */
+    public DispatcherMessageReceived(String host) {
+      this(host, OptionalLong.empty());
+    }
+  }
 
   /** Triggers the periodic checks of timeouts. */
   record Tick() implements IntakeEvent {}
--- a/burdockbay-core/src/main/java/org/burdockbay/core/intake/ShardSelector.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/intake/ShardSelector.java
@@ -29,8 +29,9 @@
   private final Map<String, DomainLoad> loads = new HashMap<>();
   private Map<ShardId, IntakeEvent.Dispatcher> dispatchers = Map.of();
   private Set<String> evacuatedDomains = Set.of();
+  private Set<String> unreachableHosts = Set.of();
 
-  /** The shards that have a dispatcher and whose domain isn't evacuated. */
+  /** The shards that can be selected: with a dispatcher, in domains that aren't evacuated. */
   private ShardMap shards = ShardMap.of(Set.of());
 
   /**
@@ -55,9 +56,24 @@
     updateShards();
   }
 
+  /**
+   * Excludes the shards whose dispatchers are on the given hosts from selection, unless there are
+   * no others: a host that is late in handling messages reports an old contact as well.
+   */
+  void updateUnreachableHosts(Set<String> hosts) {
+    unreachableHosts = Set.copyOf(hosts);
+    updateShards();
+  }
+
   private void updateShards() {
-    shards =
-        ShardMap.of(dispatchers.keySet().stream().filter(shard -> !isEvacuated(shard)).toList());
+    List<ShardId> open =
+        dispatchers.keySet().stream().filter(shard -> !isEvacuated(shard)).toList();
+    List<ShardId> reachable = open.stream().filter(this::isReachable).toList();
+    shards = ShardMap.of(reachable.isEmpty() ? open : reachable);
+  }
+
+  private boolean isReachable(ShardId shard) {
+    return !unreachableHosts.contains(dispatchers.get(shard).host());
   }
 
   /** Returns whether the failure domain of a shard is evacuated. */
--- a/burdockbay-core/src/main/java/org/burdockbay/core/intake/WorkIntake.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/intake/WorkIntake.java
@@ -50,6 +50,12 @@
    */
   private static final long DISPATCHER_SILENCE_TIMEOUT_MILLIS = 600;
 
+  /**
+   * Time without a message of this host after which a dispatcher drops this host's work, in
+   * milliseconds.
+   */
+  private static final long INBOUND_SILENCE_TIMEOUT_MILLIS = 450;
+
   private final String self;
   private final long maxOrphanedRunMillis;
   private final ShardSelector shardSelector;
@@ -58,6 +64,10 @@
   private final Map<String, Long> lastContactByHost = new HashMap<>();
   private final Map<ShardId, Long> withoutDispatcherSince = new HashMap<>();
   private final Map<IntakeEffect.Cancel, Long> cancellations = new LinkedHashMap<>();
+
+  /** The hosts that receive no messages of this host. */
+  private final Set<String> unreachableHosts = new HashSet<>();
+
   private Map<ShardId, IntakeEvent.Dispatcher> dispatchers = Map.of();
   private boolean allDomainsEvacuated;
   private List<IntakeEffect> effects = new ArrayList<>();
@@ -97,7 +107,7 @@
       }
       case IntakeEvent.LoadReported report ->
           shardSelector.updateLoad(report.host(), report.load());
-      case IntakeEvent.DispatcherMessageReceived received -> recordContact(received.host());
+      case IntakeEvent.DispatcherMessageReceived received -> recordContact(received);
       case IntakeEvent.PeerReconnected reconnected -> resendAfterReconnect(reconnected.host());
       case IntakeEvent.Tick tick -> tick();
     }
@@ -235,8 +245,19 @@
     return work.shard.map(dispatchers::get);
   }
 
-  private void recordContact(String host) {
+  /**
+   * Records a heartbeat of a host, and whether that host receives messages of this one.
+   *
+   * <p>In a one-way partition heartbeats of a dispatcher go on arriving although it receives no
+   * work. It then gets no new work. What it has stays with it, as its runs may go on.
+   */
+  private void recordContact(IntakeEvent.DispatcherMessageReceived received) {
+    String host = received.host();
     lastContactByHost.put(host, now);
+    boolean reachable = received.lastContactAgeMillis().orElse(0) <= INBOUND_SILENCE_TIMEOUT_MILLIS;
+    if (reachable ? unreachableHosts.remove(host) : unreachableHosts.add(host)) {
+      shardSelector.updateUnreachableHosts(unreachableHosts);
+    }
   }
 
   /**
--- a/burdockbay-core/src/test/java/org/burdockbay/core/intake/WorkIntakeTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/intake/WorkIntakeTest.java
@@ -5,6 +5,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.burdockbay.core.dispatch.DomainLoad;
 import org.burdockbay.core.shard.ShardId;
@@ -36,6 +37,9 @@
           60,
           2_500);
 
+  private static final WorkRequest OTHER =
+      new WorkRequest("other", "q", "desk", "x", WORK.steps(), 0, 2, 1.6, 60, 2_500);
+
   private WorkIntake intake;
   private long now;
 
@@ -342,6 +346,46 @@
     assertEquals(answers(effects).getFirst().outcome(), new WorkOutcome.Completed());
   }
 
+  /**
+   * Guards against work that waits for its caller's timeout at a dispatcher that doesn't receive
+   * it: in a one-way partition that dispatcher's heartbeats go on arriving. Their reports of the
+   * last contact show it. New work goes elsewhere; work that it may have stays, as its runs may go
+   * on.
+   */
+  @Test
+  public void leavesDispatcherThatReceivesNothing() {
+    changeDispatchers(Map.of(NORTH, FIRST, SOUTH, SECOND));
+    reportLoad("a", 10);
+    handle(new IntakeEvent.RequestReceived(1, WORK));
+    now += 500;
+    assertTrue(submits(reportContact("a", 500)).isEmpty());
+    assertEquals(
+        submits(handle(new IntakeEvent.RequestReceived(2, OTHER))).getFirst().to(), SECOND);
+    now += 600;
+    reportContact("a", 1_100);
+    assertTrue(submits(handle(new IntakeEvent.Tick())).stream().noneMatch(this::isMoved));
+  }
+
+  /** Guards against leaving a dispatcher for good that receives messages again. */
+  @Test
+  public void returnsToDispatcherThatReceivesMessagesAgain() {
+    changeDispatchers(Map.of(NORTH, FIRST, SOUTH, SECOND));
+    reportLoad("a", 10);
+    reportContact("a", 500);
+    now += 150;
+    reportContact("a", 20);
+    reportLoad("a", 10);
+    assertEquals(submits(handle(new IntakeEvent.RequestReceived(1, WORK))).getFirst().to(), FIRST);
+  }
+
+  private boolean isMoved(IntakeEffect.Submit submit) {
+    return submit.request().equals(WORK) && !submit.to().equals(FIRST);
+  }
+
+  private List<IntakeEffect> reportContact(String host, long ageMillis) {
+    return handle(new IntakeEvent.DispatcherMessageReceived(host, OptionalLong.of(ageMillis)));
+  }
+
   private List<IntakeEffect> evacuate(Set<String> domains, boolean complete) {
     return handle(new IntakeEvent.EvacuationsChanged(domains, complete));
   }
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseFuzzTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseFuzzTest.java
@@ -1,7 +1,9 @@
 package org.burdockbay.core.lease;
 
 import java.util.List;
+import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.function.Consumer;
 import org.burdockbay.core.FuzzOptions;
 import org.burdockbay.core.shard.ShardLayout;
 import org.testng.annotations.AfterClass;
@@ -85,13 +87,43 @@
       long seed = FuzzOptions.seed() + run;
       ShardLayout layout = (seed & 4) == 0 ? ShardLayout.UNDIVIDED : dividedLayout(seed);
       try {
-        simulate(seed, network, layout, true, true, true);
+        simulate(seed, network, layout, LeaseFuzzTest::changeEvacuations);
       } catch (AssertionError e) {
         throw new AssertionError("seed " + seed + ": " + e.getMessage(), e);
       }
     }
   }
 
+  /**
+   * Guards against a task that runs twice when messages pass between domains in one direction only:
+   * an entry host receives the heartbeats of a dispatcher that doesn't receive its work, or the
+   * other way round.
+   */
+  @Test(dataProvider = "networks")
+  public void neverOverlapsRunsOfTaskInOneWayPartitions(LeaseModel.Network network) {
+    int runs = FuzzOptions.exampleCount(RUNS);
+    for (int run = 0; run < runs; run++) {
+      long seed = FuzzOptions.seed() + run;
+      ShardLayout layout = (seed & 4) == 0 ? ShardLayout.UNDIVIDED : dividedLayout(seed);
+      try {
+        simulate(seed, network, layout, LeaseFuzzTest::cutOneWay);
+      } catch (AssertionError e) {
+        throw new AssertionError("seed " + seed + ": " + e.getMessage(), e);
+      }
+    }
+  }
+
+  private static void cutOneWay(LeaseModel model) {
+    SplittableRandom random = model.faultRandom();
+    if (random.nextInt(10) == 0) {
+      String domain = LeaseModel.DOMAINS.get(random.nextInt(LeaseModel.DOMAINS.size()));
+      Set<String> cut =
+          random.nextBoolean() ? model.domainsWithoutInbound : model.domainsWithoutOutbound;
+      cut.add(domain);
+      model.schedule(300 + random.nextLong(4_000), () -> cut.remove(domain));
+    }
+  }
+
   /** Returns all kinds of networks. */
   @DataProvider
   public Object[] networks() {
@@ -114,7 +146,7 @@
             divided ? dividedLayout(seed) : ShardLayout.UNDIVIDED,
             true,
             orderedDelivery,
-            false);
+            model -> {});
       } catch (AssertionError e) {
         throw new AssertionError("seed " + seed + ": " + e.getMessage(), e);
       }
@@ -158,7 +190,7 @@
 
   /** Replays a seed without broken connections, which the model didn't have when it failed. */
   private static void simulateOriginalFaults(long seed, LeaseModel.Network network) {
-    simulate(seed, network, ShardLayout.UNDIVIDED, false, false, false);
+    simulate(seed, network, ShardLayout.UNDIVIDED, false, false, model -> {});
   }
 
   /** Returns a layout of one or two shards in each domain. */
@@ -166,17 +198,25 @@
     return new ShardLayout(1 + (int) (seed & 1));
   }
 
+  /** Simulates broken connections, ordered delivery and further faults in each step. */
+  private static void simulate(
+      long seed,
+      LeaseModel.Network network,
+      ShardLayout layout,
+      Consumer<LeaseModel> furtherFaults) {
+    simulate(seed, network, layout, true, true, furtherFaults);
+  }
+
   private static void simulate(
       long seed,
       LeaseModel.Network network,
       ShardLayout layout,
       boolean breaksConnections,
       boolean orderedDelivery,
-      boolean evacuates) {
+      Consumer<LeaseModel> furtherFaults) {
     LeaseModel model = new LeaseModel(seed, network, layout, 2 + layout.shardsPerDomain() / 2, 3);
     model.breaksConnections = breaksConnections;
     model.orderedDelivery = orderedDelivery;
-    model.evacuates = evacuates;
     SplittableRandom random = new SplittableRandom(~seed);
     for (int step = 0; step < STEPS; step++) {
       if (step == GROWTH_STEP) {
@@ -192,9 +232,7 @@
       if (breaksConnections) {
         breakConnections(model);
       }
-      if (evacuates) {
-        changeEvacuations(model);
-      }
+      furtherFaults.accept(model);
       model.advance(20 + random.nextLong(300));
     }
     model.recoverAndVerify();
@@ -219,6 +257,7 @@
 
   /** Starts or ends an evacuation now and then; at times all domains are evacuated. */
   private static void changeEvacuations(LeaseModel model) {
+    model.evacuates = true;
     SplittableRandom random = model.faultRandom();
     if (random.nextInt(8) == 0) {
       String domain = LeaseModel.DOMAINS.get(random.nextInt(LeaseModel.DOMAINS.size()));
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseModel.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseModel.java
@@ -66,6 +66,12 @@
   final List<ModelUpstream> upstreams = new ArrayList<>();
   final Set<String> isolatedDomains = new HashSet<>();
 
+  /** Domains that receive no messages from other domains, while theirs arrive. */
+  final Set<String> domainsWithoutInbound = new HashSet<>();
+
+  /** Domains whose messages don't arrive in other domains. */
+  final Set<String> domainsWithoutOutbound = new HashSet<>();
+
   /** Whether connections between hosts break, and hosts are notified of new ones. */
   boolean breaksConnections;
 
@@ -193,14 +199,17 @@
 
   /** Replaces a connection that has lost a message in a partition which is over. */
   void reconnectIfLossy(Link link, ModelEntryHost one, ModelEntryHost other) {
-    if (breaksConnections && link.lossy && !link.down) {
+    if (breaksConnections
+        && link.lossy
+        && !link.down
+        && isConnectedBothWays(one.domain, other.domain)) {
       link.lossy = false;
       reconnect(link, one, other);
     }
   }
 
   private void reconnect(Link link, ModelEntryHost one, ModelEntryHost other) {
-    if (!isConnected(one.domain, other.domain)) {
+    if (!isConnectedBothWays(one.domain, other.domain)) {
       schedule(RECONNECT_INTERVAL_MILLIS, () -> reconnect(link, one, other));
       return;
     }
@@ -280,9 +289,24 @@
         host.name + " starts " + run + " in " + upstreamDomain + ", evacuated " + inForceMillis);
   }
 
-  /** Returns whether two domains can reach each other. */
-  boolean isConnected(String one, String other) {
-    return one.equals(other) || !(isolatedDomains.contains(one) || isolatedDomains.contains(other));
+  /** Returns whether messages from one domain arrive in the other. */
+  boolean isConnected(String from, String to) {
+    return from.equals(to)
+        || !(isolatedDomains.contains(from)
+            || isolatedDomains.contains(to)
+            || domainsWithoutOutbound.contains(from)
+            || domainsWithoutInbound.contains(to));
+  }
+
+  private boolean isConnectedBothWays(String one, String other) {
+    return isConnected(one, other) && isConnected(other, one);
+  }
+
+  /** Returns whether a domain is cut off from the hosts with a disk, in either direction. */
+  boolean isCutOff(String domain) {
+    return isolatedDomains.contains(domain)
+        || domainsWithoutInbound.contains(domain)
+        || domainsWithoutOutbound.contains(domain);
   }
 
   ModelEntryHost anyHost() {
@@ -372,6 +396,8 @@
     faultsEnded = true;
     DOMAINS.forEach(domain -> changeEvacuation(domain, false));
     isolatedDomains.clear();
+    domainsWithoutInbound.clear();
+    domainsWithoutOutbound.clear();
     delayedCallShare = 0;
     lostAnswerShare = 0;
     hosts.values().forEach(ModelEntryHost::recover);
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelEntryHost.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelEntryHost.java
@@ -38,6 +38,7 @@
   private final Map<Long, WorkRequest> callers = new HashMap<>();
   private final Map<String, Long> incarnations = new HashMap<>();
   private final Map<String, Long> restartSeenAt = new HashMap<>();
+  private final Map<String, Long> lastContacts = new HashMap<>();
   private final List<Runnable> heldActions = new ArrayList<>();
   private final List<Runnable> inbox = new ArrayList<>();
   boolean up;
@@ -98,6 +99,7 @@
         new WorkIntake(name, domain, SILENCE_TIMEOUT_MILLIS + LeaseTiming.DEFAULT.maxLeaseMillis());
     dispatcher = new LeaseDispatcher(name, LeaseTiming.DEFAULT);
     incarnations.clear();
+    lastContacts.clear();
     evacuations = Evacuations.NONE;
     lastOutOfTouchAt = model.now();
     long started = generation;
@@ -283,7 +285,7 @@
     if (!paused) {
       runInOrder(this::handleTick);
     }
-    if (model.isolatedDomains.contains(domain)) {
+    if (model.isCutOff(domain)) {
       lastOutOfTouchAt = model.now();
     }
     model.schedule(TICK_INTERVAL_MILLIS, () -> tickPeriodically(expectedGeneration));
@@ -309,9 +311,7 @@
 
   /** Receives the agreed evacuations from a host with a disk, in some of its heartbeats. */
   private void receiveAgreedEvacuations() {
-    if (model.evacuates
-        && !model.isolatedDomains.contains(domain)
-        && model.faultRandom().nextInt(3) == 0) {
+    if (model.evacuates && !model.isCutOff(domain) && model.faultRandom().nextInt(3) == 0) {
       Evacuations agreed = model.evacuations();
       deliver(2, () -> adopt(agreed));
     }
@@ -354,7 +354,12 @@
     handleIntake(new IntakeEvent.LoadReported(name, status.load()));
     for (ModelEntryHost other : model.hosts.values()) {
       if (other != this) {
-        send(other, () -> other.receiveStatus(status));
+        long lastContactAt = lastContacts.getOrDefault(other.name, Long.MIN_VALUE);
+        OptionalLong contactAge =
+            lastContactAt == Long.MIN_VALUE
+                ? OptionalLong.empty()
+                : OptionalLong.of(clock() - lastContactAt);
+        send(other, () -> other.receiveStatus(status, contactAge));
       }
     }
   }
@@ -382,7 +387,8 @@
     deliver(0, () -> handleIntake(new IntakeEvent.CallerDisconnected(ticket)));
   }
 
-  private void receiveStatus(HostStatus status) {
+  private void receiveStatus(HostStatus status, OptionalLong contactAge) {
+    lastContacts.put(status.host(), clock());
     adopt(status.evacuations());
     Long previous = incarnations.put(status.host(), status.incarnation());
     if (previous != null && previous < status.incarnation()) {
@@ -391,7 +397,7 @@
     }
     applyMembershipEffects(membership.heartbeat(status, clock()));
     dispatch(new LeaseEvent.EntryHostMessageReceived(status.host()));
-    handleIntake(new IntakeEvent.DispatcherMessageReceived(status.host()));
+    handleIntake(new IntakeEvent.DispatcherMessageReceived(status.host(), contactAge));
     handleIntake(new IntakeEvent.LoadReported(status.host(), status.load()));
   }
 
@@ -666,7 +672,7 @@
 
     void answer(LeaseEvent answer, ModelUpstream upstream) {
       boolean lost = model.random().nextDouble() < model.lostAnswerShare;
-      if (!lost && model.isConnected(domain, upstream.domain)) {
+      if (!lost && model.isConnected(upstream.domain, domain)) {
         deliverWork(
             model.randomLatencyMillis(upstream.domain, domain),
             arrivedAt -> finish(answer, arrivedAt));
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
@@ -515,7 +515,8 @@
       workHandler.handleIntakeEvent(new IntakeEvent.LoadReported(status.host(), status.load()));
     }
     workHandler.handleLeaseEvent(new LeaseEvent.EntryHostMessageReceived(status.host()), arrivedAt);
-    workHandler.handleIntakeEvent(new IntakeEvent.DispatcherMessageReceived(status.host()));
+    workHandler.handleIntakeEvent(
+        new IntakeEvent.DispatcherMessageReceived(status.host(), heartbeat.lastContactAgeMillis()));
     catalog
         .handleAnnouncement(status.configurationVersion(), now)
         .ifPresent(request -> fetchCatalogPart(status.host(), request));
