--- a/burdockbay-app/src/test/java/org/burdockbay/app/EvacuationTest.java
+++ b/burdockbay-app/src/test/java/org/burdockbay/app/EvacuationTest.java
@@ -31,10 +31,7 @@
     }
   }
 
-  /**
-   * Guards against tasks that start in an evacuated domain, and against callers of its hosts that
-   * aren't served meanwhile. The evacuation holds through the restart of a host.
-   */
+  /** Guards against tasks that start in an evacuated domain, and callers that aren't served. */
   @Test
   public void servesCallersOfEvacuatedDomainElsewhere() throws Exception {
     assertEquals(cluster.runCommand("c", "evacuate", "north"), 0);
--- a/burdockbay-core/src/test/java/org/burdockbay/core/control/ControlStateTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/control/ControlStateTest.java
@@ -54,10 +54,7 @@
     assertEquals(copy.image(), state.image());
   }
 
-  /**
-   * Guards against refusing an order whose reply was lost: the resend of an evacuation that is in
-   * force, and the withdrawal of none, are accepted and change nothing.
-   */
+  /** Guards against refusing an order that is sent again because its reply was lost. */
   @Test
   public void acceptsResentEvacuation() {
     ControlState state = new ControlState();
@@ -67,10 +64,7 @@
     assertEquals(state.evacuations(), new Evacuations(1, Set.of("a")));
   }
 
-  /**
-   * Guards against a late copy of an evacuation that takes effect again after its withdrawal was
-   * acknowledged.
-   */
+  /** Guards against a late copy of an evacuation that takes effect after its withdrawal. */
   @Test
   public void rejectsLateCopyOfWithdrawnEvacuation() {
     ControlState state = new ControlState();
@@ -80,11 +74,7 @@
     assertEquals(state.evacuations(), new Evacuations(2, Set.of()));
   }
 
-  /**
-   * Guards against losing or reviving an evacuation: commands are resent, arrive late and in any
-   * order, and the state is restored from snapshots at random points, as on a voter with a new
-   * disk. Each accepted change has to be the newest one until the next change is accepted.
-   */
+  /** Guards against losing or reviving an evacuation by late copies and snapshots. */
   @Test
   public void keepsNewestAcceptedEvacuationThroughResendsAndSnapshots() {
     for (int run = 0; run < 200; run++) {
--- a/burdockbay-core/src/test/java/org/burdockbay/core/dispatch/DispatcherTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/dispatch/DispatcherTest.java
@@ -81,11 +81,7 @@
     tick(10);
   }
 
-  /**
-   * Guards against starting tasks in an evacuated domain. Running tasks end normally; a waiting
-   * idempotent job goes back to its entry host, which sends it to another domain; a waiting
-   * at-most-once job is reported as not run; and no free slots are reported.
-   */
+  /** Guards against starting tasks in an evacuated domain, and against jobs that wait there. */
   @Test
   public void startsNothingWhileItsDomainIsEvacuated() {
     submitTasks("check", "running", List.of("1", "2", "3", "4"));
@@ -112,10 +108,7 @@
     assertEquals(starts().size(), 5);
   }
 
-  /**
-   * Guards against sending jobs round and round when every domain is evacuated: they are refused at
-   * once, with a time to come back.
-   */
+  /** Guards against callers that wait although all domains are evacuated. */
   @Test
   public void refusesAtOnceWhenAllDomainsAreEvacuated() {
     reportOtherDomain();
@@ -126,10 +119,7 @@
     assertTrue(starts().isEmpty());
   }
 
-  /**
-   * Guards against a refusal as "not run" right after an evacuation moved the home domains of keys:
-   * the job may have run in the domain that was its home before.
-   */
+  /** Guards against "not run" for a key whose home domain an evacuation has just moved. */
   @Test
   public void promisesNothingAboutKeysWhoseHomeDomainHasMoved() {
     tick(700_000);
--- a/burdockbay-core/src/test/java/org/burdockbay/core/entry/EntryGatewayTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/entry/EntryGatewayTest.java
@@ -101,10 +101,7 @@
     assertTrue(((JobOutcome.Failed) answer.outcome()).retryAfterMillis() > 0);
   }
 
-  /**
-   * Guards against new jobs that go to an evacuated domain, and against a job that its dispatcher
-   * returns and that is sent there again.
-   */
+  /** Guards against sending new or returned jobs to an evacuated domain. */
   @Test
   public void sendsJobsOfEvacuatedDomainElsewhere() {
     RouteView both =
--- a/burdockbay-core/src/test/java/org/burdockbay/core/intake/WorkIntakeTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/intake/WorkIntakeTest.java
@@ -303,11 +303,7 @@
     assertEquals(submits(effects).getFirst().to(), SECOND);
   }
 
-  /**
-   * Guards against answering a caller with a refusal because two shards of an evacuated domain
-   * refused the work in turn: their refusals don't use up the attempts at other shards, and the
-   * other shard gets the work although it hasn't reported free capacity.
-   */
+  /** Guards against a refusal while other shards have room, as evacuated shards refused. */
   @Test
   public void offersWorkRefusedByEvacuatedShardsElsewhere() {
     IntakeEvent.Dispatcher third = new IntakeEvent.Dispatcher("c", 3);
@@ -322,7 +318,7 @@
     assertTrue(answers(effects).isEmpty());
   }
 
-  /** Guards against waiting when all domains are evacuated, as nothing can be served then. */
+  /** Guards against callers that wait although all domains are evacuated. */
   @Test
   public void refusesAtOnceWhenAllDomainsAreEvacuated() {
     changeDispatchers(Map.of(NORTH, FIRST, SOUTH, SECOND));
@@ -346,12 +342,7 @@
     assertEquals(answers(effects).getFirst().outcome(), new WorkOutcome.Completed());
   }
 
-  /**
-   * Guards against work that waits for its caller's timeout at a dispatcher that doesn't receive
-   * it: in a one-way partition that dispatcher's heartbeats go on arriving. Their reports of the
-   * last contact show it. New work goes elsewhere; work that it may have stays, as its runs may go
-   * on.
-   */
+  /** Guards against new work for a dispatcher whose heartbeats arrive but that receives nothing. */
   @Test
   public void leavesDispatcherThatReceivesNothing() {
     changeDispatchers(Map.of(NORTH, FIRST, SOUTH, SECOND));
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseDispatcherTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseDispatcherTest.java
@@ -756,10 +756,7 @@
     assertEquals(logEvents(effects, "lease-over").size(), 1, "the run has ended with its lease");
   }
 
-  /**
-   * Guards against starting tasks in an evacuated domain. Runs under way there end normally, the
-   * upstreams of other domains go on, and no free capacity is reported for the evacuated ones.
-   */
+  /** Guards against starting tasks in an evacuated domain, and against ending its runs. */
   @Test
   public void startsNothingInEvacuatedDomain() {
     final UpstreamAnnouncement upstream = addUpstream("u1");
@@ -774,11 +771,7 @@
         new WorkOutcome.Completed());
   }
 
-  /**
-   * Guards against work that waits for its caller's timeout at a shard whose domain is evacuated:
-   * what has not started is refused at once, so that another shard gets it, and what has started in
-   * part and can't be completed is given up.
-   */
+  /** Guards against work that waits in vain at a shard whose domain is evacuated. */
   @Test
   public void endsWaitingWorkOfEvacuatedShardAtOnce() {
     changeShards(OWN_SHARD, OTHER_SHARD);
@@ -795,10 +788,7 @@
             instanceof WorkOutcome.NotRun);
   }
 
-  /**
-   * Guards against giving up work of an earlier dispatcher before its runs, which may go on in an
-   * evacuated domain, are found or over.
-   */
+  /** Guards against giving up work whose runs may still be found in an evacuated domain. */
   @Test
   public void keepsWorkInEvacuatedShardDuringQuietPeriod() {
     changeShards(OWN_SHARD, OTHER_SHARD);
@@ -827,10 +817,7 @@
     assertTrue(starts(handle(new LeaseEvent.Tick())).isEmpty());
   }
 
-  /**
-   * Guards against filling upstreams at once when their evacuation ends: they may have become slow,
-   * so each gets one task more than it has completed since.
-   */
+  /** Guards against filling upstreams at once that may have become slow while evacuated. */
   @Test
   public void returnsLoadInStepWithCompletedTasksAfterEvacuation() {
     final UpstreamAnnouncement upstream = addUpstream("u1");
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseFuzzTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseFuzzTest.java
@@ -76,10 +76,7 @@
     simulateAll(network, true, true);
   }
 
-  /**
-   * Guards against a host in touch that starts a task in an evacuated domain, and against callers
-   * that stay unanswered while domains are evacuated and taken back among other faults.
-   */
+  /** Guards against a start in an evacuated domain by a host in touch, among other faults. */
   @Test(dataProvider = "networks")
   public void startsNothingInEvacuatedDomains(LeaseModel.Network network) {
     int runs = FuzzOptions.exampleCount(RUNS);
@@ -94,11 +91,7 @@
     }
   }
 
-  /**
-   * Guards against a task that runs twice when messages pass between domains in one direction only:
-   * an entry host receives the heartbeats of a dispatcher that doesn't receive its work, or the
-   * other way round.
-   */
+  /** Guards against a task that runs twice when messages pass in one direction only. */
   @Test(dataProvider = "networks")
   public void neverOverlapsRunsOfTaskInOneWayPartitions(LeaseModel.Network network) {
     int runs = FuzzOptions.exampleCount(RUNS);
--- a/burdockbay-server/src/test/java/org/burdockbay/server/host/EvacuationKeeperTest.java
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/host/EvacuationKeeperTest.java
@@ -49,10 +49,7 @@
     assertEquals(inForce.size(), 1);
   }
 
-  /**
-   * Guards against refusing an order at a host that doesn't know the newest version yet: it is
-   * proposed again on the version that the voters report.
-   */
+  /** Guards against refusing an order at a host that doesn't know the newest version yet. */
   @Test
   public void proposesAgainOnNewerVersion() {
     keeper.change("b", true, replies::add);
@@ -66,10 +63,7 @@
     assertEquals(replies, List.of(new ControlReply.Accepted(6)));
   }
 
-  /**
-   * Guards against an order that takes effect behind its successor: the reply to the first proposal
-   * is late, and the operator has sent the order again and then another one.
-   */
+  /** Guards against an order that takes effect behind its successor. */
   @Test
   public void dropsOrderThatIsTooOldForNewerVersion() {
     keeper.change("b", true, replies::add);
