--- a/burdockbay-core/src/main/java/org/burdockbay/core/intake/WorkIntake.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/intake/WorkIntake.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.burdockbay.core.scheduling.SchedulingOptions;
 import org.burdockbay.core.shard.ShardId;
 import org.burdockbay.core.work.WorkOutcome;
 
@@ -73,6 +74,11 @@
   private List<IntakeEffect> effects = new ArrayList<>();
   private long now;
 
+  /** Creates an intake without dispatchers, with all scheduling options off. */
+  public WorkIntake(String self, String domain, long maxOrphanedRunMillis) {
+    this(self, domain, maxOrphanedRunMillis, SchedulingOptions.NONE);
+  }
+
   /**
    * Creates an intake without dispatchers.
    *
@@ -80,8 +86,10 @@
    * @param domain the failure domain of this host
    * @param maxOrphanedRunMillis the longest time for which runs of this host's work may continue
    *     after the last contact with their dispatcher, in milliseconds
+   * @param options the scheduling options that are on
    */
-  public WorkIntake(String self, String domain, long maxOrphanedRunMillis) {
+  public WorkIntake(
+      String self, String domain, long maxOrphanedRunMillis, SchedulingOptions options) {
     this.self = self;
     this.maxOrphanedRunMillis = maxOrphanedRunMillis;
     this.shardSelector = new ShardSelector(domain);
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/DispatchContext.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/DispatchContext.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.burdockbay.core.scheduling.SchedulingOptions;
 
 /**
  * Holds the state that the parts of a dispatcher share while an event is handled: the time, the
@@ -9,12 +10,22 @@
  */
 final class DispatchContext {
 
+  private final SchedulingOptions options;
   private List<LeaseEffect> effects = new ArrayList<>();
   private long now;
   private long arrivedAt;
   private long token;
   private long lastSequence;
 
+  DispatchContext(SchedulingOptions options) {
+    this.options = options;
+  }
+
+  /** Returns the scheduling options that are on. */
+  SchedulingOptions options() {
+    return options;
+  }
+
   /** Returns the time of handling, in milliseconds. */
   long now() {
     return now;
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseDispatcher.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseDispatcher.java
@@ -4,6 +4,7 @@
 import java.util.OptionalLong;
 import org.burdockbay.core.dispatch.DomainLoad;
 import org.burdockbay.core.fleet.UpstreamAnnouncement;
+import org.burdockbay.core.scheduling.SchedulingOptions;
 
 /**
  * Dispatches sized tasks to leased upstreams while this host has the role.
@@ -29,7 +30,7 @@
 
   private static final int MILLICORES_PER_CORE = 1_000;
 
-  private final DispatchContext context = new DispatchContext();
+  private final DispatchContext context;
   private final AdmissionRule admission = new AdmissionRule();
   private final StragglerRule stragglers = new StragglerRule();
   private final RunTable runs;
@@ -39,13 +40,20 @@
   /** Whether an event since the last placement round may allow tasks to start. */
   private boolean placementNeeded;
 
+  /** Creates a dispatcher without the role, with all scheduling options off. */
+  public LeaseDispatcher(String self, LeaseTiming timing) {
+    this(self, timing, SchedulingOptions.NONE);
+  }
+
   /**
    * Creates a dispatcher without the role.
    *
    * @param self the id of this host
    * @param timing the durations of leases and orders
+   * @param options the scheduling options that are on
    */
-  public LeaseDispatcher(String self, LeaseTiming timing) {
+  public LeaseDispatcher(String self, LeaseTiming timing, SchedulingOptions options) {
+    this.context = new DispatchContext(options);
     this.runs = new RunTable(context, timing);
     this.works = new WorkTable(self, context, runs, admission);
     this.leases = new LeaseTable(context, timing, runs, works);
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeSettings.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeSettings.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.burdockbay.core.membership.HostDescriptor;
+import org.burdockbay.core.scheduling.SchedulingOptions;
 import org.burdockbay.server.settings.HostAddress;
 
 /**
@@ -18,6 +19,7 @@
  * @param seeds peer addresses of some hosts with a data folder; may be outdated
  * @param dataFolder the data folder, if the host has a disk
  * @param firstStart whether the whole cluster starts for the first time, with empty disks
+ * @param scheduling the scheduling options that are on
  */
 public record NodeSettings(
     String cluster,
@@ -27,7 +29,8 @@
     boolean mayDispatch,
     List<HostAddress> seeds,
     Optional<Path> dataFolder,
-    boolean firstStart) {
+    boolean firstStart,
+    SchedulingOptions scheduling) {
 
   /** Copies the domains and the seeds. */
   public NodeSettings {
@@ -43,6 +46,14 @@
   /** Returns a copy of the settings with the given seeds. */
   public NodeSettings withSeeds(List<HostAddress> newSeeds) {
     return new NodeSettings(
-        cluster, descriptor, address, domains, mayDispatch, newSeeds, dataFolder, firstStart);
+        cluster,
+        descriptor,
+        address,
+        domains,
+        mayDispatch,
+        newSeeds,
+        dataFolder,
+        firstStart,
+        scheduling);
   }
 }
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/WorkHandler.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/WorkHandler.java
@@ -58,12 +58,15 @@
       Executor work,
       Consumer<LeaseEffect.Superseded> onSuperseded,
       Runnable onRoleReleased) {
-    this.dispatcher = new LeaseDispatcher(parts.settings().host(), LeaseTiming.DEFAULT);
+    this.dispatcher =
+        new LeaseDispatcher(
+            parts.settings().host(), LeaseTiming.DEFAULT, parts.settings().scheduling());
     this.intake =
         new WorkIntake(
             parts.settings().host(),
             parts.settings().descriptor().domain(),
-            LeaseTiming.ENTRY_HOST_SILENCE_TIMEOUT_MILLIS + LeaseTiming.DEFAULT.maxLeaseMillis());
+            LeaseTiming.ENTRY_HOST_SILENCE_TIMEOUT_MILLIS + LeaseTiming.DEFAULT.maxLeaseMillis(),
+            parts.settings().scheduling());
     this.clock = parts.clock();
     this.log = parts.log();
     this.upstreams = parts.upstreams();
--- a/burdockbay-server/src/test/java/org/burdockbay/server/node/OverloadedHostTest.java
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/node/OverloadedHostTest.java
@@ -23,6 +23,7 @@
 import org.burdockbay.core.membership.HostDescriptor;
 import org.burdockbay.core.membership.HostStatus;
 import org.burdockbay.core.message.PeerMessage;
+import org.burdockbay.core.scheduling.SchedulingOptions;
 import org.burdockbay.core.work.WorkRequest;
 import org.burdockbay.server.host.ControlThread;
 import org.burdockbay.server.logging.EventLog;
@@ -69,7 +70,8 @@
             true,
             List.of(new HostAddress(OTHER, 1)),
             Optional.empty(),
-            false);
+            false,
+            SchedulingOptions.NONE);
     node =
         new NodeController(
             new NodeParts(
