Load model: scenarios of large fleets

LoadSimulation had one fleet and one mix. A scenario now holds the fleet, the speeds and the traffic, so that the parts of the scheduling are tested under the same loads; kinds burst by themselves, upstreams leave, and the dispatcher of a shard is replaced.

--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LoadSimulation.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LoadSimulation.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.Deque;
 import java.util.EnumMap;
 import java.util.HashMap;
@@ -13,6 +14,7 @@
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.stream.IntStream;
 import org.burdockbay.core.dispatch.DomainLoad;
 import org.burdockbay.core.fleet.UpstreamAnnouncement;
 import org.burdockbay.core.intake.IntakeEffect;
@@ -36,21 +38,16 @@
  */
 final class LoadSimulation {
 
-  /** Mean size of a task, in millicores: two or three tasks fit into 32 or 48 cores. */
-  private static final int TASK_CPU = 14_000;
-
-  private static final int UPSTREAMS = 33;
-  private static final List<String> DOMAINS = List.of("north", "south", "east");
   private static final int ENTRY_HOSTS = 28;
   private static final long HEARTBEAT_INTERVAL_MILLIS = 150;
-  private static final long TOKEN = 1;
-  private static final long CALLER_TIMEOUT_MILLIS = 2_500;
+  private static final long FIRST_TOKEN = 1;
   private static final long TARGET_MILLIS = 60;
   private static final double STRETCH = 1.6;
 
   /** Maximum relative error of a caller's estimate, in either direction. */
   private static final double MAX_ESTIMATE_ERROR = 0.4;
 
+  private final LoadScenario scenario;
   private final SplittableRandom random;
   private final Map<String, LeaseDispatcher> dispatchers = new LinkedHashMap<>();
   private final Map<String, WorkIntake> intakes = new LinkedHashMap<>();
@@ -58,9 +55,11 @@
   private final Map<String, Upstream> upstreams = new LinkedHashMap<>();
   private final Map<String, Job> jobs = new HashMap<>();
   private final Map<Kind, JobStatistics> statistics = new EnumMap<>(Kind.class);
+  private final Map<String, JobStatistics> statisticsByDomain = new LinkedHashMap<>();
+  private final Map<Kind, Double> trafficFactors = new EnumMap<>(Kind.class);
+  private final Map<ShardId, IntakeEvent.Dispatcher> dispatcherByShard = new LinkedHashMap<>();
   private long now = 100_000;
   private long sequence;
-  private final double trafficScale;
   private int spills;
   private double currentTraffic = 1;
   private final Deque<QueuedEvent> inbox = new ArrayDeque<>();
@@ -72,7 +71,7 @@
   private int roleChanges;
 
   LoadSimulation(long seed) {
-    this(seed, UPSTREAMS, ShardLayout.UNDIVIDED);
+    this(seed, LoadScenario.smallFleet());
   }
 
   /**
@@ -81,29 +80,41 @@
    * @param count the number of upstreams
    */
   LoadSimulation(long seed, int count, ShardLayout layout) {
+    this(seed, LoadScenario.usualTraffic(count, layout));
+  }
+
+  LoadSimulation(long seed, LoadScenario scenario) {
+    this.scenario = scenario;
     random = new SplittableRandom(seed);
-    trafficScale = (double) count / UPSTREAMS;
     for (Kind kind : Kind.values()) {
       statistics.put(kind, new JobStatistics());
+      trafficFactors.put(kind, 1.0);
     }
+    List<String> domains = scenario.domains();
+    domains.forEach(domain -> statisticsByDomain.put(domain, new JobStatistics()));
     Set<ShardId> shards = new LinkedHashSet<>();
-    DOMAINS.forEach(domain -> shards.addAll(layout.shards(domain)));
+    domains.forEach(domain -> shards.addAll(scenario.layout().shards(domain)));
     for (ShardId shard : shards) {
-      LeaseDispatcher dispatcher = new LeaseDispatcher(shard.toString(), LeaseTiming.DEFAULT);
-      dispatchers.put(shard.toString(), dispatcher);
-      dispatcher.handle(new LeaseEvent.ShardsChanged(shard, shards), now);
+      addDispatcher(shard, shard.toString(), FIRST_TOKEN, shards);
     }
-    for (int i = 0; i < count; i++) {
+    for (int i = 0; i < scenario.upstreams(); i++) {
       Upstream upstream =
-          new Upstream("u" + i, DOMAINS.get(i / 3 % DOMAINS.size()), i % 3 == 2 ? 48_000 : 32_000);
+          new Upstream(
+              "u" + i,
+              domains.get(i / scenario.capacities().size() % domains.size()),
+              scenario.capacities().get(i % scenario.capacities().size()));
+      int round = i / (scenario.capacities().size() * domains.size());
+      upstream.speed = scenario.speeds().get(round % scenario.speeds().size());
       upstreams.put(upstream.announcement.id(), upstream);
       dispatchers
           .keySet()
           .forEach(host -> notifyDispatcher(host, new LeaseEvent.Announced(upstream.announcement)));
     }
-    dispatchers.keySet().forEach(host -> notifyDispatcher(host, new LeaseEvent.RoleGained(TOKEN)));
-    if (!layout.undivided()) {
-      startEntryHosts(shards);
+    dispatchers
+        .keySet()
+        .forEach(host -> notifyDispatcher(host, new LeaseEvent.RoleGained(FIRST_TOKEN)));
+    if (!scenario.layout().undivided()) {
+      startEntryHosts();
     }
     schedule(25, this::tick);
     advance(1_000);
@@ -112,21 +123,75 @@
     }
   }
 
-  private void startEntryHosts(Set<ShardId> shards) {
-    Map<ShardId, IntakeEvent.Dispatcher> dispatcherByShard = new HashMap<>();
-    shards.forEach(
-        shard -> dispatcherByShard.put(shard, new IntakeEvent.Dispatcher(shard.toString(), TOKEN)));
+  private void addDispatcher(ShardId shard, String host, long token, Set<ShardId> shards) {
+    LeaseDispatcher dispatcher = new LeaseDispatcher(host, LeaseTiming.DEFAULT, scenario.options());
+    dispatchers.put(host, dispatcher);
+    dispatcherByShard.put(shard, new IntakeEvent.Dispatcher(host, token));
+    dispatcher.handle(new LeaseEvent.ShardsChanged(shard, shards), now);
+  }
+
+  private void startEntryHosts() {
     for (int i = 0; i < ENTRY_HOSTS; i++) {
       String entry = "entry" + i;
-      intakes.put(entry, new WorkIntake(entry, DOMAINS.get(i % DOMAINS.size()), 1_225));
-      notifyIntake(entry, new IntakeEvent.DispatchersChanged(dispatcherByShard));
+      intakes.put(entry, new WorkIntake(entry, domainOfEntryHost(i), 1_225, scenario.options()));
+      notifyIntake(entry, new IntakeEvent.DispatchersChanged(Map.copyOf(dispatcherByShard)));
     }
     for (String host : dispatchers.keySet()) {
       schedule(random.nextLong(HEARTBEAT_INTERVAL_MILLIS), () -> reportLoad(host));
     }
   }
 
+  private String domainOfEntryHost(int index) {
+    return scenario.domains().get(index % scenario.domains().size());
+  }
+
+  /**
+   * Replaces the dispatcher of a shard by one that knows the upstreams, but none of the work and
+   * none of the runs.
+   */
+  void replaceDispatcher(ShardId shard) {
+    IntakeEvent.Dispatcher before = dispatcherByShard.get(shard);
+    dispatchers.remove(before.host());
+    String host = shard + "-" + (before.token() + 1);
+    addDispatcher(shard, host, before.token() + 1, Set.copyOf(dispatcherByShard.keySet()));
+    upstreams.values().stream()
+        .filter(upstream -> !upstream.gone)
+        .forEach(
+            upstream -> notifyDispatcher(host, new LeaseEvent.Announced(upstream.announcement)));
+    notifyDispatcher(host, new LeaseEvent.RoleGained(before.token() + 1));
+    intakes
+        .keySet()
+        .forEach(
+            entry ->
+                notifyIntake(
+                    entry, new IntakeEvent.DispatchersChanged(Map.copyOf(dispatcherByShard))));
+    schedule(HEARTBEAT_INTERVAL_MILLIS, () -> reportLoad(host));
+  }
+
+  /** Returns the shards, in their natural order. */
+  List<ShardId> shards() {
+    return dispatcherByShard.keySet().stream().sorted().toList();
+  }
+
+  /** Multiplies the traffic of one kind of job from now on; 1 is the traffic of the scenario. */
+  void setTraffic(Kind kind, double factor) {
+    trafficFactors.put(kind, factor);
+  }
+
+  /** Lets every n-th upstream announce that it leaves; it is gone after the notice. */
+  void removeEveryNthUpstream(int n, long noticeMillis) {
+    List<Upstream> all = List.copyOf(upstreams.values());
+    for (int i = 0; i < all.size(); i += n) {
+      Upstream upstream = all.get(i);
+      upstream.announceLeaving();
+      schedule(noticeMillis, upstream::leave);
+    }
+  }
+
   private void reportLoad(String host) {
+    if (!dispatchers.containsKey(host)) {
+      return;
+    }
     DomainLoad load = dispatchers.get(host).load();
     schedule(
         2,
@@ -148,7 +213,7 @@
                         submit.to().host(),
                         new LeaseEvent.Submitted(
                             entry,
-                            TOKEN,
+                            submit.to().token(),
                             submit.ticket(),
                             submit.request(),
                             submit.ageMillis(),
@@ -164,7 +229,10 @@
   }
 
   private void notifyDispatcher(String host, LeaseEvent event) {
-    applyEffects(host, dispatchers.get(host).handle(event, now));
+    LeaseDispatcher dispatcher = dispatchers.get(host);
+    if (dispatcher != null) {
+      applyEffects(host, dispatcher.handle(event, now));
+    }
   }
 
   /**
@@ -196,6 +264,11 @@
     return statistics.get(kind);
   }
 
+  /** Returns the statistics of the jobs that arrived in a failure domain. */
+  JobStatistics statistics(String domain) {
+    return statisticsByDomain.get(domain);
+  }
+
   /** Slows some upstreams down, which announce themselves as before. */
   void slowDownUpstreams(int count, double factor) {
     upstreams.values().stream().limit(count).forEach(upstream -> upstream.slowFactor = factor);
@@ -223,6 +296,10 @@
   String report() {
     StringBuilder text = new StringBuilder();
     statistics.forEach((kind, each) -> text.append(kind).append(' ').append(each).append('\n'));
+    if (!intakes.isEmpty()) {
+      statisticsByDomain.forEach(
+          (domain, each) -> text.append(domain).append(' ').append(each).append('\n'));
+    }
     return text.append("in-time=")
         .append(inTimeShare())
         .append(" spills=")
@@ -274,7 +351,7 @@
   }
 
   private void tick() {
-    for (String host : dispatchers.keySet()) {
+    for (String host : List.copyOf(dispatchers.keySet())) {
       notifyDispatcher(host, new LeaseEvent.EntryHostMessageReceived("entry"));
       intakes
           .keySet()
@@ -286,15 +363,18 @@
   }
 
   private void arrive(Kind kind) {
-    Job job = new Job(kind, now, Math.max(5, Math.round(kind.runMillis * randomFactor(0.4))));
+    LoadScenario.Traffic traffic = scenario.jobs().get(kind);
+    final long runMillis = Math.max(5, Math.round(traffic.runMillis() * randomFactor(0.4)));
     String id = "w" + sequence;
-    jobs.put(id, job);
-    statistics.get(kind).jobs++;
     int tasks = Math.clamp(Math.round(kind.tasks * randomFactor(0.4)), 1, kind.tasks * 4);
     TaskSize size =
-        new TaskSize((int) Math.min(20_000, Math.round(TASK_CPU * randomFactor(0.2))), 64, 0);
+        new TaskSize(
+            (int)
+                Math.min(scenario.maxTaskCpu(), Math.round(scenario.taskCpu() * randomFactor(0.2))),
+            64,
+            0);
     double estimateFactor = 1 + MAX_ESTIMATE_ERROR * (random.nextDouble() * 2 - 1);
-    WorkStep step = WorkStep.of(tasks, size, Math.round(job.runMillis * estimateFactor));
+    WorkStep step = WorkStep.of(tasks, size, Math.round(runMillis * estimateFactor));
     WorkRequest request =
         new WorkRequest(
             id,
@@ -306,27 +386,70 @@
             4,
             STRETCH,
             TARGET_MILLIS,
-            CALLER_TIMEOUT_MILLIS);
-    submit(request);
+            scenario.callerTimeoutMillis());
+    submit(request, kind, runMillis);
     double intervalMillis =
         -Math.log(1 - random.nextDouble())
             * 1_000
-            / (kind.perSecond * trafficScale * currentTraffic);
+            / (traffic.perSecond() * meanWave() * trafficFactors.get(kind) * currentTraffic);
     schedule(Math.max(1, Math.round(intervalMillis)), () -> arrive(kind));
   }
 
   /** Submits to the only dispatcher directly, or to a random entry host if there are any. */
-  private void submit(WorkRequest request) {
+  private void submit(WorkRequest request, Kind kind, long runMillis) {
+    int entryHost = intakes.isEmpty() ? 0 : selectEntryHost();
+    Job job =
+        new Job(
+            kind,
+            domainOfEntryHost(entryHost),
+            request.steps().getFirst().taskCount(),
+            now,
+            runMillis);
+    jobs.put(request.id(), job);
+    statistics.get(kind).jobs++;
+    statisticsByDomain.get(job.domain).jobs++;
     if (intakes.isEmpty()) {
       enqueue(
           dispatchers.keySet().iterator().next(),
-          new LeaseEvent.Submitted("entry", TOKEN, sequence, request, 0, 0));
+          new LeaseEvent.Submitted("entry", FIRST_TOKEN, sequence, request, 0, 0));
     } else {
-      String entry = "entry" + random.nextInt(ENTRY_HOSTS);
-      notifyIntake(entry, new IntakeEvent.RequestReceived(sequence, request));
+      notifyIntake("entry" + entryHost, new IntakeEvent.RequestReceived(sequence, request));
     }
   }
 
+  /** Returns a random entry host, of a domain that is drawn by its share of the traffic. */
+  private int selectEntryHost() {
+    if (scenario.swing() == 0) {
+      return random.nextInt(ENTRY_HOSTS);
+    }
+    List<String> domains = scenario.domains();
+    double point = random.nextDouble() * meanWave() * domains.size();
+    int domain = 0;
+    while (domain < domains.size() - 1 && point >= wave(domain)) {
+      point -= wave(domain);
+      domain++;
+    }
+    int hostsOfDomain = ENTRY_HOSTS / domains.size();
+    return domain + domains.size() * random.nextInt(hostsOfDomain);
+  }
+
+  /** Returns the present traffic of a domain, relative to its mean. */
+  private double wave(int domain) {
+    double phase = (double) domain / scenario.domains().size();
+    double turns = (double) now / scenario.wavePeriodMillis() + phase;
+    return 1 + scenario.swing() * Math.sin(2 * Math.PI * turns);
+  }
+
+  private double meanWave() {
+    if (scenario.swing() == 0) {
+      return 1;
+    }
+    return IntStream.range(0, scenario.domains().size())
+        .mapToDouble(this::wave)
+        .average()
+        .orElse(1);
+  }
+
   /** Returns an approximately log-normal random factor with mean 1 and the given spread. */
   private double randomFactor(double spread) {
     double normal = 0;
@@ -376,8 +499,13 @@
     if (job == null) {
       return;
     }
-    JobStatistics each = statistics.get(job.kind);
+    recordAnswer(statistics.get(job.kind), job, outcome);
+    recordAnswer(statisticsByDomain.get(job.domain), job, outcome);
+  }
+
+  private void recordAnswer(JobStatistics each, Job job, WorkOutcome outcome) {
     long age = now - job.arrivedAt;
+    each.answered.add(new AnsweredJob(job.tasks, outcome instanceof WorkOutcome.Completed));
     double targetMillis = TARGET_MILLIS + STRETCH * job.runMillis;
     if (outcome instanceof WorkOutcome.Completed) {
       if (age <= targetMillis) {
@@ -392,21 +520,17 @@
     }
   }
 
-  /** The kinds of jobs, with the number that arrives per second. */
+  /** The kinds of jobs. */
   enum Kind {
-    CHECK(24.1, 8, 60, 0),
-    CONFIRMATION(4.37, 4, 900, 2),
-    LOOKUP(70, 2, 200, 1);
+    CHECK(8, 0),
+    CONFIRMATION(4, 2),
+    LOOKUP(2, 1);
 
-    private final double perSecond;
     private final int tasks;
-    private final long runMillis;
     private final int priority;
 
-    Kind(double perSecond, int tasks, long runMillis, int priority) {
-      this.perSecond = perSecond;
+    Kind(int tasks, int priority) {
       this.tasks = tasks;
-      this.runMillis = runMillis;
       this.priority = priority;
     }
   }
@@ -425,6 +549,26 @@
     /** The longest time from a job's arrival to its refusal, in milliseconds. */
     long longestRefusalMillis;
 
+    private final List<AnsweredJob> answered = new ArrayList<>();
+
+    /** Returns the share of the jobs that were completed, in time or late. */
+    double servedShare() {
+      return (double) (inTime + late) / jobs;
+    }
+
+    /**
+     * Returns the share of the answered jobs that were completed among those of a tenth with the
+     * most tasks.
+     */
+    double servedShareOfWidestTenth() {
+      List<AnsweredJob> widest =
+          answered.stream()
+              .sorted(Comparator.comparingInt(AnsweredJob::tasks).reversed())
+              .limit(Math.ceilDiv(answered.size(), 10))
+              .toList();
+      return (double) widest.stream().filter(AnsweredJob::completed).count() / widest.size();
+    }
+
     @Override
     public String toString() {
       return "jobs=%d in-time=%.3f late=%.3f refused=%.3f late-refusals=%.3f longest-refusal=%d"
@@ -440,7 +584,9 @@
 
   private record QueuedEvent(String host, LeaseEvent event, long arrivedAt) {}
 
-  private record Job(Kind kind, long arrivedAt, long runMillis) {}
+  private record Job(Kind kind, String domain, int tasks, long arrivedAt, long runMillis) {}
+
+  private record AnsweredJob(int tasks, boolean completed) {}
 
   private record ScheduledAction(long at, long sequence, Runnable action)
       implements Comparable<ScheduledAction> {
@@ -451,10 +597,12 @@
     }
   }
 
-  /** A healthy upstream. */
+  /** An upstream that carries out all orders. */
   private final class Upstream {
 
-    private final UpstreamAnnouncement announcement;
+    private UpstreamAnnouncement announcement;
+    private boolean gone;
+    private double speed = 1;
     private final Set<RunId> running = new LinkedHashSet<>();
     private final List<RunEnd> ended = new ArrayList<>();
     private LeaseEffect.@Nullable Renew openRenewal;
@@ -468,13 +616,41 @@
               id, 1, 1, "desk", id + ":1", domain, false, new TaskSize(cpu, 65_536, 0), Set.of());
     }
 
+    void announceLeaving() {
+      announcement =
+          new UpstreamAnnouncement(
+              announcement.id(),
+              1,
+              2,
+              "desk",
+              announcement.address(),
+              announcement.domain(),
+              true,
+              announcement.capacity(),
+              Set.of());
+      List.copyOf(dispatchers.keySet())
+          .forEach(host -> notifyDispatcher(host, new LeaseEvent.Announced(announcement)));
+    }
+
+    /** Ends with all runs; dispatchers learn of it, and answer nothing that was in flight. */
+    void leave() {
+      gone = true;
+      running.clear();
+      List.copyOf(dispatchers.keySet())
+          .forEach(host -> notifyDispatcher(host, new LeaseEvent.Departed(announcement)));
+    }
+
     void start(String host, LeaseEffect.Start start) {
+      if (gone) {
+        return;
+      }
       running.add(start.run());
       Job job = jobs.get(start.run().task().work());
       long millis =
           job == null
               ? 1
-              : Math.max(1, Math.round(job.runMillis * randomFactor(0.15) * slowFactor));
+              : Math.max(
+                  1, Math.round(job.runMillis * randomFactor(0.15) * runFactor() * slowFactor));
       schedule(millis, () -> end(start.run(), RunEnd.Cause.DONE));
       enqueue(
           host,
@@ -482,7 +658,16 @@
               announcement, start.run(), OrderResult.DONE, OptionalLong.of(now)));
     }
 
+    /** Returns the factor on the run time by this upstream's speed and the run's own luck. */
+    private double runFactor() {
+      boolean slow = scenario.slowTaskShare() > 0 && random.nextDouble() < scenario.slowTaskShare();
+      return (slow ? scenario.slowTaskFactor() : 1) / speed;
+    }
+
     void stop(String host, LeaseEffect.Stop stop) {
+      if (gone) {
+        return;
+      }
       end(stop.run(), RunEnd.Cause.CUT_SHORT);
       enqueue(
           host,
@@ -491,6 +676,9 @@
     }
 
     void renew(String host, LeaseEffect.Renew renew) {
+      if (gone) {
+        return;
+      }
       holder = host;
       ended.removeIf(end -> end.number() <= renew.acknowledgedEnd());
       openRenewal = renew;
