Elect dispatchers by the weights of hosts

Cause: dispatcher roles were given by an unweighted hash, although hosts of one deployment have 0.27 and 0.9 of a core.

Change: heartbeats report a weight, the share of a core; shards are assigned by weighted rendezvous hashing. Equal weights keep the earlier assignment, and so does a domain with a host that reports none.

--- a/burdockbay-core/src/main/java/org/burdockbay/core/membership/HostStatus.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/membership/HostStatus.java
@@ -2,6 +2,7 @@
 
 import org.burdockbay.core.dispatch.DomainLoad;
 import org.burdockbay.core.evacuation.Evacuations;
+import org.burdockbay.core.shard.ShardAssignment;
 import org.burdockbay.core.shard.ShardId;
 import org.burdockbay.core.shard.ShardLayout;
 
@@ -22,6 +23,7 @@
  * @param layout largest shard layout known to the host
  * @param shard shard that the host dispatches; meaningful only while the host dispatches
  * @param evacuations evacuated failure domains known to the host
+ * @param weight weight of the host in the election of dispatchers; 0 if unknown
  */
 public record HostStatus(
     String host,
@@ -37,7 +39,42 @@
     String failureDomain,
     ShardLayout layout,
     ShardId shard,
-    Evacuations evacuations) {
+    Evacuations evacuations,
+    int weight) {
+
+  /** Creates the status of a host of unknown weight. */
+  public HostStatus(
+      String host,
+      String domain,
+      long incarnation,
+      long storageIncarnation,
+      long configurationVersion,
+      long dispatcherEpoch,
+      long highestEpoch,
+      boolean draining,
+      String leader,
+      DomainLoad load,
+      String failureDomain,
+      ShardLayout layout,
+      ShardId shard,
+      Evacuations evacuations) {
+    this(
+        host,
+        domain,
+        incarnation,
+        storageIncarnation,
+        configurationVersion,
+        dispatcherEpoch,
+        highestEpoch,
+        draining,
+        leader,
+        load,
+        failureDomain,
+        layout,
+        shard,
+        evacuations,
+        ShardAssignment.UNKNOWN_WEIGHT);
+  }
 
   /**
    * Creates the status of a host in a fleet that isn't divided into shards and has no evacuations.
@@ -86,7 +123,8 @@
         failureDomain,
         layout,
         shard,
-        known);
+        known,
+        weight);
   }
 
   /** Returns whether this status equals another one, apart from the load. */
@@ -105,7 +143,8 @@
             failureDomain,
             layout,
             shard,
-            evacuations)
+            evacuations,
+            weight)
         .equals(other);
   }
 }
--- a/burdockbay-core/src/main/java/org/burdockbay/core/membership/Membership.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/membership/Membership.java
@@ -493,13 +493,12 @@
   private Map<ShardId, String> matchVacantShards(String hostDomain) {
     Set<ShardId> vacant = new HashSet<>(layout.shards(hostDomain));
     vacant.removeAll(dispatchersByShard().keySet());
-    Set<String> free =
-        groupHosts()
-            .filter(status -> isAvailable(status, hostDomain))
-            .map(HostStatus::host)
-            .collect(Collectors.toCollection(HashSet::new));
+    Map<String, Integer> free = new HashMap<>();
+    groupHosts()
+        .filter(status -> isAvailable(status, hostDomain))
+        .forEach(status -> free.put(status.host(), status.weight()));
     if (mayClaim() && failureDomain.equals(hostDomain)) {
-      free.add(self);
+      free.put(self, options.weight());
     }
     return ShardAssignment.of(vacant, free);
   }
--- a/burdockbay-core/src/main/java/org/burdockbay/core/membership/MembershipOptions.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/membership/MembershipOptions.java
@@ -1,5 +1,7 @@
 package org.burdockbay.core.membership;
 
+import org.burdockbay.core.shard.ShardAssignment;
+
 /**
  * Options of a host's {@link Membership}.
  *
@@ -13,6 +15,7 @@
  * @param hostNumber number of this host, unique among all hosts
  * @param roundMillis duration of a round, in milliseconds
  * @param firstRoundAt start of round 0, in milliseconds since the Unix epoch
+ * @param weight weight of this host in the election of dispatchers; 0 if unknown
  */
 public record MembershipOptions(
     long silenceTimeoutMillis,
@@ -20,7 +23,8 @@
     int hostNumberBits,
     long hostNumber,
     long roundMillis,
-    long firstRoundAt) {
+    long firstRoundAt,
+    int weight) {
 
   private static final int ADDRESS_BITS = 24;
   private static final long MILLIS_PER_SECOND = 1_000;
@@ -31,8 +35,11 @@
    */
   private static final long FIRST_ROUND_AT = 1_735_689_600_000L;
 
-  /** Checks that the host number fits its width. */
+  /** Checks that the host number fits its width and that the weight isn't negative. */
   public MembershipOptions {
+    if (weight < 0) {
+      throw new IllegalArgumentException("weight is " + weight + ", must not be negative");
+    }
     if (hostNumber < 0 || hostNumber >> hostNumberBits != 0) {
       throw new IllegalArgumentException(
           "host number " + hostNumber + " doesn't fit into " + hostNumberBits + " bits");
@@ -41,7 +48,8 @@
 
   /** Returns the options of a host that is part of a fixed list in the settings of all hosts. */
   static MembershipOptions ofListedHost(int index) {
-    return new MembershipOptions(Membership.SILENCE_TIMEOUT_MILLIS, true, 8, index, 1, 0);
+    return new MembershipOptions(
+        Membership.SILENCE_TIMEOUT_MILLIS, true, 8, index, 1, 0, ShardAssignment.UNKNOWN_WEIGHT);
   }
 
   /**
@@ -56,7 +64,25 @@
       number = (number << 8 | Long.parseLong(part)) & ((1L << ADDRESS_BITS) - 1);
     }
     return new MembershipOptions(
-        silenceTimeoutMillis, mayDispatch, ADDRESS_BITS, number, MILLIS_PER_SECOND, FIRST_ROUND_AT);
+        silenceTimeoutMillis,
+        mayDispatch,
+        ADDRESS_BITS,
+        number,
+        MILLIS_PER_SECOND,
+        FIRST_ROUND_AT,
+        ShardAssignment.UNKNOWN_WEIGHT);
+  }
+
+  /** Returns a copy with the given weight. */
+  public MembershipOptions withWeight(int changed) {
+    return new MembershipOptions(
+        silenceTimeoutMillis,
+        mayDispatch,
+        hostNumberBits,
+        hostNumber,
+        roundMillis,
+        firstRoundAt,
+        changed);
   }
 
   /** Returns the round at a time in milliseconds since the Unix epoch. */
--- a/burdockbay-core/src/main/java/org/burdockbay/core/shard/RendezvousHash.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/shard/RendezvousHash.java
@@ -18,6 +18,15 @@
     return hash ^ (hash >>> 31);
   }
 
+  /**
+   * Returns the score of weighted rendezvous hashing: -weight / ln(u), where u in (0, 1) grows with
+   * the hash.
+   */
+  static double weightedScore(String key, ShardId shard, int weight) {
+    double fraction = ((weight(key, shard) ^ Long.MIN_VALUE) >>> 11) * 0x1.0p-53;
+    return -weight / Math.log(fraction + 0x1.0p-54);
+  }
+
   private static long mix(long seed, String text) {
     long hash = seed;
     for (int i = 0; i < text.length(); i++) {
--- a/burdockbay-core/src/test/java/org/burdockbay/core/membership/ShardRolesTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/membership/ShardRolesTest.java
@@ -16,6 +16,7 @@
 import java.util.stream.Stream;
 import org.burdockbay.core.dispatch.DomainLoad;
 import org.burdockbay.core.evacuation.Evacuations;
+import org.burdockbay.core.shard.ShardAssignment;
 import org.burdockbay.core.shard.ShardId;
 import org.burdockbay.core.shard.ShardLayout;
 import org.testng.annotations.BeforeMethod;
@@ -32,6 +33,8 @@
   private final Map<String, Membership> hosts = new TreeMap<>();
   private final Map<String, String> domains = new HashMap<>();
   private final Set<String> silent = new HashSet<>();
+  private final Map<String, Integer> weights = new HashMap<>();
+
   private final Map<String, Integer> routeChanges = new HashMap<>();
   private String partitionedDomain;
   private int load;
@@ -42,6 +45,7 @@
   public void startHosts() {
     hosts.clear();
     domains.clear();
+    weights.clear();
     silent.clear();
     partitionedDomain = "";
     now = 1_000_000;
@@ -285,13 +289,62 @@
     assertEquals(hosts.get("10.0.1.1").load("10.0.2.1").orElseThrow().freeSlots(), 7);
   }
 
+  /**
+   * Guards against a shard that no host claims during an upgrade: hosts of the earlier release
+   * don't use weights, so each host would wait for another one.
+   */
+  @Test
+  public void servesEveryShardWhileSomeHostsReportNoWeight() {
+    setWeights(2);
+    restartAll(TWO_SHARDS);
+    assertAllShardsServed(TWO_SHARDS);
+    Map<ShardId, RouteView.ActiveDispatcher> unweighted = dispatchers();
+    weights.clear();
+    restartAll(TWO_SHARDS);
+    assertEquals(hostsOf(dispatchers()), hostsOf(unweighted));
+  }
+
+  /** Guards against roles that move to a stronger host although their dispatchers serve. */
+  @Test
+  public void keepsDispatchersWhenStrongerHostsJoin() {
+    restartAll(TWO_SHARDS);
+    Map<ShardId, RouteView.ActiveDispatcher> before = dispatchers();
+    setWeights(1);
+    advanceTime(2_000);
+    assertEquals(dispatchers(), before);
+    restartAll(TWO_SHARDS);
+    assertAllShardsServed(TWO_SHARDS);
+  }
+
+  /** Sets the weight of every n-th host; every fourth of them is strong. */
+  private void setWeights(int n) {
+    List<String> ids = List.copyOf(new TreeMap<>(domains).keySet());
+    for (int i = 0; i < ids.size(); i += n) {
+      weights.put(ids.get(i), i % 4 == 0 ? 900 : 270);
+    }
+  }
+
+  private void restartAll(ShardLayout layout) {
+    hosts.clear();
+    startAll(layout);
+    advanceTime(6_000);
+  }
+
+  private static Map<ShardId, String> hostsOf(
+      Map<ShardId, RouteView.ActiveDispatcher> dispatchers) {
+    Map<ShardId, String> result = new HashMap<>();
+    dispatchers.forEach((shard, dispatcher) -> result.put(shard, dispatcher.host()));
+    return result;
+  }
+
   private void startAll(ShardLayout layout) {
     domains.forEach(
         (host, domain) -> {
           Membership membership =
               Membership.withDiscovery(
                   new HostDescriptor(host, "entry", domain, ""),
-                  MembershipOptions.ofAddress(host, SILENCE_TIMEOUT_MILLIS, true),
+                  MembershipOptions.ofAddress(host, SILENCE_TIMEOUT_MILLIS, true)
+                      .withWeight(weights.getOrDefault(host, ShardAssignment.UNKNOWN_WEIGHT)),
                   now);
           membership.restore(layout);
           hosts.put(host, membership);
@@ -367,7 +420,8 @@
         domains.get(host),
         membership.layout(),
         membership.claimedShard().orElse(ShardId.WHOLE_FLEET),
-        Evacuations.NONE);
+        Evacuations.NONE,
+        weights.getOrDefault(host, ShardAssignment.UNKNOWN_WEIGHT));
   }
 
   /** Returns the claims of all hosts that aren't silent. */
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
@@ -159,7 +159,8 @@
         Membership.withDiscovery(
             settings.descriptor(),
             MembershipOptions.ofAddress(
-                settings.host(), HOST_SILENCE_TIMEOUT_MILLIS, settings.mayDispatch()),
+                    settings.host(), HOST_SILENCE_TIMEOUT_MILLIS, settings.mayDispatch())
+                .withWeight(settings.weight()),
             now);
     this.directory = new HostDirectory(settings.descriptor());
     this.heartbeatSchedule = new HeartbeatSchedule(settings.host());
@@ -777,7 +778,8 @@
         settings.descriptor().domain(),
         membership.layout(),
         membership.claimedShard().orElse(ShardId.WHOLE_FLEET),
-        evacuations.current());
+        evacuations.current(),
+        settings.weight());
   }
 
   private Optional<String> leader() {
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeSettings.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeSettings.java
@@ -20,6 +20,8 @@
  * @param dataFolder the data folder, if the host has a disk
  * @param firstStart whether the whole cluster starts for the first time, with empty disks
  * @param scheduling the scheduling options that are on
+ * @param weight weight in the election of dispatchers: the share of a core, in thousandths; 0 if
+ *     unknown
  */
 public record NodeSettings(
     String cluster,
@@ -30,7 +32,8 @@
     List<HostAddress> seeds,
     Optional<Path> dataFolder,
     boolean firstStart,
-    SchedulingOptions scheduling) {
+    SchedulingOptions scheduling,
+    int weight) {
 
   /** Copies the domains and the seeds. */
   public NodeSettings {
@@ -54,6 +57,7 @@
         newSeeds,
         dataFolder,
         firstStart,
-        scheduling);
+        scheduling,
+        weight);
   }
 }
--- a/burdockbay-server/src/test/java/org/burdockbay/server/node/OverloadedHostTest.java
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/node/OverloadedHostTest.java
@@ -24,6 +24,7 @@
 import org.burdockbay.core.membership.HostStatus;
 import org.burdockbay.core.message.PeerMessage;
 import org.burdockbay.core.scheduling.SchedulingOptions;
+import org.burdockbay.core.shard.ShardAssignment;
 import org.burdockbay.core.work.WorkRequest;
 import org.burdockbay.server.host.ControlThread;
 import org.burdockbay.server.logging.EventLog;
@@ -71,7 +72,8 @@
             List.of(new HostAddress(OTHER, 1)),
             Optional.empty(),
             false,
-            SchedulingOptions.NONE);
+            SchedulingOptions.NONE,
+            ShardAssignment.UNKNOWN_WEIGHT);
     node =
         new NodeController(
             new NodeParts(
--- a/burdockbay-server/src/test/java/org/burdockbay/server/transport/HeartbeatCodecTest.java
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/transport/HeartbeatCodecTest.java
@@ -34,7 +34,8 @@
             "north",
             new ShardLayout(3),
             new ShardId("north", 2),
-            new Evacuations(5, Set.of("south", "east")));
+            new Evacuations(5, Set.of("south", "east")),
+            270);
     PeerMessage.Heartbeat heartbeat = new PeerMessage.Heartbeat(status, OptionalLong.of(40));
     assertEquals(PeerCodec.decode(PeerCodec.encode(heartbeat)), heartbeat);
   }
--- a/burdockbay-wire/src/main/java/org/burdockbay/wire/PeerCodec.java
+++ b/burdockbay-wire/src/main/java/org/burdockbay/wire/PeerCodec.java
@@ -94,6 +94,7 @@
         .setShardDomain(status.shard().domain())
         .setShardIndex(status.shard().index())
         .setEvacuations(ControlCodec.encode(status.evacuations()))
+        .setWeight(status.weight())
         .build();
   }
 
@@ -169,7 +170,8 @@
         status.getFailureDomain(),
         new ShardLayout(status.getShardsPerDomain()),
         new ShardId(status.getShardDomain(), status.getShardIndex()),
-        ControlCodec.decode(status.getEvacuations()));
+        ControlCodec.decode(status.getEvacuations()),
+        status.getWeight());
   }
 
   private static Wire.Envelope.CatalogPart catalogPart(CatalogPart part) {
