Keep the latest contact with a host

Cause: submissions are handled in the work lane with their time of arrival, after heartbeats that arrived later, and set the last contact with a host back. The next heartbeat to that host then reports an old contact.

Change: the latest time of arrival counts.

HostDirectoryTest.keepsLatestContact fails without it and passes with it.

--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/HostDirectory.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/HostDirectory.java
@@ -43,11 +43,14 @@
     return true;
   }
 
-  /** Records that a message from a host has arrived. */
-  void recordContact(String host, long now) {
+  /**
+   * Records that a message from a host has arrived. Submissions are handled later than heartbeats
+   * that arrived after them, so the latest time counts.
+   */
+  void recordContact(String host, long arrivedAt) {
     Entry entry = hosts.get(host);
     if (entry != null) {
-      entry.lastContactAt = now;
+      entry.lastContactAt = Math.max(entry.lastContactAt, arrivedAt);
       entry.contacted = true;
     }
   }
--- /dev/null
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/node/HostDirectoryTest.java
@@ -0,0 +1,28 @@
+package org.burdockbay.server.node;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.Optional;
+import org.burdockbay.core.membership.HostDescriptor;
+import org.testng.annotations.Test;
+
+/** Tests a {@link HostDirectory}. */
+public class HostDirectoryTest {
+
+  /**
+   * Guards against a host that reports an old contact because a submission waited in its work lane:
+   * the dispatcher would drop its work.
+   */
+  @Test
+  public void keepsLatestContact() {
+    HostDirectory directory = new HostDirectory(descriptor("10.0.0.1"));
+    directory.add(descriptor("10.0.0.2"), 0);
+    directory.recordContact("10.0.0.2", 1_000);
+    directory.recordContact("10.0.0.2", 400);
+    assertEquals(directory.lastContactAgeMillis("10.0.0.2", 1_020), Optional.of(20L));
+  }
+
+  private static HostDescriptor descriptor(String host) {
+    return new HostDescriptor(host, "entry", "north", host + ":1");
+  }
+}
