Count every message of a dispatcher as contact

Cause: the quiet period of moved work counts from the last heartbeat of its dispatcher, while heartbeats report the last message of any kind.

Change: the intake counts every message. Only heartbeats tell whether the dispatcher receives messages of this host; other ones change nothing there.

WorkIntakeTest.otherMessagesReportNoContact fails if a message without a report counts as a report of contact. The wiring in NodeController has no test of its own: the fuzz model sends heartbeats and reports only.

--- a/burdockbay-core/src/main/java/org/burdockbay/core/intake/IntakeEvent.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/intake/IntakeEvent.java
@@ -62,15 +62,15 @@
   record PeerReconnected(String host) implements IntakeEvent {}
 
   /**
-   * A heartbeat has arrived from a host, which may be a dispatcher.
+   * A message has arrived from a host, which may be a dispatcher.
    *
    * @param lastContactAgeMillis time since that host last received a message of this one, as it
-   *     reports; empty if it doesn't know
+   *     reports in its heartbeats; empty if it doesn't know, and for other messages
    */
   record DispatcherMessageReceived(String host, OptionalLong lastContactAgeMillis)
       implements IntakeEvent {
 
-    /** Creates the event of a heartbeat that doesn't report the last contact. */
+    /** Creates the event of a message that doesn't report the last contact. */
     public DispatcherMessageReceived(String host) {
       this(host, OptionalLong.empty());
     }
--- a/burdockbay-core/src/main/java/org/burdockbay/core/intake/WorkIntake.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/intake/WorkIntake.java
@@ -254,7 +254,10 @@
   }
 
   /**
-   * Records a heartbeat of a host, and whether that host receives messages of this one.
+   * Records a message of a host, and whether that host receives messages of this one.
+   *
+   * <p>Every message counts, as heartbeats to that host report the last message, of whatever kind,
+   * and a dispatcher counts its contact with this host by that report.
    *
    * <p>In a one-way partition heartbeats of a dispatcher go on arriving although it receives no
    * work. It then gets no new work. What it has stays with it, as its runs may go on.
@@ -262,7 +265,11 @@
   private void recordContact(IntakeEvent.DispatcherMessageReceived received) {
     String host = received.host();
     lastContactByHost.put(host, now);
-    boolean reachable = received.lastContactAgeMillis().orElse(0) <= INBOUND_SILENCE_TIMEOUT_MILLIS;
+    if (received.lastContactAgeMillis().isEmpty()) {
+      return;
+    }
+    boolean reachable =
+        received.lastContactAgeMillis().getAsLong() <= INBOUND_SILENCE_TIMEOUT_MILLIS;
     if (reachable ? unreachableHosts.remove(host) : unreachableHosts.add(host)) {
       shardSelector.updateUnreachableHosts(unreachableHosts);
     }
--- a/burdockbay-core/src/test/java/org/burdockbay/core/intake/WorkIntakeTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/intake/WorkIntakeTest.java
@@ -89,6 +89,19 @@
     assertEquals(moved.quietPeriodMillis(), MAX_ORPHANED_RUN_MILLIS - 500);
   }
 
+  /**
+   * Guards against a dispatcher that counts as receiving messages because it sent something other
+   * than a heartbeat, which doesn't report the contact.
+   */
+  @Test
+  public void otherMessagesReportNoContact() {
+    changeDispatchers(Map.of(NORTH, FIRST, SOUTH, SECOND));
+    reportLoad("a", 10);
+    reportContact("a", 500);
+    handle(new IntakeEvent.DispatcherMessageReceived("a"));
+    assertEquals(submits(handle(new IntakeEvent.RequestReceived(1, WORK))).getFirst().to(), SECOND);
+  }
+
   /**
    * Guards against a task that runs twice. After a pause, a host submitted new work to the
    * dispatcher that it knew, and discovered another one in the same millisecond, which started the
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
@@ -430,6 +430,7 @@
   /** Passes work to the dispatcher, unless its entry host has restarted since it was sent. */
   private void workSubmitted(String host, PeerMessage.SubmitWork submit, long arrivedAt) {
     directory.recordContact(host, arrivedAt);
+    workHandler.handleIntakeEvent(new IntakeEvent.DispatcherMessageReceived(host));
     if (arrivedAt <= restartDetectedAt.getOrDefault(host, Long.MIN_VALUE)) {
       log.info("submission-outdated", "work=" + submit.request().id() + " from=" + host);
       return;
@@ -465,6 +466,9 @@
   private void handle(String host, PeerMessage message, long arrivedAt) {
     long now = clock.millis();
     directory.recordContact(host, arrivedAt);
+    if (!(message instanceof PeerMessage.Heartbeat)) {
+      workHandler.handleIntakeEvent(new IntakeEvent.DispatcherMessageReceived(host));
+    }
     switch (message) {
       case PeerMessage.Heartbeat heartbeat -> handleHeartbeat(heartbeat, arrivedAt, now);
       case PeerMessage.KnownHosts known ->
