Count contact with an entry host as of its report

Cause: an entry host moves its work with a quiet period that counts from the dispatcher's last message, while the dispatcher dropped the work 450 ms after the entry host's last message. In a one-way partition the entry host's heartbeats go on arriving. If the partition then becomes complete, the cancellation is lost and the dispatcher starts tasks for up to 450 ms more, and their leases outlast the quiet period of 1,225 ms.

Change: a heartbeat counts as contact as of the time at which its sender last received a message of this dispatcher, as it reports already. Submissions don't renew the contact, and are ignored while it is older than 450 ms: the entry host repeats them every 400 ms. The contact of silent hosts is therefore retained instead of removed with their work.

Ruled out: counting the quiet period from the last moment at which the dispatcher could have received a message of the entry host. After silence that is always the present, so every takeover waits for the whole 1,225 ms.

LeaseDispatcherTest.dropsWorkOfEntryHostsThatReportOldContact fails without the reported age, startsNothingForEntryHostsUntilTheyReportContact without it and without the check of submissions.

--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseDispatcher.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseDispatcher.java
@@ -165,7 +165,7 @@
       case LeaseEvent.Submitted submitted -> workSubmitted(submitted);
       case LeaseEvent.Cancelled cancelled -> workCancelled(cancelled);
       case LeaseEvent.EntryHostMessageReceived contacted ->
-          works.recordContact(contacted.entryHost());
+          works.recordContact(contacted.entryHost(), contacted.lastContactAgeMillis());
       case LeaseEvent.EntryHostLost lost -> works.entryHostLost(lost.entryHost());
       case LeaseEvent.StartAnswered answered ->
           handleAnswer(
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseEvent.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseEvent.java
@@ -68,8 +68,20 @@
    */
   record Cancelled(String entryHost, long token, String workId) implements LeaseEvent {}
 
-  /** A heartbeat of an entry host has arrived. */
-  record EntryHostMessageReceived(String entryHost) implements LeaseEvent {}
+  /**
+   * A heartbeat of an entry host has arrived.
+   *
+   * @param lastContactAgeMillis time since the entry host last received a message of this host, as
+   *     it reports; empty if it doesn't know
+   */
+  record EntryHostMessageReceived(String entryHost, OptionalLong lastContactAgeMillis)
+      implements LeaseEvent {
+
+    /** Creates the event of a heartbeat that doesn't report the last contact. */
+    public EntryHostMessageReceived(String entryHost) {
+      this(entryHost, OptionalLong.empty());
+    }
+  }
 
   /** An entry host is considered lost, and with it its callers' connections. */
   record EntryHostLost(String entryHost) implements LeaseEvent {}
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/WorkTable.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/WorkTable.java
@@ -5,6 +5,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
+import java.util.stream.Collectors;
 import org.burdockbay.core.work.TaskId;
 import org.burdockbay.core.work.WorkOutcome;
 import org.jspecify.annotations.Nullable;
@@ -26,6 +28,9 @@
    */
   private static final int MAX_RETAINED_RUN_NUMBERS = 20_000;
 
+  /** How long the contact with silent entry hosts is retained, in milliseconds. */
+  private static final long CONTACT_RETENTION_MILLIS = 60_000;
+
   private static final String EVACUATED = "failure domain evacuated";
 
   private final String self;
@@ -33,7 +38,10 @@
   private final RunTable runs;
   private final AdmissionRule admission;
   private final Map<String, WorkState> works = new LinkedHashMap<>();
+
+  /** When each entry host last received a message of this host, as far as known. */
   private final Map<String, Long> lastContactByHost = new HashMap<>();
+
   private final Map<String, RetainedOutcome> outcomes = new LinkedHashMap<>();
   private final Map<RefusedTicket, RetainedOutcome> refusals = new HashMap<>();
   private final Map<String, Long> highestRunNumbers = new LinkedHashMap<>();
@@ -95,15 +103,23 @@
                     && !PlacementPolicy.canEverRun(startable, task));
   }
 
-  /** Records that a message of an entry host has arrived. */
-  void recordContact(String entryHost) {
-    lastContactByHost.merge(entryHost, context.arrivedAt(), Math::max);
+  /**
+   * Records a heartbeat of an entry host.
+   *
+   * <p>What counts is when the entry host last received a message of this host, since its work
+   * moves to another dispatcher with a quiet period counted from then. In a one-way partition its
+   * heartbeats go on arriving; if they counted as contact and the partition then became complete,
+   * tasks would start here until after that quiet period.
+   */
+  void recordContact(String entryHost, OptionalLong lastContactAgeMillis) {
+    long ageMillis = Math.max(0, lastContactAgeMillis.orElse(0));
+    lastContactByHost.put(entryHost, context.arrivedAt() - ageMillis);
   }
 
   /** Accepts or refuses submitted work. */
   void submit(LeaseEvent.Submitted submitted, LeaseTable leases) {
     String id = submitted.request().id();
-    recordContact(submitted.entryHost());
+    lastContactByHost.putIfAbsent(submitted.entryHost(), context.arrivedAt());
     RetainedOutcome retained = outcomes.get(id);
     if (retained != null && context.now() - retained.decidedAt <= OUTCOME_RETENTION_MILLIS) {
       report(submitted.entryHost(), id, retained.outcome);
@@ -117,6 +133,12 @@
       report(submitted.entryHost(), id, refused.outcome);
       return;
     }
+    if (isSilent(submitted.entryHost())) {
+      // The entry host may have moved the work already. If not, it repeats the submission.
+      context.logEvent(
+          "submission-ignored", "work=" + id + " from=" + submitted.entryHost() + " reason=silent");
+      return;
+    }
     WorkState known = works.get(id);
     if (known != null) {
       // The same work again, from this or another entry host: it joins the work under way.
@@ -298,6 +320,7 @@
     long now = context.now();
     outcomes.values().removeIf(retained -> now - retained.decidedAt > OUTCOME_RETENTION_MILLIS);
     refusals.values().removeIf(retained -> now - retained.decidedAt > OUTCOME_RETENTION_MILLIS);
+    lastContactByHost.values().removeIf(contactAt -> now - contactAt > CONTACT_RETENTION_MILLIS);
     if (highestRunNumbers.size() > MAX_RETAINED_RUN_NUMBERS) {
       highestRunNumbers.remove(highestRunNumbers.keySet().iterator().next());
     }
@@ -305,19 +328,22 @@
   }
 
   private void dropLostEntryHosts() {
-    List<String> silent =
-        lastContactByHost.entrySet().stream()
-            .filter(
-                contact ->
-                    context.now() - contact.getValue()
-                        > LeaseTiming.ENTRY_HOST_SILENCE_TIMEOUT_MILLIS)
-            .map(Map.Entry::getKey)
-            .filter(host -> !host.equals(self))
-            .toList();
-    for (String host : silent) {
-      lastContactByHost.remove(host);
-      entryHostLost(host);
-    }
+    works.values().stream()
+        .flatMap(work -> work.tickets.keySet().stream())
+        .filter(this::isSilent)
+        .collect(Collectors.toSet())
+        .forEach(this::entryHostLost);
+  }
+
+  /**
+   * Returns whether an entry host may have lost contact with this host, and moved its work to
+   * another dispatcher.
+   */
+  private boolean isSilent(String entryHost) {
+    Long lastContactAt = lastContactByHost.get(entryHost);
+    return lastContactAt != null
+        && !entryHost.equals(self)
+        && context.now() - lastContactAt > LeaseTiming.ENTRY_HOST_SILENCE_TIMEOUT_MILLIS;
   }
 
   private void expireIfDue(WorkState work) {
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseDispatcherTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseDispatcherTest.java
@@ -530,6 +530,39 @@
     assertEquals(stops(handle(new LeaseEvent.Tick())).size(), 1);
   }
 
+  /**
+   * Guards against a task that runs twice after a one-way partition that becomes complete. The
+   * entry host no longer received heartbeats, and moved its work with a quiet period from the last
+   * one; its own heartbeats went on arriving, so the dispatcher started tasks for too long.
+   */
+  @Test
+  public void dropsWorkOfEntryHostsThatReportOldContact() {
+    addUpstream("u1");
+    starts(submit("w", 1, HALF_CAPACITY));
+    final long lastContactAt = now;
+    while (now - lastContactAt + 50 <= LeaseTiming.ENTRY_HOST_SILENCE_TIMEOUT_MILLIS) {
+      now += 50;
+      reportContact(now - lastContactAt);
+      assertTrue(stops(handle(new LeaseEvent.Tick())).isEmpty(), "it may only be late");
+    }
+    now++;
+    reportContact(now - lastContactAt);
+    assertEquals(stops(handle(new LeaseEvent.Tick())).size(), 1);
+  }
+
+  /**
+   * Guards against a run of work that its entry host is about to move, and against a host that is
+   * never served again after it was late in handling messages.
+   */
+  @Test
+  public void startsNothingForEntryHostsUntilTheyReportContact() {
+    addUpstream("u1");
+    reportContact(LeaseTiming.ENTRY_HOST_SILENCE_TIMEOUT_MILLIS + 1);
+    assertTrue(starts(submit("w", 1, HALF_CAPACITY)).isEmpty());
+    reportContact(20);
+    assertEquals(starts(submit("w", 1, HALF_CAPACITY)).size(), 1);
+  }
+
   /**
    * Guards against a dispatcher that continues after a process pause, during which another host may
    * have claimed its role.
@@ -949,6 +982,10 @@
     return handle(submitted(1, request(id, tasks, size), 0));
   }
 
+  private void reportContact(long ageMillis) {
+    handle(new LeaseEvent.EntryHostMessageReceived("entry", OptionalLong.of(ageMillis)));
+  }
+
   private static List<LeaseEffect.Start> starts(List<LeaseEffect> effects) {
     return effectsOfType(effects, LeaseEffect.Start.class);
   }
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelEntryHost.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelEntryHost.java
@@ -396,7 +396,7 @@
       dispatch(new LeaseEvent.EntryHostLost(status.host()));
     }
     applyMembershipEffects(membership.heartbeat(status, clock()));
-    dispatch(new LeaseEvent.EntryHostMessageReceived(status.host()));
+    dispatch(new LeaseEvent.EntryHostMessageReceived(status.host(), contactAge));
     handleIntake(new IntakeEvent.DispatcherMessageReceived(status.host(), contactAge));
     handleIntake(new IntakeEvent.LoadReported(status.host(), status.load()));
   }
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
@@ -518,7 +518,9 @@
     if (status.dispatcherEpoch() != 0) {
       workHandler.handleIntakeEvent(new IntakeEvent.LoadReported(status.host(), status.load()));
     }
-    workHandler.handleLeaseEvent(new LeaseEvent.EntryHostMessageReceived(status.host()), arrivedAt);
+    workHandler.handleLeaseEvent(
+        new LeaseEvent.EntryHostMessageReceived(status.host(), heartbeat.lastContactAgeMillis()),
+        arrivedAt);
     workHandler.handleIntakeEvent(
         new IntakeEvent.DispatcherMessageReceived(status.host(), heartbeat.lastContactAgeMillis()));
     catalog
