Report contact to new dispatchers ahead of submissions

Cause: when a dispatcher is in contact again, entry hosts submit at once, and the dispatcher ignores the submissions until a heartbeat reports the contact, up to 150 ms later. The work then waits 400 ms for the next repetition.

Change: a host that discovers a dispatcher, or a new token of one, sends it a heartbeat ahead of the submissions.

No unit test of its own.

--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelEntryHost.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelEntryHost.java
@@ -1,6 +1,7 @@
 package org.burdockbay.core.lease;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -68,6 +69,7 @@
   private WorkIntake intake;
   private LeaseDispatcher dispatcher;
   private Evacuations evacuations = Evacuations.NONE;
+  private List<IntakeEvent.Dispatcher> knownDispatchers = List.of();
 
   /** When this host was last down, paused or cut off from the hosts with a disk. */
   private long lastOutOfTouchAt;
@@ -101,6 +103,7 @@
     incarnations.clear();
     lastContacts.clear();
     evacuations = Evacuations.NONE;
+    knownDispatchers = List.of();
     lastOutOfTouchAt = model.now();
     long started = generation;
     model.schedule(model.random().nextLong(TICK_INTERVAL_MILLIS), () -> tickPeriodically(started));
@@ -335,35 +338,42 @@
   }
 
   private void sendHeartbeats() {
-    HostStatus status =
-        new HostStatus(
-            name,
-            GROUP,
-            incarnation,
-            0,
-            1,
-            membership.claimedEpoch(),
-            membership.highestEpoch(),
-            membership.isDraining(),
-            "",
-            dispatcher.load(),
-            domain,
-            membership.layout(),
-            membership.claimedShard().orElse(ShardId.WHOLE_FLEET),
-            evacuations);
+    HostStatus status = status();
     handleIntake(new IntakeEvent.LoadReported(name, status.load()));
     for (ModelEntryHost other : model.hosts.values()) {
       if (other != this) {
-        long lastContactAt = lastContacts.getOrDefault(other.name, Long.MIN_VALUE);
-        OptionalLong contactAge =
-            lastContactAt == Long.MIN_VALUE
-                ? OptionalLong.empty()
-                : OptionalLong.of(clock() - lastContactAt);
-        send(other, () -> other.receiveStatus(status, contactAge));
+        sendHeartbeat(other, status);
       }
     }
   }
 
+  private HostStatus status() {
+    return new HostStatus(
+        name,
+        GROUP,
+        incarnation,
+        0,
+        1,
+        membership.claimedEpoch(),
+        membership.highestEpoch(),
+        membership.isDraining(),
+        "",
+        dispatcher.load(),
+        domain,
+        membership.layout(),
+        membership.claimedShard().orElse(ShardId.WHOLE_FLEET),
+        evacuations);
+  }
+
+  private void sendHeartbeat(ModelEntryHost other, HostStatus status) {
+    long lastContactAt = lastContacts.getOrDefault(other.name, Long.MIN_VALUE);
+    OptionalLong contactAge =
+        lastContactAt == Long.MIN_VALUE
+            ? OptionalLong.empty()
+            : OptionalLong.of(clock() - lastContactAt);
+    send(other, () -> other.receiveStatus(status, contactAge));
+  }
+
   /** Handles a new connection to another host. */
   void handleReconnect(ModelEntryHost other) {
     deliver(
@@ -476,9 +486,21 @@
             (shard, dispatching) ->
                 dispatchers.put(
                     shard, new IntakeEvent.Dispatcher(dispatching.host(), dispatching.epoch())));
+    reportContact(dispatchers.values());
     handleIntake(new IntakeEvent.DispatchersChanged(dispatchers));
   }
 
+  /** Sends heartbeats to the dispatchers that have appeared, ahead of the submissions to them. */
+  private void reportContact(Collection<IntakeEvent.Dispatcher> dispatchers) {
+    HostStatus status = status();
+    for (IntakeEvent.Dispatcher dispatcher : dispatchers) {
+      if (!knownDispatchers.contains(dispatcher) && !dispatcher.host().equals(name)) {
+        sendHeartbeat(model.hosts.get(dispatcher.host()), status);
+      }
+    }
+    knownDispatchers = List.copyOf(dispatchers);
+  }
+
   private void notifyShardsChanged(ShardId own, RouteView view) {
     dispatch(new LeaseEvent.ShardsChanged(own, view.liveShards()));
   }
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
@@ -1,6 +1,7 @@
 package org.burdockbay.server.node;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -643,6 +644,7 @@
 
   private void routesChanged(RouteView view) {
     logDispatchers(view.shards());
+    final Collection<RouteView.ActiveDispatcher> earlier = dispatchers.values();
     dispatchers = view.shards();
     hasDispatcher = !dispatchers.isEmpty();
     membership
@@ -654,9 +656,21 @@
     dispatchers.forEach(
         (shard, found) ->
             known.put(shard, new IntakeEvent.Dispatcher(found.host(), found.epoch())));
+    reportContact(earlier);
     workHandler.handleIntakeEvent(new IntakeEvent.DispatchersChanged(known));
   }
 
+  /**
+   * Sends heartbeats to the dispatchers that have appeared, ahead of the submissions to them: a
+   * dispatcher starts nothing for a host whose last report says that it had lost contact.
+   */
+  private void reportContact(Collection<RouteView.ActiveDispatcher> earlier) {
+    HostStatus status = status();
+    dispatchers.values().stream()
+        .filter(found -> !earlier.contains(found) && !found.host().equals(settings.host()))
+        .forEach(found -> send(found.host(), heartbeatFor(found.host(), status)));
+  }
+
   private void logDispatchers(Map<ShardId, RouteView.ActiveDispatcher> now) {
     Set<ShardId> shards = new TreeSet<>(now.keySet());
     shards.addAll(dispatchers.keySet());
