Replay the seeds of one-way partitions that once failed

All five are replayed in all three networks. The loop's body moves into a method; seeds, bounds and checks stay as they are.

--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseFuzzTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseFuzzTest.java
@@ -96,13 +96,28 @@
   public void neverOverlapsRunsOfTaskInOneWayPartitions(LeaseModel.Network network) {
     int runs = FuzzOptions.exampleCount(RUNS);
     for (int run = 0; run < runs; run++) {
-      long seed = FuzzOptions.seed() + run;
-      ShardLayout layout = (seed & 4) == 0 ? ShardLayout.UNDIVIDED : dividedLayout(seed);
-      try {
-        simulate(seed, network, layout, LeaseFuzzTest::cutOneWay);
-      } catch (AssertionError e) {
-        throw new AssertionError("seed " + seed + ": " + e.getMessage(), e);
-      }
+      simulateOneWayPartitions(FuzzOptions.seed() + run, network);
+    }
+  }
+
+  /**
+   * Replays seeds of one-way partitions that once revealed a fault: a dispatcher kept the work of
+   * an entry host whose heartbeats arrived although it no longer received any, and started tasks
+   * after the quiet period with which the entry host had moved the work.
+   */
+  @Test(dataProvider = "networks")
+  public void neverOverlapsRunsOfTaskForOneWaySeedsThatOnceFailed(LeaseModel.Network network) {
+    for (long seed : new long[] {20270019, 20270172, 20270020, 20270004, 20270190}) {
+      simulateOneWayPartitions(seed, network);
+    }
+  }
+
+  private static void simulateOneWayPartitions(long seed, LeaseModel.Network network) {
+    ShardLayout layout = (seed & 4) == 0 ? ShardLayout.UNDIVIDED : dividedLayout(seed);
+    try {
+      simulate(seed, network, layout, LeaseFuzzTest::cutOneWay);
+    } catch (AssertionError e) {
+      throw new AssertionError("seed " + seed + ": " + e.getMessage(), e);
     }
   }
 
