--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
@@ -1,6 +1,7 @@
 package org.burdockbay.server.node;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -431,6 +432,7 @@
   /** Passes work to the dispatcher, unless its entry host has restarted since it was sent. */
   private void workSubmitted(String host, PeerMessage.SubmitWork submit, long arrivedAt) {
     directory.recordContact(host, arrivedAt);
+    workHandler.handleIntakeEvent(new IntakeEvent.DispatcherMessageReceived(host));
     if (arrivedAt <= restartDetectedAt.getOrDefault(host, Long.MIN_VALUE)) {
       log.info("submission-outdated", "work=" + submit.request().id() + " from=" + host);
       return;
@@ -466,6 +468,9 @@
   private void handle(String host, PeerMessage message, long arrivedAt) {
     long now = clock.millis();
     directory.recordContact(host, arrivedAt);
+    if (!(message instanceof PeerMessage.Heartbeat)) {
+      workHandler.handleIntakeEvent(new IntakeEvent.DispatcherMessageReceived(host));
+    }
     switch (message) {
       case PeerMessage.Heartbeat heartbeat -> handleHeartbeat(heartbeat, arrivedAt, now);
       case PeerMessage.KnownHosts known ->
@@ -515,7 +520,9 @@
     if (status.dispatcherEpoch() != 0) {
       workHandler.handleIntakeEvent(new IntakeEvent.LoadReported(status.host(), status.load()));
     }
-    workHandler.handleLeaseEvent(new LeaseEvent.EntryHostMessageReceived(status.host()), arrivedAt);
+    workHandler.handleLeaseEvent(
+        new LeaseEvent.EntryHostMessageReceived(status.host(), heartbeat.lastContactAgeMillis()),
+        arrivedAt);
     workHandler.handleIntakeEvent(
         new IntakeEvent.DispatcherMessageReceived(status.host(), heartbeat.lastContactAgeMillis()));
     catalog
@@ -638,6 +645,7 @@
 
   private void routesChanged(RouteView view) {
     logDispatchers(view.shards());
+    final Collection<RouteView.ActiveDispatcher> earlier = dispatchers.values();
     dispatchers = view.shards();
     hasDispatcher = !dispatchers.isEmpty();
     membership
@@ -649,9 +657,21 @@
     dispatchers.forEach(
         (shard, found) ->
             known.put(shard, new IntakeEvent.Dispatcher(found.host(), found.epoch())));
+    reportContact(earlier);
     workHandler.handleIntakeEvent(new IntakeEvent.DispatchersChanged(known));
   }
 
+  /**
+   * Sends heartbeats to the dispatchers that have appeared, ahead of the submissions to them: a
+   * dispatcher starts nothing for a host whose last report says that it had lost contact.
+   */
+  private void reportContact(Collection<RouteView.ActiveDispatcher> earlier) {
+    HostStatus status = status();
+    dispatchers.values().stream()
+        .filter(found -> !earlier.contains(found) && !found.host().equals(settings.host()))
+        .forEach(found -> send(found.host(), heartbeatFor(found.host(), status)));
+  }
+
   private void logDispatchers(Map<ShardId, RouteView.ActiveDispatcher> now) {
     Set<ShardId> shards = new TreeSet<>(now.keySet());
     shards.addAll(dispatchers.keySet());
