Defer refusals of a dispatcher that has just got its role

After a restart of all hosts, a new dispatcher refused for lack of room or for overload while its upstreams had yet to answer: no known upstream counted as all answered, and so did a first renewal without an answer.

With staged recovery on and in a divided fleet, it now refuses for these reasons only once every known upstream of its shard has accepted its token, or 600 ms after it got the role; then the earlier rules apply. Impossible work, and work that can't end before its caller's timeout, is refused as before. One log line, takeover-settled, says for how long refusals were deferred.

Without the rule, TakeoverGraceTest.awaitsUpstreamsWhoseFirstRenewalWasNotAnswered counts 36 refusals instead of 0, and refusesNothingAsOverloadedBeforeUpstreamsAreKnown 1.

--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseDispatcher.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseDispatcher.java
@@ -281,12 +281,12 @@
     List<UpstreamLease> usableUpstreams = leases.usableUpstreams();
     PlacementPolicy placement = new PlacementPolicy(usableUpstreams, context.now());
     Backlog backlog = new Backlog(usableUpstreams);
-    boolean allAnswered = leases.allAnswered();
+    boolean mayRefuse = leases.mayRefuseForCapacity();
     for (WorkState work : admission.order(works.unansweredWork(), context.now())) {
       if (context.now() < work.quietPeriodEndsAt) {
         continue;
       }
-      if (allAnswered && !work.mayHaveStarted && cannotStartInTime(work, backlog, placement)) {
+      if (mayRefuse && !work.mayHaveStarted && cannotStartInTime(work, backlog, placement)) {
         works.refuse(work, "no room in time", AdmissionRule.RETRY_AFTER_MILLIS);
       } else {
         placeWork(work, placement);
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseTable.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseTable.java
@@ -56,6 +56,7 @@
   private final LeaseTiming timing;
   private final RunTable runs;
   private final WorkTable works;
+  private final TakeoverGrace takeoverGrace;
   private final Map<String, UpstreamLease> upstreams = new LinkedHashMap<>();
   private ShardId ownShard = ShardId.WHOLE_FLEET;
   private ShardMap shards = ShardMap.of(Set.of(ShardId.WHOLE_FLEET));
@@ -67,6 +68,7 @@
     this.timing = timing;
     this.runs = runs;
     this.works = works;
+    this.takeoverGrace = new TakeoverGrace(context);
   }
 
   Collection<UpstreamLease> allUpstreams() {
@@ -94,15 +96,21 @@
    * Returns whether every upstream of the shard that may be alive has answered a renewal under the
    * current token.
    */
-  boolean allAnswered() {
+  private boolean allAnswered() {
     return upstreams.values().stream()
         .noneMatch(
             upstream ->
                 upstream.inOwnShard && !upstream.tokenAccepted && upstream.unansweredRenewals == 0);
   }
 
+  /** Returns whether work may be refused now for lack of room or for overload. */
+  boolean mayRefuseForCapacity() {
+    return allAnswered() && !takeoverGrace.defersRefusals(ownUpstreams());
+  }
+
   /** Takes over every upstream of the shard under a new token. */
   void takeOver() {
+    takeoverGrace.begin(ownShard);
     ownUpstreams().forEach(upstream -> renew(upstream, false));
   }
 
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/WorkTable.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/WorkTable.java
@@ -145,7 +145,7 @@
     runs.adoptRuns(work);
     if (work.isComplete()) {
       answer(work, new WorkOutcome.Completed());
-    } else if (leases.allAnswered()
+    } else if (leases.mayRefuseForCapacity()
         && !work.mayHaveStarted
         && admission.waitedTooLong(work, context.waitedMillis())) {
       refuse(work, "dispatcher overloaded", AdmissionRule.RETRY_AFTER_MILLIS);
