Hold work at entry hosts while dispatchers are about to come

After a restart, an entry host gave work up after 1,000 ms without a dispatcher, and sent all that had waited to the first one, which refused most of it.

With staged recovery on and in a divided fleet, work that no dispatcher has had is held as long as it can end before its caller's timeout, and then answered Not Run with a Retry-After of 1 to 2 s by a hash of its id. Until each shard of the own domain has had a dispatcher, or 1 s after the first dispatcher, work waits for the shard that a hash of its id selects. It is released in order (can be prompt, priority, latest start), with at most 16 unconfirmed jobs at a dispatcher that appeared less than 500 ms ago.

The load model can restart all hosts.

--- a/burdockbay-core/src/main/java/org/burdockbay/core/intake/IntakeEvent.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/intake/IntakeEvent.java
@@ -41,6 +41,20 @@
     }
   }
 
+  /**
+   * The division of this host's failure domain into shards may have changed.
+   *
+   * @param shards the shards of the domain, with or without a dispatcher; the whole fleet if it
+   *     isn't divided
+   */
+  record OwnShardsChanged(Set<ShardId> shards) implements IntakeEvent {
+
+    /** Copies the set. */
+    public OwnShardsChanged {
+      shards = Set.copyOf(shards);
+    }
+  }
+
   /**
    * The set of evacuated failure domains has changed.
    *
--- a/burdockbay-core/src/main/java/org/burdockbay/core/intake/WorkIntake.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/intake/WorkIntake.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.burdockbay.core.scheduling.SchedulingOptions;
 import org.burdockbay.core.shard.ShardId;
 import org.burdockbay.core.work.WorkOutcome;
@@ -27,9 +28,6 @@
   /** Interval at which work without an outcome is resubmitted, as messages may be lost. */
   private static final long SUBMISSION_RETRY_INTERVAL_MILLIS = 400;
 
-  /** Time after which a caller may retry if no dispatcher was found in time. */
-  private static final long RETRY_AFTER_MILLIS = 1_000;
-
   /** Longest wait for any dispatcher: the duration of an election and a few heartbeats. */
   private static final long DISPATCHER_TIMEOUT_MILLIS = 1_000;
 
@@ -60,6 +58,7 @@
   private final String self;
   private final long maxOrphanedRunMillis;
   private final ShardSelector shardSelector;
+  private final HeldWork heldWork;
   private final Map<Long, PendingWork> workByTicket = new LinkedHashMap<>();
   private final Map<String, PendingWork> workById = new LinkedHashMap<>();
   private final Map<String, Long> lastContactByHost = new HashMap<>();
@@ -93,6 +92,7 @@
     this.self = self;
     this.maxOrphanedRunMillis = maxOrphanedRunMillis;
     this.shardSelector = new ShardSelector(domain);
+    this.heldWork = new HeldWork(self, options);
   }
 
   /**
@@ -109,13 +109,19 @@
       case IntakeEvent.CallerDisconnected disconnected -> handleDisconnect(disconnected.ticket());
       case IntakeEvent.OutcomeReported reported -> handleOutcome(reported);
       case IntakeEvent.DispatchersChanged changed -> updateDispatchers(changed.dispatchers());
+      case IntakeEvent.OwnShardsChanged changed -> heldWork.updateOwnShards(changed.shards());
       case IntakeEvent.EvacuationsChanged changed -> {
         allDomainsEvacuated = changed.complete();
         shardSelector.updateEvacuations(changed.domains());
       }
-      case IntakeEvent.LoadReported report ->
-          shardSelector.updateLoad(report.host(), report.load());
-      case IntakeEvent.DispatcherMessageReceived received -> recordContact(received);
+      case IntakeEvent.LoadReported report -> {
+        shardSelector.updateLoad(report.host(), report.load());
+        heldWork.recordLoad(report.host(), now);
+      }
+      case IntakeEvent.DispatcherMessageReceived received -> {
+        recordContact(received);
+        heldWork.recordHeartbeat(received.host(), received.lastContactAgeMillis(), now);
+      }
       case IntakeEvent.PeerReconnected reconnected -> resendAfterReconnect(reconnected.host());
       case IntakeEvent.Tick tick -> tick();
     }
@@ -137,7 +143,11 @@
     }
     work.callers.put(received.ticket(), caller);
     workByTicket.put(received.ticket(), work);
-    submit(work, caller);
+    if (heldWork.isHolding() && work.submittedTo.isEmpty()) {
+      submitInOrder(waiting -> waiting.submittedTo.isEmpty());
+    } else {
+      submit(work, caller);
+    }
     if (allDomainsEvacuated && work.submittedTo.isEmpty()) {
       giveUp(work, caller, "all failure domains are evacuated");
     }
@@ -160,6 +170,7 @@
     if (work == null || work.callers.isEmpty()) {
       return;
     }
+    heldWork.recordOutcome(work.id);
     boolean fromCurrentDispatcher =
         work.submittedTo
             .map(IntakeEvent.Dispatcher::host)
@@ -241,7 +252,14 @@
     withoutDispatcherSince.keySet().removeAll(current.keySet());
     dispatchers = current;
     shardSelector.updateDispatchers(current);
-    workById.values().stream().filter(this::needsResubmission).forEach(this::submitAll);
+    heldWork.updateDispatchers(current, now);
+    submitInOrder(this::needsResubmission);
+  }
+
+  private void submitInOrder(Predicate<PendingWork> filter) {
+    heldWork.inReleaseOrder(workById.values(), now).stream()
+        .filter(filter)
+        .forEach(this::submitAll);
   }
 
   /** Returns whether the work is unassigned or its shard's dispatcher isn't the one that has it. */
@@ -297,10 +315,25 @@
   }
 
   private void submit(PendingWork work, PendingWork.Caller caller) {
+    if (heldWork.awaitsShard(work, shard -> !shardSelector.isEvacuated(shard), now)) {
+      hold(work, caller, "shard-without-dispatcher");
+      return;
+    }
     if (work.shard.isEmpty() || mayLeaveShard(work)) {
       work.shard = shardSelector.select(caller.request).or(() -> work.shard);
     }
-    dispatcherOf(work).ifPresent(target -> submitTo(target, work, caller));
+    Optional<IntakeEvent.Dispatcher> target = dispatcherOf(work);
+    if (heldWork.mustWait(work, target, now)) {
+      hold(work, caller, target.isEmpty() ? "no-dispatcher" : "dispatcher-cold");
+    } else {
+      target.ifPresent(dispatcher -> submitTo(dispatcher, work, caller));
+    }
+  }
+
+  private void hold(PendingWork work, PendingWork.Caller caller, String reason) {
+    if (heldWork.add(work)) {
+      logEvent("work-held", work, caller, " reason=" + reason);
+    }
   }
 
   /** Returns whether the work's shard is vacant and another shard may take the work. */
@@ -324,6 +357,9 @@
     if (work.submittedTo.isPresent() && !work.submittedTo.get().equals(target)) {
       moveTo(work, caller, target);
     }
+    if (heldWork.release(work, target, now)) {
+      logEvent("work-released", work, caller, " to=" + target.host());
+    }
     work.submittedTo = Optional.of(target);
     cancellations.remove(new IntakeEffect.Cancel(target, work.id));
     work.lastSubmittedAt = now;
@@ -381,7 +417,7 @@
     workById
         .values()
         .removeIf(work -> work.callers.isEmpty() && now - work.idleSince > RETENTION_MILLIS);
-    for (PendingWork work : List.copyOf(workById.values())) {
+    for (PendingWork work : heldWork.inReleaseOrder(workById.values(), now)) {
       List.copyOf(work.callers.values()).forEach(caller -> checkTimeouts(work, caller));
     }
   }
@@ -390,13 +426,23 @@
     long age = now - caller.arrivedAt;
     if (age >= caller.request.budgetMillis()) {
       giveUp(work, caller, "no outcome in time");
-    } else if (hasNoDispatcher(work) && age >= DISPATCHER_TIMEOUT_MILLIS) {
+    } else if (hasWaitedTooLong(work, caller)) {
       giveUp(work, caller, "no dispatcher");
     } else if (now - caller.lastSubmittedAt >= SUBMISSION_RETRY_INTERVAL_MILLIS) {
       submit(work, caller);
     }
   }
 
+  /** Returns whether work has waited for a dispatcher as long as it may. */
+  private boolean hasWaitedTooLong(PendingWork work, PendingWork.Caller caller) {
+    long age = now - caller.arrivedAt;
+    boolean awaitsDispatchers = dispatchers.isEmpty() || heldWork.contains(work);
+    if (heldWork.isInForce() && awaitsDispatchers) {
+      return !heldWork.canEndInTime(caller.request, age);
+    }
+    return hasNoDispatcher(work) && age >= DISPATCHER_TIMEOUT_MILLIS;
+  }
+
   private boolean hasNoDispatcher(PendingWork work) {
     return dispatchers.isEmpty() || (work.submittedTo.isEmpty() && shardSelector.isEmpty());
   }
@@ -407,7 +453,7 @@
         work,
         caller,
         neverSubmitted
-            ? new WorkOutcome.NotRun(reason, RETRY_AFTER_MILLIS)
+            ? new WorkOutcome.NotRun(reason, heldWork.retryAfterMillis(work))
             : new WorkOutcome.GivenUp(reason));
     if (work.callers.isEmpty()) {
       cancel(work);
@@ -431,6 +477,9 @@
     workByTicket.remove(ticket);
     work.callers.remove(ticket);
     work.idleSince = now;
+    if (work.callers.isEmpty()) {
+      heldWork.forget(work);
+    }
   }
 
   private void logEvent(String event, PendingWork work, PendingWork.Caller caller, String fields) {
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/WorkState.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/WorkState.java
@@ -57,7 +57,7 @@
       steps.add(tasks);
       unfinishedTasks[step] = definition.taskCount();
     }
-    this.criticalPathMillis = computeCriticalPath();
+    this.criticalPathMillis = request.criticalPathMillis();
   }
 
   /** Returns the longest chain of estimated run times, in milliseconds. */
@@ -118,19 +118,4 @@
     }
     return true;
   }
-
-  private long computeCriticalPath() {
-    long[] ends = new long[request.steps().size()];
-    long longest = 0;
-    for (int step = 0; step < ends.length; step++) {
-      WorkStep definition = request.steps().get(step);
-      long start = 0;
-      for (int predecessor : definition.predecessors()) {
-        start = Math.max(start, ends[predecessor]);
-      }
-      ends[step] = start + definition.estimateMillis();
-      longest = Math.max(longest, ends[step]);
-    }
-    return longest;
-  }
 }
--- a/burdockbay-core/src/main/java/org/burdockbay/core/work/WorkRequest.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/work/WorkRequest.java
@@ -33,4 +33,20 @@
   public WorkRequest {
     steps = List.copyOf(steps);
   }
+
+  /** Returns the longest chain of estimated run times, in milliseconds. */
+  public long criticalPathMillis() {
+    long[] ends = new long[steps.size()];
+    long longest = 0;
+    for (int step = 0; step < ends.length; step++) {
+      WorkStep definition = steps.get(step);
+      long start = 0;
+      for (int predecessor : definition.predecessors()) {
+        start = Math.max(start, ends[predecessor]);
+      }
+      ends[step] = start + definition.estimateMillis();
+      longest = Math.max(longest, ends[step]);
+    }
+    return longest;
+  }
 }
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LoadSimulation.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LoadSimulation.java
@@ -10,6 +10,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.PriorityQueue;
 import java.util.Set;
@@ -22,6 +23,7 @@
 import org.burdockbay.core.intake.WorkIntake;
 import org.burdockbay.core.shard.ShardId;
 import org.burdockbay.core.shard.ShardLayout;
+import org.burdockbay.core.shard.ShardMap;
 import org.burdockbay.core.work.RunId;
 import org.burdockbay.core.work.TaskSize;
 import org.burdockbay.core.work.WorkOutcome;
@@ -58,6 +60,12 @@
   private final Map<String, JobStatistics> statisticsByDomain = new LinkedHashMap<>();
   private final Map<Kind, Double> trafficFactors = new EnumMap<>(Kind.class);
   private final Map<ShardId, IntakeEvent.Dispatcher> dispatcherByShard = new LinkedHashMap<>();
+
+  /** The last dispatchers of the shards that no host has claimed since all were restarted. */
+  private final Map<ShardId, IntakeEvent.Dispatcher> vacantShards = new LinkedHashMap<>();
+
+  private final Map<String, Long> coldUntilByHost = new HashMap<>();
+  private long coldDispatcherMillis;
   private long now = 100_000;
   private long sequence;
   private int spills;
@@ -133,8 +141,8 @@
   private void startEntryHosts() {
     for (int i = 0; i < ENTRY_HOSTS; i++) {
       String entry = "entry" + i;
-      intakes.put(entry, new WorkIntake(entry, domainOfEntryHost(i), 1_225, scenario.options()));
-      notifyIntake(entry, new IntakeEvent.DispatchersChanged(Map.copyOf(dispatcherByShard)));
+      intakes.put(entry, createIntake(entry));
+      notifyDispatchersChanged(entry);
     }
     for (String host : dispatchers.keySet()) {
       schedule(random.nextLong(HEARTBEAT_INTERVAL_MILLIS), () -> reportLoad(host));
@@ -168,6 +176,89 @@
     schedule(HEARTBEAT_INTERVAL_MILLIS, () -> reportLoad(host));
   }
 
+  /**
+   * Restarts all hosts and upstreams at once. Entry hosts serve immediately, without dispatchers.
+   * The jobs in flight are removed from the statistics.
+   *
+   * @param coldMillis time for which a dispatcher is cold after it got its role, in milliseconds:
+   *     its upstreams answer and its events are handled with a delay of up to this time
+   */
+  void restartAllHosts(long coldMillis) {
+    coldDispatcherMillis = coldMillis;
+    dispatchers.clear();
+    jobs.clear();
+    upstreams.values().forEach(Upstream::restart);
+    vacantShards.putAll(dispatcherByShard);
+    dispatcherByShard.clear();
+    intakes.keySet().forEach(entry -> intakes.put(entry, createIntake(entry)));
+  }
+
+  /** Lets a host claim a shard after a restart of all hosts. */
+  void claim(ShardId shard) {
+    long token = vacantShards.remove(shard).token() + 1;
+    Set<ShardId> shards = new LinkedHashSet<>(dispatcherByShard.keySet());
+    shards.addAll(vacantShards.keySet());
+    shards.add(shard);
+    String host = shard + "-" + token;
+    coldUntilByHost.put(host, now + coldDispatcherMillis);
+    addDispatcher(shard, host, token, shards);
+    ShardMap owners = ShardMap.of(shards);
+    upstreams
+        .values()
+        .forEach(
+            upstream -> {
+              if (owners
+                  .owner(upstream.announcement.id(), upstream.announcement.domain())
+                  .equals(Optional.of(shard))) {
+                upstream.coldUntil = now + random.nextLong(coldDispatcherMillis);
+              }
+              notifyDispatcher(host, new LeaseEvent.Announced(upstream.announcement));
+            });
+    notifyDispatcher(host, new LeaseEvent.RoleGained(token));
+    intakes.keySet().forEach(this::notifyDispatchersChanged);
+    schedule(random.nextLong(HEARTBEAT_INTERVAL_MILLIS), () -> reportLoad(host));
+  }
+
+  private WorkIntake createIntake(String entry) {
+    String domain = domainOfEntryHost(Integer.parseInt(entry.substring("entry".length())));
+    WorkIntake intake = new WorkIntake(entry, domain, 1_225, scenario.options());
+    intake.handle(
+        new IntakeEvent.OwnShardsChanged(Set.copyOf(scenario.layout().shards(domain))), now);
+    return intake;
+  }
+
+  private void notifyDispatchersChanged(String entry) {
+    notifyIntake(entry, new IntakeEvent.DispatchersChanged(Map.copyOf(dispatcherByShard)));
+  }
+
+  /** Delivers a submission, which a cold dispatcher handles some time after its arrival. */
+  private void deliverSubmission(String host, LeaseEvent.Submitted submitted) {
+    long arrivedAt = now;
+    long coldLeftMillis = coldUntilByHost.getOrDefault(host, now) - now;
+    if (coldLeftMillis <= 0) {
+      enqueue(host, submitted);
+      return;
+    }
+    schedule(
+        coldLeftMillis / 2,
+        () -> {
+          LeaseDispatcher dispatcher = dispatchers.get(host);
+          if (dispatcher != null) {
+            applyEffects(host, dispatcher.handle(submitted, arrivedAt, now));
+          }
+        });
+  }
+
+  /** Returns the number of jobs that were refused or given up. */
+  int refusedJobs() {
+    return statistics.values().stream().mapToInt(each -> each.refused).sum();
+  }
+
+  /** Returns the number of jobs that were completed, in time or late. */
+  int servedJobs() {
+    return statistics.values().stream().mapToInt(each -> each.inTime + each.late).sum();
+  }
+
   /** Returns the shards, in their natural order. */
   List<ShardId> shards() {
     return dispatcherByShard.keySet().stream().sorted().toList();
@@ -198,7 +289,15 @@
         () ->
             intakes
                 .keySet()
-                .forEach(it -> notifyIntake(it, new IntakeEvent.LoadReported(host, load))));
+                .forEach(
+                    entry -> {
+                      notifyIntake(entry, new IntakeEvent.LoadReported(host, load));
+                      if (coldUntilByHost.containsKey(host)) {
+                        notifyIntake(
+                            entry,
+                            new IntakeEvent.DispatcherMessageReceived(host, OptionalLong.of(2)));
+                      }
+                    }));
     schedule(HEARTBEAT_INTERVAL_MILLIS, () -> reportLoad(host));
   }
 
@@ -209,7 +308,7 @@
             schedule(
                 1,
                 () ->
-                    enqueue(
+                    deliverSubmission(
                         submit.to().host(),
                         new LeaseEvent.Submitted(
                             entry,
@@ -609,6 +708,7 @@
     private String holder = "";
     private long lastEndNumber;
     private double slowFactor = 1;
+    private long coldUntil;
 
     Upstream(String id, String domain, int cpu) {
       announcement =
@@ -616,6 +716,13 @@
               id, 1, 1, "desk", id + ":1", domain, false, new TaskSize(cpu, 65_536, 0), Set.of());
     }
 
+    /** Ends all runs; a renewal that waits here gets no answer. */
+    void restart() {
+      running.clear();
+      ended.clear();
+      openRenewal = null;
+    }
+
     void announceLeaving() {
       announcement =
           new UpstreamAnnouncement(
@@ -706,7 +813,7 @@
         List<RunEnd> ends = List.copyOf(ended);
         long clock = now;
         schedule(
-            1,
+            Math.max(1, coldUntil - now),
             () ->
                 enqueue(
                     holder,
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
@@ -648,6 +648,9 @@
     dispatchers.forEach(
         (shard, found) ->
             known.put(shard, new IntakeEvent.Dispatcher(found.host(), found.epoch())));
+    workHandler.handleIntakeEvent(
+        new IntakeEvent.OwnShardsChanged(
+            Set.copyOf(membership.layout().shards(settings.descriptor().domain()))));
     workHandler.handleIntakeEvent(new IntakeEvent.DispatchersChanged(known));
   }
 
