Claim shards by contact with the own failure domain

A host that had just started claimed a shard only after contact with every known host of all domains. Only hosts of the shard's domain dispatch it, and contact costs processor time that is scarce after a restart.

All other waits stay. Until the earlier conditions hold as well, the shards of other known domains count as live, so that an early claim doesn't take over their upstreams.

--- a/burdockbay-core/src/main/java/org/burdockbay/core/membership/Membership.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/membership/Membership.java
@@ -110,6 +110,7 @@
   private final Set<String> contactedHosts = new HashSet<>();
 
   private long lastDiscoveryAt;
+  private final DomainContacts domainContacts;
   private final TreeMap<String, Contact> lastContacts = new TreeMap<>();
   private final ShardVacancies vacancies =
       new ShardVacancies(VACANCY_GRACE_MILLIS, LOST_DOMAIN_GRACE_MILLIS);
@@ -120,6 +121,10 @@
   private long supersedeRounds = SUPERSEDE_ROUNDS;
   private boolean draining;
   private boolean settled;
+
+  /** Whether shards of domains that may not have been contacted yet count as live. */
+  private boolean presumesShards;
+
   private RouteView routes;
 
   /**
@@ -151,6 +156,7 @@
     this.hasFixedHosts = hasFixedHosts;
     this.startedAt = now;
     this.lastDiscoveryAt = now;
+    this.domainContacts = new DomainContacts(failureDomain, now);
     this.routes = RouteView.empty(group);
   }
 
@@ -202,8 +208,16 @@
     return effects;
   }
 
-  /** Adds a host to the known hosts. */
+  /** Adds a host, whose failure domain isn't known, to the known hosts. */
   public void addHost(String host, String hostGroup, long now) {
+    addHost(host, hostGroup, "", now);
+  }
+
+  /** Adds a host to the known hosts. */
+  public void addHost(String host, String hostGroup, String hostDomain, long now) {
+    if (!host.equals(self)) {
+      domainContacts.hostAdded(host, hostDomain, now);
+    }
     if (groupByHost.put(host, hostGroup) == null) {
       lastDiscoveryAt = now;
     }
@@ -221,6 +235,7 @@
       return effects;
     }
     lastContacts.put(status.host(), new Contact(status, now));
+    domainContacts.heartbeatReceived(status, now);
     if (contactedHosts.add(status.host())) {
       lastDiscoveryAt = now;
     }
@@ -273,7 +288,7 @@
         claimedEpoch != 0
             || !options.mayDispatch()
             || routes.shards().keySet().containsAll(layout.shards(failureDomain));
-    return settled && !draining && !vacancies.hasPending() && nothingToClaim;
+    return settled && !draining && !vacancies.hasPending() && !presumesShards && nothingToClaim;
   }
 
   /** Marks this host as stopping; it hands over its role as soon as there is a successor. */
@@ -334,6 +349,7 @@
     startedAt = now;
     firstContactAt = OptionalLong.empty();
     contactedHosts.clear();
+    domainContacts.reset();
     List<MembershipEffect> effects = new ArrayList<>();
     if (claimedEpoch != 0) {
       claimedEpoch = 0;
@@ -373,6 +389,12 @@
     return routes;
   }
 
+  /** Returns whether all shards of this host's failure domain have a dispatcher. */
+  public boolean isOwnDomainServed() {
+    return !layout.undivided()
+        && routes.shards().keySet().containsAll(layout.shards(failureDomain));
+  }
+
   /** Returns the epoch of this host's claim, or 0 without a claim. */
   public long claimedEpoch() {
     return claimedEpoch;
@@ -410,7 +432,7 @@
       claimedEpoch = 0;
       effects.add(new MembershipEffect.Yield());
     }
-    if (mayClaim() && hasSettleTimeElapsed(now)) {
+    if (mayClaim() && (hasSettleTimeElapsed(now) || hasContactedOwnDomain(now))) {
       shardToClaim().ifPresent(shard -> effects.add(claim(shard, now)));
     }
     RouteView next = buildRoutes(now);
@@ -547,6 +569,16 @@
     return complete || now - firstContactAt.getAsLong() > multiple * options.silenceTimeoutMillis();
   }
 
+  /**
+   * Returns whether a dispatcher of this host's failure domain would have been contacted by now. No
+   * other host dispatches a shard of the domain.
+   */
+  private boolean hasContactedOwnDomain(long now) {
+    return options.claimsByDomain()
+        && !layout.undivided()
+        && domainContacts.isComplete(DISCOVERY_IDLE_MILLIS, now);
+  }
+
   private boolean hasContactedAllHosts() {
     return contactedHosts.size() == groupByHost.size() - 1;
   }
@@ -595,8 +627,17 @@
         hostDomains.stream()
             .flatMap(hostDomain -> matchVacantShards(hostDomain).keySet().stream())
             .collect(Collectors.toSet());
-    return vacancies.liveShards(
-        claimed, options.mayDispatch() ? awaited : Set.of(), hostDomains::contains, now);
+    Set<ShardId> live =
+        vacancies.liveShards(
+            claimed, options.mayDispatch() ? awaited : Set.of(), hostDomains::contains, now);
+    // A host that claims early may know no dispatcher of other domains yet, and must not take over
+    // their upstreams.
+    presumesShards =
+        options.claimsByDomain() && options.mayDispatch() && !hasSettleTimeElapsed(now);
+    if (presumesShards) {
+      domainContacts.otherDomains().forEach(known -> live.addAll(layout.shards(known)));
+    }
+    return live;
   }
 
   private record Contact(HostStatus status, long receivedAt) {}
--- a/burdockbay-core/src/main/java/org/burdockbay/core/membership/MembershipOptions.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/membership/MembershipOptions.java
@@ -13,6 +13,8 @@
  * @param hostNumber number of this host, unique among all hosts
  * @param roundMillis duration of a round, in milliseconds
  * @param firstRoundAt start of round 0, in milliseconds since the Unix epoch
+ * @param claimsByDomain whether this host may claim a shard once it has contacted the hosts of its
+ *     failure domain, instead of all hosts
  */
 public record MembershipOptions(
     long silenceTimeoutMillis,
@@ -20,7 +22,8 @@
     int hostNumberBits,
     long hostNumber,
     long roundMillis,
-    long firstRoundAt) {
+    long firstRoundAt,
+    boolean claimsByDomain) {
 
   private static final int ADDRESS_BITS = 24;
   private static final long MILLIS_PER_SECOND = 1_000;
@@ -41,7 +44,7 @@
 
   /** Returns the options of a host that is part of a fixed list in the settings of all hosts. */
   static MembershipOptions ofListedHost(int index) {
-    return new MembershipOptions(Membership.SILENCE_TIMEOUT_MILLIS, true, 8, index, 1, 0);
+    return new MembershipOptions(Membership.SILENCE_TIMEOUT_MILLIS, true, 8, index, 1, 0, false);
   }
 
   /**
@@ -56,7 +59,25 @@
       number = (number << 8 | Long.parseLong(part)) & ((1L << ADDRESS_BITS) - 1);
     }
     return new MembershipOptions(
-        silenceTimeoutMillis, mayDispatch, ADDRESS_BITS, number, MILLIS_PER_SECOND, FIRST_ROUND_AT);
+        silenceTimeoutMillis,
+        mayDispatch,
+        ADDRESS_BITS,
+        number,
+        MILLIS_PER_SECOND,
+        FIRST_ROUND_AT,
+        false);
+  }
+
+  /** Returns a copy that says whether shards are claimed by contact with the own domain. */
+  public MembershipOptions withClaimsByDomain(boolean enabled) {
+    return new MembershipOptions(
+        silenceTimeoutMillis,
+        mayDispatch,
+        hostNumberBits,
+        hostNumber,
+        roundMillis,
+        firstRoundAt,
+        enabled);
   }
 
   /** Returns the round at a time in milliseconds since the Unix epoch. */
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseFuzzTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseFuzzTest.java
@@ -5,6 +5,7 @@
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import org.burdockbay.core.FuzzOptions;
+import org.burdockbay.core.scheduling.SchedulingOptions;
 import org.burdockbay.core.shard.ShardLayout;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.DataProvider;
@@ -106,6 +107,38 @@
     }
   }
 
+  /**
+   * Guards against overlapping runs when entry hosts hold work, dispatchers defer refusals, and
+   * hosts claim shards before they have contacted all other domains. At times all hosts are killed
+   * at once.
+   */
+  @Test(dataProvider = "networks")
+  public void neverOverlapsRunsOfTaskWithStagedRecovery(LeaseModel.Network network) {
+    SchedulingOptions options = SchedulingOptions.builder().stagedRecovery(true).build();
+    int runs = FuzzOptions.exampleCount(RUNS);
+    for (int run = 0; run < runs; run++) {
+      long seed = FuzzOptions.seed() + run;
+      ShardLayout layout = (seed & 4) == 0 ? ShardLayout.UNDIVIDED : dividedLayout(seed);
+      try {
+        simulate(seed, network, layout, options, true, true, LeaseFuzzTest::killAllHosts);
+      } catch (AssertionError e) {
+        throw new AssertionError("seed " + seed + ": " + e.getMessage(), e);
+      }
+    }
+  }
+
+  private static void killAllHosts(LeaseModel model) {
+    SplittableRandom random = model.faultRandom();
+    if (random.nextInt(40) == 0) {
+      for (ModelEntryHost host : model.hosts.values()) {
+        if (host.up) {
+          model.kill(host);
+        }
+        model.schedule(300 + random.nextLong(1_500), host::recover);
+      }
+    }
+  }
+
   private static void cutOneWay(LeaseModel model) {
     SplittableRandom random = model.faultRandom();
     if (random.nextInt(10) == 0) {
@@ -207,7 +240,33 @@
       boolean breaksConnections,
       boolean orderedDelivery,
       Consumer<LeaseModel> furtherFaults) {
-    LeaseModel model = new LeaseModel(seed, network, layout, 2 + layout.shardsPerDomain() / 2, 3);
+    simulate(
+        seed,
+        network,
+        layout,
+        SchedulingOptions.NONE,
+        breaksConnections,
+        orderedDelivery,
+        furtherFaults);
+  }
+
+  private static void simulate(
+      long seed,
+      LeaseModel.Network network,
+      ShardLayout layout,
+      SchedulingOptions options,
+      boolean breaksConnections,
+      boolean orderedDelivery,
+      Consumer<LeaseModel> furtherFaults) {
+    LeaseModel model =
+        new LeaseModel(
+            seed,
+            network,
+            layout,
+            2 + layout.shardsPerDomain() / 2,
+            3,
+            LeaseModel.START_TIME_MILLIS,
+            options);
     model.breaksConnections = breaksConnections;
     model.orderedDelivery = orderedDelivery;
     SplittableRandom random = new SplittableRandom(~seed);
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseModel.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseModel.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import org.burdockbay.core.evacuation.Evacuations;
+import org.burdockbay.core.scheduling.SchedulingOptions;
 import org.burdockbay.core.shard.ShardLayout;
 import org.burdockbay.core.work.RunId;
 import org.burdockbay.core.work.TaskId;
@@ -28,6 +29,7 @@
 final class LeaseModel {
 
   static final int TASK_CPU = 14_000;
+  static final long START_TIME_MILLIS = 1_000_000;
 
   static final List<String> DOMAINS = List.of("north", "south", "east");
   private static final long FAULT_SEED_MASK = 0x5DEECE66DL;
@@ -48,6 +50,7 @@
   private final SplittableRandom random;
   private final SplittableRandom faultRandom;
   private final Network network;
+  private final SchedulingOptions options;
   private final ShardLayout layout;
   private final Map<Set<ModelEntryHost>, Link> links = new HashMap<>();
   private final PriorityQueue<ScheduledAction> queue = new PriorityQueue<>();
@@ -113,7 +116,7 @@
 
   LeaseModel(
       long seed, Network network, ShardLayout layout, int hostsInDomain, int upstreamsInDomain) {
-    this(seed, network, layout, hostsInDomain, upstreamsInDomain, 1_000_000);
+    this(seed, network, layout, hostsInDomain, upstreamsInDomain, START_TIME_MILLIS);
   }
 
   /**
@@ -128,7 +131,32 @@
       int hostsInDomain,
       int upstreamsInDomain,
       long startTimeMillis) {
+    this(
+        seed,
+        network,
+        layout,
+        hostsInDomain,
+        upstreamsInDomain,
+        startTimeMillis,
+        SchedulingOptions.NONE);
+  }
+
+  /**
+   * Creates a model.
+   *
+   * @param startTimeMillis the time of day at the start, in milliseconds since the Unix epoch
+   * @param options the scheduling options of all hosts
+   */
+  LeaseModel(
+      long seed,
+      Network network,
+      ShardLayout layout,
+      int hostsInDomain,
+      int upstreamsInDomain,
+      long startTimeMillis,
+      SchedulingOptions options) {
     now = startTimeMillis;
+    this.options = options;
     random = new SplittableRandom(seed);
     faultRandom = new SplittableRandom(seed ^ FAULT_SEED_MASK);
     this.network = network;
@@ -155,6 +183,10 @@
     return now;
   }
 
+  SchedulingOptions options() {
+    return options;
+  }
+
   SplittableRandom random() {
     return random;
   }
@@ -311,6 +343,9 @@
 
   ModelEntryHost anyHost() {
     List<ModelEntryHost> up = hosts.values().stream().filter(host -> host.up).toList();
+    if (up.isEmpty()) {
+      return hosts.values().iterator().next();
+    }
     return up.get(random.nextInt(up.size()));
   }
 
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelEntryHost.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelEntryHost.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.function.LongConsumer;
 import org.burdockbay.core.evacuation.Evacuations;
 import org.burdockbay.core.fleet.UpstreamAnnouncement;
@@ -91,13 +92,21 @@
     membership =
         Membership.withDiscovery(
             new HostDescriptor(name, GROUP, domain, ""),
-            MembershipOptions.ofAddress(name, SILENCE_TIMEOUT_MILLIS, true),
+            MembershipOptions.ofAddress(name, SILENCE_TIMEOUT_MILLIS, true)
+                .withClaimsByDomain(model.options().stagedRecovery()),
             clock());
-    model.hosts.keySet().forEach(host -> membership.addHost(host, GROUP, clock()));
+    model
+        .hosts
+        .values()
+        .forEach(host -> membership.addHost(host.name, GROUP, host.domain, clock()));
     membership.restore(savedEpoch);
     intake =
-        new WorkIntake(name, domain, SILENCE_TIMEOUT_MILLIS + LeaseTiming.DEFAULT.maxLeaseMillis());
-    dispatcher = new LeaseDispatcher(name, LeaseTiming.DEFAULT);
+        new WorkIntake(
+            name,
+            domain,
+            SILENCE_TIMEOUT_MILLIS + LeaseTiming.DEFAULT.maxLeaseMillis(),
+            model.options());
+    dispatcher = new LeaseDispatcher(name, LeaseTiming.DEFAULT, model.options());
     incarnations.clear();
     lastContacts.clear();
     evacuations = Evacuations.NONE;
@@ -340,7 +349,7 @@
             name,
             GROUP,
             incarnation,
-            0,
+            storageIncarnation(),
             1,
             membership.claimedEpoch(),
             membership.highestEpoch(),
@@ -364,6 +373,11 @@
     }
   }
 
+  /** Returns 0, or that of a host with a disk where hosts wait for contact with one. */
+  private long storageIncarnation() {
+    return model.options().stagedRecovery() ? 1 : 0;
+  }
+
   /** Handles a new connection to another host. */
   void handleReconnect(ModelEntryHost other) {
     deliver(
@@ -476,6 +490,7 @@
             (shard, dispatching) ->
                 dispatchers.put(
                     shard, new IntakeEvent.Dispatcher(dispatching.host(), dispatching.epoch())));
+    handleIntake(new IntakeEvent.OwnShardsChanged(Set.copyOf(membership.layout().shards(domain))));
     handleIntake(new IntakeEvent.DispatchersChanged(dispatchers));
   }
 
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
@@ -159,7 +159,8 @@
         Membership.withDiscovery(
             settings.descriptor(),
             MembershipOptions.ofAddress(
-                settings.host(), HOST_SILENCE_TIMEOUT_MILLIS, settings.mayDispatch()),
+                settings.host(), HOST_SILENCE_TIMEOUT_MILLIS, settings.mayDispatch())
+                .withClaimsByDomain(settings.scheduling().stagedRecovery()),
             now);
     this.directory = new HostDirectory(settings.descriptor());
     this.heartbeatSchedule = new HeartbeatSchedule(settings.host());
@@ -584,7 +585,7 @@
     }
     boolean connected = directory.otherHosts().contains(descriptor.id());
     if (directory.add(descriptor, now)) {
-      membership.addHost(descriptor.id(), descriptor.group(), now);
+      membership.addHost(descriptor.id(), descriptor.group(), descriptor.domain(), now);
       log.info("host-learnt", "host=" + descriptor.id() + " group=" + descriptor.group());
       if (!connected) {
         connect(descriptor);
