Connect to hosts in stages after a start

A host connected to every host as soon as it learnt of it. After a restart of all hosts, the handshakes take most of its processor time, and those with other domains delay the first claims.

With staged recovery on, a host that may dispatch and has no disk connects at once to seeds, to hosts of its own domain and to hosts that dispatch, and to the others 4 every 50 ms, until the shards of its domain have dispatchers, 1 s has passed, or a host with a disk reports an undivided fleet. Hosts with a disk connect as before: the others learn the fleet from them.

With larger batches and without the connections to dispatchers, 4 of 9 tests of ConnectionSchedulerTest fail (20 connections after 50 ms instead of 4); with nothing deferred, 5 do. What the stages save on real hosts wasn't measured.

--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
@@ -47,7 +47,6 @@
 import org.burdockbay.server.host.VoterKeeper;
 import org.burdockbay.server.logging.EventLog;
 import org.burdockbay.server.settings.HostAddress;
-import org.burdockbay.server.settings.PeerSettings;
 import org.burdockbay.server.storage.EpochFile;
 import org.burdockbay.server.transport.PeerListener;
 
@@ -95,6 +94,7 @@
   private final Membership membership;
   private final HostDirectory directory;
   private final HeartbeatSchedule heartbeatSchedule;
+  private final ConnectionScheduler connections;
   private final HostGossip hostGossip;
   private final PeerSyncTracker peerSync;
   private final UpstreamGossip upstreamGossip;
@@ -159,10 +159,12 @@
         Membership.withDiscovery(
             settings.descriptor(),
             MembershipOptions.ofAddress(
-                settings.host(), HOST_SILENCE_TIMEOUT_MILLIS, settings.mayDispatch())
+                    settings.host(), HOST_SILENCE_TIMEOUT_MILLIS, settings.mayDispatch())
                 .withClaimsByDomain(settings.scheduling().stagedRecovery()),
             now);
     this.directory = new HostDirectory(settings.descriptor());
+    this.connections =
+        new ConnectionScheduler(settings, directory, parts.transport()::connect, log);
     this.heartbeatSchedule = new HeartbeatSchedule(settings.host());
     this.hostGossip = new HostGossip(directory, this::send);
     this.peerSync = new PeerSyncTracker(settings.host(), settings.dataFolder().isPresent());
@@ -195,7 +197,7 @@
     parts.transport().start(this);
     agreement.ifPresent(AgreementDriver::start);
     parts.thread().start(this::tick, this::flush);
-    executeControl(() -> settings.seeds().forEach(this::connectSeed));
+    seedsChanged(settings.seeds());
   }
 
   /**
@@ -267,7 +269,7 @@
 
   /** Connects to the seeds of changed settings; hosts already known stay connected. */
   public void seedsChanged(List<HostAddress> seeds) {
-    executeControl(() -> seeds.forEach(this::connectSeed));
+    executeControl(() -> seeds.forEach(seed -> connections.connectSeed(seed, clock.millis())));
   }
 
   /** Begins a planned stop; the host continues to serve the requests in flight. */
@@ -570,15 +572,6 @@
     return proposals;
   }
 
-  private void connectSeed(HostAddress seed) {
-    HostDescriptor descriptor = new HostDescriptor(seed.ip(), "", "", seed.toString());
-    boolean known = directory.otherHosts().contains(seed.ip());
-    if (!known && !seed.ip().equals(settings.host())) {
-      directory.add(descriptor, clock.millis());
-      connect(descriptor);
-    }
-  }
-
   private void addDiscoveredHost(String from, HostDescriptor descriptor, long now) {
     if (descriptor.group().isEmpty() || descriptor.id().equals(settings.host())) {
       return;
@@ -587,20 +580,11 @@
     if (directory.add(descriptor, now)) {
       membership.addHost(descriptor.id(), descriptor.group(), descriptor.domain(), now);
       log.info("host-learnt", "host=" + descriptor.id() + " group=" + descriptor.group());
-      if (!connected) {
-        connect(descriptor);
-      }
+      connections.hostDiscovered(descriptor, !connected, now);
       hostGossip.hostDiscovered(descriptor, from);
     }
   }
 
-  private void connect(HostDescriptor descriptor) {
-    HostAddress address = HostAddress.parse(descriptor.address());
-    parts
-        .transport()
-        .connect(new PeerSettings(descriptor.id(), descriptor.domain(), address, false));
-  }
-
   private void execute(List<MembershipEffect> effects) {
     for (MembershipEffect effect : effects) {
       switch (effect) {
@@ -711,6 +695,7 @@
     if (heartbeatSchedule.isDue(now)) {
       sendHeartbeats();
     }
+    connections.tick(membership, now);
     hostGossip.tick(now);
     if (now >= nextDirectoryCleanupAt) {
       nextDirectoryCleanupAt = now + DIRECTORY_CLEANUP_INTERVAL_MILLIS;
