--- a/burdockbay-core/src/test/java/org/burdockbay/core/intake/HeldWorkTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/intake/HeldWorkTest.java
@@ -68,7 +68,7 @@
 
   /** Guards against refused callers that all return at the same time and are refused again. */
   @Test
-  public void spreadsRetriesOverASecond() {
+  public void spreadsRetriesOverOneSecond() {
     for (int i = 0; i < 20; i++) {
       submit("w" + i, 0, 200);
     }
@@ -172,7 +172,7 @@
 
   /** Guards against changes where the option is off or the fleet isn't divided. */
   @Test
-  public void givesUpAfterASecondInUndividedFleets() {
+  public void givesUpAfterOneSecondInUndividedFleets() {
     start(STAGED, Set.of(ShardId.WHOLE_FLEET));
     submit("w", 0, 200);
     assertEquals(answers(tickFor(1_000)).size(), 1);
