--- a/burdockbay-core/src/main/java/org/burdockbay/core/membership/MembershipOptions.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/membership/MembershipOptions.java
@@ -16,6 +16,8 @@
  * @param roundMillis duration of a round, in milliseconds
  * @param firstRoundAt start of round 0, in milliseconds since the Unix epoch
  * @param weight weight of this host in the election of dispatchers; 0 if unknown
+ * @param claimsByDomain whether this host may claim a shard once it has contacted the hosts of its
+ *     failure domain, instead of all hosts
  */
 public record MembershipOptions(
     long silenceTimeoutMillis,
@@ -24,7 +26,8 @@
     long hostNumber,
     long roundMillis,
     long firstRoundAt,
-    int weight) {
+    int weight,
+    boolean claimsByDomain) {
 
   private static final int ADDRESS_BITS = 24;
   private static final long MILLIS_PER_SECOND = 1_000;
@@ -49,7 +52,14 @@
   /** Returns the options of a host that is part of a fixed list in the settings of all hosts. */
   static MembershipOptions ofListedHost(int index) {
     return new MembershipOptions(
-        Membership.SILENCE_TIMEOUT_MILLIS, true, 8, index, 1, 0, ShardAssignment.UNKNOWN_WEIGHT);
+        Membership.SILENCE_TIMEOUT_MILLIS,
+        true,
+        8,
+        index,
+        1,
+        0,
+        ShardAssignment.UNKNOWN_WEIGHT,
+        false);
   }
 
   /**
@@ -70,7 +80,8 @@
         number,
         MILLIS_PER_SECOND,
         FIRST_ROUND_AT,
-        ShardAssignment.UNKNOWN_WEIGHT);
+        ShardAssignment.UNKNOWN_WEIGHT,
+        false);
   }
 
   /** Returns a copy with the given weight. */
@@ -82,7 +93,21 @@
         hostNumber,
         roundMillis,
         firstRoundAt,
-        changed);
+        changed,
+        claimsByDomain);
+  }
+
+  /** Returns a copy that says whether shards are claimed by contact with the own domain. */
+  public MembershipOptions withClaimsByDomain(boolean enabled) {
+    return new MembershipOptions(
+        silenceTimeoutMillis,
+        mayDispatch,
+        hostNumberBits,
+        hostNumber,
+        roundMillis,
+        firstRoundAt,
+        weight,
+        enabled);
   }
 
   /** Returns the round at a time in milliseconds since the Unix epoch. */
