Report the usable cores of a shard in heartbeats

An entry host that knows only a shard's free cores can't tell how long what it has sent since the report takes there. Hosts of earlier versions send 0, which means unknown.

HeartbeatCodecTest.keepsTotalOfSlots covers the new field; it was not run against a codec without it.

--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseDispatcher.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseDispatcher.java
@@ -118,7 +118,12 @@
                 upstream ->
                     Math.max(0, upstream.freeCapacity().cpuMillicores()) / MILLICORES_PER_CORE)
             .sum();
-    return new DomainLoad(freeCores, Math.round(backlog.waitMillis()));
+    int totalCores =
+        usableUpstreams.stream()
+            .mapToInt(
+                upstream -> upstream.announcement.capacity().cpuMillicores() / MILLICORES_PER_CORE)
+            .sum();
+    return new DomainLoad(freeCores, Math.round(backlog.waitMillis()), totalCores);
   }
 
   private void observeTime(long time) {
--- a/burdockbay-server/src/test/java/org/burdockbay/server/transport/HeartbeatCodecTest.java
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/transport/HeartbeatCodecTest.java
@@ -38,4 +38,14 @@
     PeerMessage.Heartbeat heartbeat = new PeerMessage.Heartbeat(status, OptionalLong.of(40));
     assertEquals(PeerCodec.decode(PeerCodec.encode(heartbeat)), heartbeat);
   }
+
+  /** Guards against a lost total, without which entry hosts don't count what they have sent. */
+  @Test
+  public void keepsTotalOfSlots() throws Exception {
+    HostStatus status =
+        new HostStatus(
+            "10.0.0.1", "entry", 2, 3, 4, 5, 6, false, "10.0.0.9", new DomainLoad(7, 8, 9));
+    PeerMessage.Heartbeat heartbeat = new PeerMessage.Heartbeat(status, OptionalLong.of(40));
+    assertEquals(PeerCodec.decode(PeerCodec.encode(heartbeat)), heartbeat);
+  }
 }
--- a/burdockbay-wire/src/main/java/org/burdockbay/wire/PeerCodec.java
+++ b/burdockbay-wire/src/main/java/org/burdockbay/wire/PeerCodec.java
@@ -88,6 +88,7 @@
         .setLeader(status.leader())
         .setFreeSlots(status.load().freeSlots())
         .setWaitMs(status.load().waitMillis())
+        .setTotalSlots(status.load().totalSlots())
         .setHeardAgoMsPlusOne(heartbeat.lastContactAgeMillis().orElse(-1) + 1)
         .setFailureDomain(status.failureDomain())
         .setShardsPerDomain(status.layout().shardsPerDomain())
@@ -165,7 +166,7 @@
         status.getHighestEpoch(),
         status.getDraining(),
         status.getLeader(),
-        new DomainLoad(status.getFreeSlots(), status.getWaitMs()),
+        new DomainLoad(status.getFreeSlots(), status.getWaitMs(), status.getTotalSlots()),
         status.getFailureDomain(),
         new ShardLayout(status.getShardsPerDomain()),
         new ShardId(status.getShardDomain(), status.getShardIndex()),
