Load tests and a fuzz mode for predictive routing

LoadSimulation counts the work that crosses domains and computes the value of the answers; shards shrink, dispatchers die, reports stop and totals are hidden. LeaseModel passes scheduling options to its hosts, and LeaseFuzzTest plays divided fleets with predictive routing and evacuations.

--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseFuzzTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseFuzzTest.java
@@ -5,6 +5,7 @@
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import org.burdockbay.core.FuzzOptions;
+import org.burdockbay.core.scheduling.SchedulingOptions;
 import org.burdockbay.core.shard.ShardLayout;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.DataProvider;
@@ -106,6 +107,31 @@
     }
   }
 
+  /**
+   * Guards against overlapping runs and against work that no shard serves, when entry hosts route
+   * by predicted completion in a divided fleet whose domains are evacuated at times.
+   */
+  @Test(dataProvider = "networks")
+  public void neverOverlapsRunsOfTaskWithPredictiveRouting(LeaseModel.Network network) {
+    SchedulingOptions options = SchedulingOptions.builder().predictiveRouting(true).build();
+    int runs = FuzzOptions.exampleCount(RUNS);
+    for (int run = 0; run < runs; run++) {
+      long seed = FuzzOptions.seed() + run;
+      try {
+        simulate(
+            seed,
+            network,
+            dividedLayout(seed),
+            options,
+            true,
+            true,
+            LeaseFuzzTest::changeEvacuations);
+      } catch (AssertionError e) {
+        throw new AssertionError("seed " + seed + ": " + e.getMessage(), e);
+      }
+    }
+  }
+
   private static void cutOneWay(LeaseModel model) {
     SplittableRandom random = model.faultRandom();
     if (random.nextInt(10) == 0) {
@@ -137,6 +163,7 @@
             seed,
             network,
             divided ? dividedLayout(seed) : ShardLayout.UNDIVIDED,
+            SchedulingOptions.NONE,
             true,
             orderedDelivery,
             model -> {});
@@ -183,7 +210,8 @@
 
   /** Replays a seed without broken connections, which the model didn't have when it failed. */
   private static void simulateOriginalFaults(long seed, LeaseModel.Network network) {
-    simulate(seed, network, ShardLayout.UNDIVIDED, false, false, model -> {});
+    simulate(
+        seed, network, ShardLayout.UNDIVIDED, SchedulingOptions.NONE, false, false, model -> {});
   }
 
   /** Returns a layout of one or two shards in each domain. */
@@ -197,17 +225,21 @@
       LeaseModel.Network network,
       ShardLayout layout,
       Consumer<LeaseModel> furtherFaults) {
-    simulate(seed, network, layout, true, true, furtherFaults);
+    simulate(seed, network, layout, SchedulingOptions.NONE, true, true, furtherFaults);
   }
 
   private static void simulate(
       long seed,
       LeaseModel.Network network,
       ShardLayout layout,
+      SchedulingOptions options,
       boolean breaksConnections,
       boolean orderedDelivery,
       Consumer<LeaseModel> furtherFaults) {
-    LeaseModel model = new LeaseModel(seed, network, layout, 2 + layout.shardsPerDomain() / 2, 3);
+    int hostsInDomain = 2 + layout.shardsPerDomain() / 2;
+    LeaseModel model =
+        new LeaseModel(
+            seed, network, layout, hostsInDomain, 3, LeaseModel.START_TIME_MILLIS, options);
     model.breaksConnections = breaksConnections;
     model.orderedDelivery = orderedDelivery;
     SplittableRandom random = new SplittableRandom(~seed);
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseModel.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseModel.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import org.burdockbay.core.evacuation.Evacuations;
+import org.burdockbay.core.scheduling.SchedulingOptions;
 import org.burdockbay.core.shard.ShardLayout;
 import org.burdockbay.core.work.RunId;
 import org.burdockbay.core.work.TaskId;
@@ -32,6 +33,7 @@
   static final List<String> DOMAINS = List.of("north", "south", "east");
   private static final long FAULT_SEED_MASK = 0x5DEECE66DL;
 
+  static final long START_TIME_MILLIS = 1_000_000;
   private static final long CALLER_RETRY_DELAY_MILLIS = 1_300;
   static final long CALLER_TIMEOUT_MILLIS = 2_500;
 
@@ -49,6 +51,7 @@
   private final SplittableRandom faultRandom;
   private final Network network;
   private final ShardLayout layout;
+  final SchedulingOptions options;
   private final Map<Set<ModelEntryHost>, Link> links = new HashMap<>();
   private final PriorityQueue<ScheduledAction> queue = new PriorityQueue<>();
   private final Map<TaskId, ModelUpstream> runningOn = new HashMap<>();
@@ -113,7 +116,7 @@
 
   LeaseModel(
       long seed, Network network, ShardLayout layout, int hostsInDomain, int upstreamsInDomain) {
-    this(seed, network, layout, hostsInDomain, upstreamsInDomain, 1_000_000);
+    this(seed, network, layout, hostsInDomain, upstreamsInDomain, START_TIME_MILLIS);
   }
 
   /**
@@ -128,7 +131,32 @@
       int hostsInDomain,
       int upstreamsInDomain,
       long startTimeMillis) {
+    this(
+        seed,
+        network,
+        layout,
+        hostsInDomain,
+        upstreamsInDomain,
+        startTimeMillis,
+        SchedulingOptions.NONE);
+  }
+
+  /**
+   * Creates a model.
+   *
+   * @param startTimeMillis the time of day at the start, in milliseconds since the Unix epoch
+   * @param options the scheduling options that are on at the hosts
+   */
+  LeaseModel(
+      long seed,
+      Network network,
+      ShardLayout layout,
+      int hostsInDomain,
+      int upstreamsInDomain,
+      long startTimeMillis,
+      SchedulingOptions options) {
     now = startTimeMillis;
+    this.options = options;
     random = new SplittableRandom(seed);
     faultRandom = new SplittableRandom(seed ^ FAULT_SEED_MASK);
     this.network = network;
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LoadSimulation.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LoadSimulation.java
@@ -6,14 +6,17 @@
 import java.util.Deque;
 import java.util.EnumMap;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.function.ToIntFunction;
 import java.util.stream.IntStream;
 import org.burdockbay.core.dispatch.DomainLoad;
 import org.burdockbay.core.fleet.UpstreamAnnouncement;
@@ -22,6 +25,7 @@
 import org.burdockbay.core.intake.WorkIntake;
 import org.burdockbay.core.shard.ShardId;
 import org.burdockbay.core.shard.ShardLayout;
+import org.burdockbay.core.shard.ShardMap;
 import org.burdockbay.core.work.RunId;
 import org.burdockbay.core.work.TaskSize;
 import org.burdockbay.core.work.WorkOutcome;
@@ -44,6 +48,9 @@
   private static final long TARGET_MILLIS = 60;
   private static final double STRETCH = 1.6;
 
+  /** Value of a late answer to a caller, relative to a prompt one. */
+  private static final double LATE_VALUE = 0.2;
+
   /** Maximum relative error of a caller's estimate, in either direction. */
   private static final double MAX_ESTIMATE_ERROR = 0.4;
 
@@ -61,6 +68,12 @@
   private long now = 100_000;
   private long sequence;
   private int spills;
+
+  /** The submissions to other failure domains, by work and dispatcher. */
+  private final Set<String> crossings = new HashSet<>();
+
+  private final Set<String> silentDomains = new HashSet<>();
+  private boolean hidesHalfOfTotals;
   private double currentTraffic = 1;
   private final Deque<QueuedEvent> inbox = new ArrayDeque<>();
 
@@ -188,36 +201,85 @@
     }
   }
 
+  /** Lets all upstreams of a shard but every n-th one leave at once. */
+  void shrinkShard(ShardId shard, int n) {
+    ShardMap map = ShardMap.of(dispatcherByShard.keySet());
+    List<Upstream> owned =
+        upstreams.values().stream().filter(upstream -> upstream.isOwnedBy(shard, map)).toList();
+    for (int i = 0; i < owned.size(); i++) {
+      if (i % n != 0) {
+        owned.get(i).leave();
+      }
+    }
+  }
+
+  /** Removes the dispatcher of a shard, which entry hosts don't notice. */
+  void killDispatcher(ShardId shard) {
+    dispatchers.remove(dispatcherByShard.get(shard).host());
+  }
+
+  /** Stops the load reports of a domain's dispatchers. */
+  void stopReports(String domain) {
+    silentDomains.add(domain);
+  }
+
+  /** Lets every second dispatcher report no total, as earlier versions do. */
+  void hideHalfOfTotals() {
+    hidesHalfOfTotals = true;
+  }
+
   private void reportLoad(String host) {
     if (!dispatchers.containsKey(host)) {
       return;
     }
-    DomainLoad load = dispatchers.get(host).load();
-    schedule(
-        2,
-        () ->
-            intakes
-                .keySet()
-                .forEach(it -> notifyIntake(it, new IntakeEvent.LoadReported(host, load))));
+    DomainLoad load = visibleLoad(host);
+    if (silentDomains.stream().noneMatch(domain -> isInDomain(host, domain))) {
+      schedule(
+          2,
+          () ->
+              intakes
+                  .keySet()
+                  .forEach(it -> notifyIntake(it, new IntakeEvent.LoadReported(host, load))));
+    }
     schedule(HEARTBEAT_INTERVAL_MILLIS, () -> reportLoad(host));
   }
 
+  private DomainLoad visibleLoad(String host) {
+    DomainLoad load = dispatchers.get(host).load();
+    boolean hidden = hidesHalfOfTotals && List.copyOf(dispatchers.keySet()).indexOf(host) % 2 == 0;
+    return hidden ? new DomainLoad(load.freeSlots(), load.waitMillis()) : load;
+  }
+
+  /** Returns whether a dispatcher serves a shard of a domain. */
+  private static boolean isInDomain(String dispatcher, String domain) {
+    return dispatcher.startsWith(domain + '/');
+  }
+
+  private void recordCrossing(IntakeEffect.Submit submit) {
+    Job job = jobs.get(submit.request().id());
+    if (job != null && !isInDomain(submit.to().host(), job.domain)) {
+      crossings.add(submit.request().id() + '>' + submit.to().host());
+    }
+  }
+
   private void notifyIntake(String entry, IntakeEvent event) {
     for (IntakeEffect effect : intakes.get(entry).handle(event, now)) {
       switch (effect) {
-        case IntakeEffect.Submit submit ->
-            schedule(
-                1,
-                () ->
-                    enqueue(
-                        submit.to().host(),
-                        new LeaseEvent.Submitted(
-                            entry,
-                            submit.to().token(),
-                            submit.ticket(),
-                            submit.request(),
-                            submit.ageMillis(),
-                            submit.quietPeriodMillis())));
+        case IntakeEffect.Submit submit -> {
+          recordCrossing(submit);
+          schedule(
+              1,
+              () ->
+                  enqueue(
+                      submit.to().host(),
+                      new LeaseEvent.Submitted(
+                          entry,
+                          submit.to().token(),
+                          submit.ticket(),
+                          submit.request(),
+                          submit.ageMillis(),
+                          submit.quietPeriodMillis())));
+        }
         case IntakeEffect.Answer answer -> recordAnswer(answer.request().id(), answer.outcome());
         case IntakeEffect.LogEvent logged ->
             spills += logged.event().equals("work-spilled") ? 1 : 0;
@@ -274,6 +336,21 @@
     upstreams.values().stream().limit(count).forEach(upstream -> upstream.slowFactor = factor);
   }
 
+  /** Returns the number of submissions to other failure domains, relative to the jobs. */
+  double crossingShare() {
+    return (double) crossings.size() / totalOf(each -> each.jobs);
+  }
+
+  /** Returns the value of the answers to callers: a late answer counts a fifth of a prompt one. */
+  double value() {
+    return (totalOf(each -> each.inTime) + LATE_VALUE * totalOf(each -> each.late))
+        / totalOf(each -> each.jobs);
+  }
+
+  private int totalOf(ToIntFunction<JobStatistics> count) {
+    return statistics.values().stream().mapToInt(count).sum();
+  }
+
   /** Returns the share of jobs completed in time, as the mean over the kinds of jobs. */
   double inTimeShare() {
     double sum = 0;
@@ -304,6 +381,8 @@
         .append(inTimeShare())
         .append(" spills=")
         .append(spills)
+        .append(" crossing=")
+        .append(intakes.isEmpty() ? 0 : crossingShare())
         .toString();
   }
 
@@ -616,6 +695,10 @@
               id, 1, 1, "desk", id + ":1", domain, false, new TaskSize(cpu, 65_536, 0), Set.of());
     }
 
+    boolean isOwnedBy(ShardId shard, ShardMap map) {
+      return map.owner(announcement.id(), announcement.domain()).equals(Optional.of(shard));
+    }
+
     void announceLeaving() {
       announcement =
           new UpstreamAnnouncement(
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelEntryHost.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelEntryHost.java
@@ -96,8 +96,12 @@
     model.hosts.keySet().forEach(host -> membership.addHost(host, GROUP, clock()));
     membership.restore(savedEpoch);
     intake =
-        new WorkIntake(name, domain, SILENCE_TIMEOUT_MILLIS + LeaseTiming.DEFAULT.maxLeaseMillis());
-    dispatcher = new LeaseDispatcher(name, LeaseTiming.DEFAULT);
+        new WorkIntake(
+            name,
+            domain,
+            SILENCE_TIMEOUT_MILLIS + LeaseTiming.DEFAULT.maxLeaseMillis(),
+            model.options);
+    dispatcher = new LeaseDispatcher(name, LeaseTiming.DEFAULT, model.options);
     incarnations.clear();
     lastContacts.clear();
     evacuations = Evacuations.NONE;
