Count the log events of entry hosts

The log events of a dispatcher are counted as event.NAME, those of the intake weren't, so work-routed, work-spilled and work-moved had no counters.

--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/WorkHandler.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/WorkHandler.java
@@ -139,7 +139,10 @@
                 cancel.to().host(),
                 new PeerMessage.CancelWork(cancel.to().token(), cancel.workId()));
         case IntakeEffect.Answer answer -> answerCaller(answer);
-        case IntakeEffect.LogEvent logEvent -> log.info(logEvent.event(), logEvent.fields());
+        case IntakeEffect.LogEvent logEvent -> {
+          metrics.countEvent(logEvent.event());
+          log.info(logEvent.event(), logEvent.fields());
+        }
       }
     }
   }
