--- a/burdockbay-core/src/main/java/org/burdockbay/core/intake/WorkIntake.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/intake/WorkIntake.java
@@ -9,6 +9,8 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
+import org.burdockbay.core.routing.LayoutAwareRouter;
+import org.burdockbay.core.routing.WorkRouter;
 import org.burdockbay.core.scheduling.SchedulingOptions;
 import org.burdockbay.core.shard.ShardId;
 import org.burdockbay.core.work.WorkOutcome;
@@ -57,7 +59,7 @@
 
   private final String self;
   private final long maxOrphanedRunMillis;
-  private final ShardSelector shardSelector;
+  private final WorkRouter shardSelector;
   private final HeldWork heldWork;
   private final Map<Long, PendingWork> workByTicket = new LinkedHashMap<>();
   private final Map<String, PendingWork> workById = new LinkedHashMap<>();
@@ -91,7 +93,12 @@
       String self, String domain, long maxOrphanedRunMillis, SchedulingOptions options) {
     this.self = self;
     this.maxOrphanedRunMillis = maxOrphanedRunMillis;
-    this.shardSelector = new ShardSelector(domain);
+    this.shardSelector =
+        LayoutAwareRouter.create(
+            options,
+            domain,
+            new ShardSelector(domain),
+            fields -> effects.add(new IntakeEffect.LogEvent("work-routed", fields)));
     this.heldWork = new HeldWork(self, options);
   }
 
@@ -115,7 +122,7 @@
         shardSelector.updateEvacuations(changed.domains());
       }
       case IntakeEvent.LoadReported report -> {
-        shardSelector.updateLoad(report.host(), report.load());
+        shardSelector.updateLoad(report.host(), report.load(), now);
         heldWork.recordLoad(report.host(), now);
       }
       case IntakeEvent.DispatcherMessageReceived received -> {
@@ -228,10 +235,10 @@
    */
   private Optional<ShardId> selectNext(PendingWork work, PendingWork.Caller caller) {
     if (work.refusedBy.isEmpty()) {
-      return shardSelector.select(caller.request);
+      return shardSelector.select(caller.request, now);
     }
     return work.refusedBy.size() <= MAX_SPILLS
-        ? shardSelector.selectAlternative(caller.request, work.refusedBy)
+        ? shardSelector.selectAlternative(caller.request, work.refusedBy, now)
         : Optional.empty();
   }
 
@@ -251,7 +258,7 @@
     dispatchers.keySet().forEach(shard -> withoutDispatcherSince.putIfAbsent(shard, now));
     withoutDispatcherSince.keySet().removeAll(current.keySet());
     dispatchers = current;
-    shardSelector.updateDispatchers(current);
+    shardSelector.updateDispatchers(IntakeEvent.Dispatcher.hosts(current));
     heldWork.updateDispatchers(current, now);
     submitInOrder(this::needsResubmission);
   }
@@ -327,7 +334,7 @@
       return;
     }
     if (work.shard.isEmpty() || mayLeaveShard(work)) {
-      work.shard = shardSelector.select(caller.request).or(() -> work.shard);
+      work.shard = shardSelector.select(caller.request, now).or(() -> work.shard);
     }
     Optional<IntakeEvent.Dispatcher> target = dispatcherOf(work);
     if (heldWork.mustWait(work, target, now)) {
@@ -477,7 +484,11 @@
   private void answer(PendingWork work, PendingWork.Caller caller, WorkOutcome outcome) {
     removeCaller(work, caller.ticket);
     effects.add(
-        new IntakeEffect.Answer(caller.ticket, caller.request, now - caller.arrivedAt, outcome));
+        new IntakeEffect.Answer(
+            caller.ticket,
+            caller.request,
+            now - caller.arrivedAt,
+            shardSelector.withRetryInterval(caller.request, outcome, now)));
   }
 
   private void removeCaller(PendingWork work, long ticket) {
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseFuzzTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseFuzzTest.java
@@ -142,6 +142,31 @@
     }
   }
 
+  /**
+   * Guards against overlapping runs and against work that no shard serves, when entry hosts route
+   * by predicted completion in a divided fleet whose domains are evacuated at times.
+   */
+  @Test(dataProvider = "networks")
+  public void neverOverlapsRunsOfTaskWithPredictiveRouting(LeaseModel.Network network) {
+    SchedulingOptions options = SchedulingOptions.builder().predictiveRouting(true).build();
+    int runs = FuzzOptions.exampleCount(RUNS);
+    for (int run = 0; run < runs; run++) {
+      long seed = FuzzOptions.seed() + run;
+      try {
+        simulate(
+            seed,
+            network,
+            dividedLayout(seed),
+            options,
+            true,
+            true,
+            LeaseFuzzTest::changeEvacuations);
+      } catch (AssertionError e) {
+        throw new AssertionError("seed " + seed + ": " + e.getMessage(), e);
+      }
+    }
+  }
+
   private static void killAllHosts(LeaseModel model) {
     SplittableRandom random = model.faultRandom();
     if (random.nextInt(40) == 0) {
@@ -185,6 +210,7 @@
             seed,
             network,
             divided ? dividedLayout(seed) : ShardLayout.UNDIVIDED,
+            SchedulingOptions.NONE,
             true,
             orderedDelivery,
             model -> {});
@@ -231,7 +257,8 @@
 
   /** Replays a seed without broken connections, which the model didn't have when it failed. */
   private static void simulateOriginalFaults(long seed, LeaseModel.Network network) {
-    simulate(seed, network, ShardLayout.UNDIVIDED, false, false, model -> {});
+    simulate(
+        seed, network, ShardLayout.UNDIVIDED, SchedulingOptions.NONE, false, false, model -> {});
   }
 
   /** Returns a layout of one or two shards in each domain. */
@@ -245,24 +272,7 @@
       LeaseModel.Network network,
       ShardLayout layout,
       Consumer<LeaseModel> furtherFaults) {
-    simulate(seed, network, layout, true, true, furtherFaults);
-  }
-
-  private static void simulate(
-      long seed,
-      LeaseModel.Network network,
-      ShardLayout layout,
-      boolean breaksConnections,
-      boolean orderedDelivery,
-      Consumer<LeaseModel> furtherFaults) {
-    simulate(
-        seed,
-        network,
-        layout,
-        SchedulingOptions.NONE,
-        breaksConnections,
-        orderedDelivery,
-        furtherFaults);
+    simulate(seed, network, layout, SchedulingOptions.NONE, true, true, furtherFaults);
   }
 
   private static void simulate(
--- a/burdockbay-server/src/test/java/org/burdockbay/server/node/ConnectionSchedulerTest.java
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/node/ConnectionSchedulerTest.java
@@ -14,6 +14,7 @@
 import org.burdockbay.core.membership.Membership;
 import org.burdockbay.core.membership.MembershipOptions;
 import org.burdockbay.core.scheduling.SchedulingOptions;
+import org.burdockbay.core.shard.ShardAssignment;
 import org.burdockbay.core.shard.ShardId;
 import org.burdockbay.core.shard.ShardLayout;
 import org.burdockbay.server.logging.EventLog;
@@ -149,7 +150,8 @@
             List.of(),
             Optional.empty(),
             false,
-            options);
+            options,
+            ShardAssignment.UNKNOWN_WEIGHT);
     scheduler =
         new ConnectionScheduler(
             settings,
