Learn speeds of upstreams, and place tasks by them

Placement took them as equal, so tasks with little slack ran on slow upstreams and were late, and the backlog counted cores of any speed alike.

Change: UpstreamProfiles learns the speed of each upstream instance and the ratio of run times to estimates of each queue from finished runs. Upstreams that are too slow for a prompt answer come last in placement, and the backlog counts cores times speed. In force with the option upstreamProfiles in a divided fleet; otherwise nothing changes.

--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/Backlog.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/Backlog.java
@@ -1,6 +1,7 @@
 package org.burdockbay.core.lease;
 
 import java.util.List;
+import org.burdockbay.core.profile.UpstreamProfiles;
 
 /**
  * Sums up waiting tasks in the order of their placement and estimates how long the upstreams take
@@ -17,11 +18,12 @@
   private final double usableMillicores;
   private double waitingMillicoreMillis;
 
-  /** Creates an empty backlog for the given upstreams. */
-  Backlog(List<UpstreamLease> upstreams) {
-    long sum = 0;
+  /** Creates an empty backlog for the given upstreams, which count by their speeds. */
+  Backlog(List<UpstreamLease> upstreams, UpstreamProfiles profiles) {
+    double sum = 0;
     for (UpstreamLease upstream : upstreams) {
-      sum += upstream.announcement.capacity().cpuMillicores();
+      sum +=
+          upstream.announcement.capacity().cpuMillicores() * profiles.speed(upstream.announcement);
     }
     usableMillicores = sum * USABLE_CPU_SHARE;
   }
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/DispatchContext.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/DispatchContext.java
@@ -2,15 +2,17 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.burdockbay.core.profile.UpstreamProfiles;
 import org.burdockbay.core.scheduling.SchedulingOptions;
 
 /**
  * Holds the state that the parts of a dispatcher share while an event is handled: the time, the
- * fencing token and the effects.
+ * fencing token, the effects, and what is known about upstreams.
  */
 final class DispatchContext {
 
   private final SchedulingOptions options;
+  private final UpstreamProfiles profiles;
   private List<LeaseEffect> effects = new ArrayList<>();
   private long now;
   private long arrivedAt;
@@ -19,6 +21,7 @@
 
   DispatchContext(SchedulingOptions options) {
     this.options = options;
+    this.profiles = new UpstreamProfiles(options.upstreamProfiles());
   }
 
   /** Returns the scheduling options that are on. */
@@ -26,6 +29,11 @@
     return options;
   }
 
+  /** Returns what is known about the speeds of upstreams and the run times of tasks. */
+  UpstreamProfiles profiles() {
+    return profiles;
+  }
+
   /** Returns the time of handling, in milliseconds. */
   long now() {
     return now;
@@ -49,6 +57,7 @@
   void advanceTo(long time) {
     now = Math.max(now, time);
     arrivedAt = now;
+    profiles.advanceTo(now);
   }
 
   /** Sets the time at which the current event arrived, in milliseconds. */
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseDispatcher.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseDispatcher.java
@@ -110,7 +110,7 @@
   /** Returns the free capacity of the upstreams on which tasks may start now, and the backlog. */
   public DomainLoad load() {
     List<UpstreamLease> usableUpstreams = leases.usableUpstreams();
-    Backlog backlog = new Backlog(usableUpstreams);
+    Backlog backlog = new Backlog(usableUpstreams, context.profiles());
     works.unansweredWork().forEach(backlog::add);
     int freeCores =
         usableUpstreams.stream()
@@ -279,8 +279,8 @@
       return;
     }
     List<UpstreamLease> usableUpstreams = leases.usableUpstreams();
-    PlacementPolicy placement = new PlacementPolicy(usableUpstreams, context.now());
-    Backlog backlog = new Backlog(usableUpstreams);
+    PlacementPolicy placement = new PlacementPolicy(usableUpstreams, context);
+    Backlog backlog = new Backlog(usableUpstreams, context.profiles());
     boolean allAnswered = leases.allAnswered();
     for (WorkState work : admission.order(works.unansweredWork(), context.now())) {
       if (context.now() < work.quietPeriodEndsAt) {
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseTable.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseTable.java
@@ -117,6 +117,7 @@
     all.add(own);
     ownShard = own;
     shards = ShardMap.of(all);
+    context.profiles().setFleetDivided(!own.equals(ShardId.WHOLE_FLEET));
     upstreams.values().forEach(this::updateShardMembership);
   }
 
@@ -410,6 +411,7 @@
     run.upstream.recordSuccess();
     if (task != null) {
       task.work.recordRunTime(task.id.step(), context.now() - run.beganAt);
+      runs.recordFinished(run, task);
       works.finishTask(task);
     }
   }
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/PlacementPolicy.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/PlacementPolicy.java
@@ -3,6 +3,8 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.ToLongFunction;
+import org.burdockbay.core.profile.UpstreamProfiles;
 import org.burdockbay.core.work.TaskSize;
 import org.burdockbay.core.work.WorkStep;
 
@@ -11,11 +13,17 @@
  *
  * <p>Uses best fit by processor: two or three tasks fill an upstream, and choosing the upstream
  * with the smallest remainder keeps larger remainders free for larger tasks. Upstreams on the rack
- * of the data are preferred, since the task takes longer elsewhere.
+ * of the data are preferred, since the task takes longer elsewhere. Where the speeds of upstreams
+ * are known, those that are too slow for a prompt answer come last.
  */
 final class PlacementPolicy {
 
+  /** Added to the score of upstreams that come last. */
+  private static final long TOO_SLOW_SCORE = 1L << 52;
+
   private final List<UpstreamLease> candidates;
+  private final UpstreamProfiles profiles;
+  private final RunForecast forecast;
   private final long now;
 
   /**
@@ -28,11 +36,13 @@
    * Creates the policy for one round of placements.
    *
    * @param candidates the upstreams on which tasks may start now
-   * @param now the time in milliseconds
+   * @param context the time, and what is known about upstreams
    */
-  PlacementPolicy(List<UpstreamLease> candidates, long now) {
+  PlacementPolicy(List<UpstreamLease> candidates, DispatchContext context) {
     this.candidates = candidates;
-    this.now = now;
+    this.profiles = context.profiles();
+    this.forecast = new RunForecast(profiles);
+    this.now = context.now();
     updateMaxFreeCapacity();
   }
 
@@ -73,16 +83,34 @@
     if (!task.step.size().fitsInto(maxFreeCapacity)) {
       return Optional.empty();
     }
+    if (!profiles.isInForce()) {
+      return chooseBest(task, upstream -> score(upstream, task));
+    }
+    double upperTenthMillis = forecast.upperTenthMillis(task);
+    double minSpeed = upperTenthMillis / Math.max(1, forecast.promptAnswerDeadline(task) - now);
+    return chooseBest(
+        task,
+        upstream ->
+            score(upstream, task)
+                + (profiles.speed(upstream.announcement) < minSpeed ? TOO_SLOW_SCORE : 0));
+  }
+
+  /** Returns the upstream with the lowest score; among equals, the first of the fastest ones. */
+  private Optional<UpstreamLease> chooseBest(
+      TaskState task, ToLongFunction<UpstreamLease> scoreOf) {
     UpstreamLease best = null;
     long bestScore = Long.MAX_VALUE;
+    double bestSpeed = 0;
     for (UpstreamLease upstream : candidates) {
       if (!isEligible(upstream, task)) {
         continue;
       }
-      long score = score(upstream, task);
-      if (score < bestScore) {
+      long score = scoreOf.applyAsLong(upstream);
+      double speed = profiles.speed(upstream.announcement);
+      if (score < bestScore || (score == bestScore && speed > bestSpeed)) {
         best = upstream;
         bestScore = score;
+        bestSpeed = speed;
       }
     }
     return Optional.ofNullable(best);
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/RunTable.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/RunTable.java
@@ -36,6 +36,7 @@
   private final LeaseTiming timing;
   private final Map<TaskId, LeasedRun> openRuns = new HashMap<>();
   private final TakenOverRuns takenOverRuns = new TakenOverRuns();
+  private final RunForecast forecast;
 
   /** Moving average of the time until a start is answered, in milliseconds. */
   private double meanAnswerMillis;
@@ -46,6 +47,7 @@
   RunTable(DispatchContext context, LeaseTiming timing) {
     this.context = context;
     this.timing = timing;
+    this.forecast = new RunForecast(context.profiles());
   }
 
   /** Records how long a start took to be answered, in milliseconds. */
@@ -316,11 +318,17 @@
   void moveStragglers(StragglerRule rule, Supplier<List<UpstreamLease>> usableUpstreams) {
     List<LeasedRun> stragglers = rule.findStragglers(openRuns.values(), context.now());
     if (!stragglers.isEmpty()) {
-      PlacementPolicy placement = new PlacementPolicy(usableUpstreams.get(), context.now());
+      PlacementPolicy placement = new PlacementPolicy(usableUpstreams.get(), context);
       stragglers.forEach(run -> handleStraggler(run, rule, placement));
     }
   }
 
+  /** Records the run time of a finished run for the profiles. */
+  void recordFinished(LeasedRun run, TaskState task) {
+    long runMillis = context.arrivedAt() - run.beganAt;
+    forecast.recordFinished(run, task, runMillis);
+  }
+
   private void handleStraggler(LeasedRun run, StragglerRule rule, PlacementPolicy placement) {
     TaskState task = run.task;
     if (task == null) {
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/TaskState.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/TaskState.java
@@ -16,6 +16,12 @@
   /** How often the task was moved from an upstream on which it took too long. */
   int moves;
 
+  /**
+   * The run time of its finished run on an upstream of usual speed, in milliseconds; 0 if there is
+   * none or it isn't known.
+   */
+  double usualRunMillis;
+
   long lastRunNumber;
 
   /** The run that is under way; null if there is none. */
--- /dev/null
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/profile/UpstreamProfiles.java
@@ -0,0 +1,183 @@
+package org.burdockbay.core.profile;
+
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.burdockbay.core.fleet.UpstreamAnnouncement;
+
+/**
+ * Learns the speeds of upstreams, and how far the estimates of each queue are off, from the runs
+ * that have ended.
+ *
+ * <p>A speed or a ratio that is unknown is 1. A wrong one costs time, but no decision about the
+ * safety of a start depends on it. Not thread-safe.
+ */
+public final class UpstreamProfiles {
+
+  /** Time without a run after which the speed of an upstream is forgotten, in milliseconds. */
+  static final long SPEED_RETENTION_MILLIS = 60_000;
+
+  /** Lower bound of {@link #maxNormalRatio}. */
+  static final double MIN_SLOW_RATIO = 1.35;
+
+  /** Upper bound of {@link #maxNormalRatio}, and its value while too few runs are known. */
+  static final double MAX_SLOW_RATIO = 3;
+
+  private static final long PRUNE_INTERVAL_MILLIS = 5_000;
+  private static final int MAX_QUEUES = 64;
+
+  private final boolean enabled;
+  private boolean fleetDivided;
+  private final Map<String, SpeedProfile> speeds = new HashMap<>();
+  private final Map<String, QueueProfile> queues = new LinkedHashMap<>();
+  private long now;
+  private long pruneAt;
+
+  /**
+   * Creates empty profiles.
+   *
+   * @param enabled whether the scheduling option is on
+   */
+  public UpstreamProfiles(boolean enabled) {
+    this.enabled = enabled;
+  }
+
+  /** Sets whether the fleet is divided into shards; otherwise nothing is learned or used. */
+  public void setFleetDivided(boolean divided) {
+    fleetDivided = divided;
+  }
+
+  /** Returns whether profiles are learned and used. */
+  public boolean isInForce() {
+    return enabled && fleetDivided;
+  }
+
+  /** Advances the time, in milliseconds, and discards speeds that are out of date. */
+  public void advanceTo(long time) {
+    now = time;
+    if (now >= pruneAt) {
+      pruneAt = now + PRUNE_INTERVAL_MILLIS;
+      speeds.values().removeIf(this::isOutdated);
+    }
+  }
+
+  private boolean isOutdated(SpeedProfile profile) {
+    return now - profile.lastRunAt() > SPEED_RETENTION_MILLIS;
+  }
+
+  /**
+   * Records a run that has finished, or that was stopped because it took longer than that.
+   *
+   * @param estimateMillis the caller's estimate of the run time, in milliseconds
+   * @param runMillis the run time, in milliseconds
+   */
+  public void recordRun(
+      UpstreamAnnouncement upstream, String queue, long estimateMillis, long runMillis) {
+    if (!isInForce() || estimateMillis <= 0) {
+      return;
+    }
+    double runTime = Math.max(1, runMillis);
+    RecentRatios ratios = queue(queue).estimateRatios;
+    double expected = estimateMillis * ratios.quantiles(now).median();
+    ratios.record(runTime * speed(upstream) / estimateMillis, now);
+    profileOf(upstream).orElseGet(() -> addProfile(upstream)).record(expected / runTime, now);
+  }
+
+  /**
+   * Records how long a run took in relation to the normal time that followed from its siblings.
+   *
+   * @param ratio the run time divided by the normal time
+   */
+  public void recordNormalRatio(String queue, double ratio) {
+    if (isInForce()) {
+      queue(queue).normalRatios.record(ratio, now);
+    }
+  }
+
+  /** Returns the speed of an upstream; 1 is usual. */
+  public double speed(UpstreamAnnouncement upstream) {
+    if (!isInForce()) {
+      return 1;
+    }
+    return profileOf(upstream).map(SpeedProfile::speed).orElse(1.0);
+  }
+
+  /** Returns the profile of an instance. */
+  private Optional<SpeedProfile> profileOf(UpstreamAnnouncement upstream) {
+    SpeedProfile known = speeds.get(upstream.id());
+    if (known != null && known.startedAt == upstream.startedAt() && !isOutdated(known)) {
+      return Optional.of(known);
+    }
+    return Optional.empty();
+  }
+
+  private SpeedProfile addProfile(UpstreamAnnouncement upstream) {
+    SpeedProfile profile = new SpeedProfile(upstream.startedAt());
+    speeds.put(upstream.id(), profile);
+    return profile;
+  }
+
+  /** Returns the expected run time of a task on an upstream of usual speed, in milliseconds. */
+  public double expectedMillis(String queue, long estimateMillis) {
+    return estimateMillis * estimateQuantiles(queue).median();
+  }
+
+  /**
+   * Returns the run time that nine tenths of the tasks don't exceed on an upstream of usual speed,
+   * in milliseconds.
+   */
+  public double upperTenthMillis(String queue, long estimateMillis) {
+    return estimateMillis * estimateQuantiles(queue).upperTenth();
+  }
+
+  /**
+   * Returns the multiple of the expected run time above which a run is slow; applies where the run
+   * time is expected from the caller's estimate.
+   */
+  public double maxEstimateRatio(String queue) {
+    RecentRatios.Quantiles quantiles = estimateQuantiles(queue);
+    return clampSlowRatio(quantiles.upperTwentieth() / quantiles.median());
+  }
+
+  /**
+   * Returns the multiple of the normal run time above which a run is slow; applies where the normal
+   * time follows from finished siblings.
+   */
+  public double maxNormalRatio(String queue) {
+    return clampSlowRatio(queue(queue).normalRatios.quantiles(now).upperTwentieth());
+  }
+
+  private static double clampSlowRatio(double ratio) {
+    return Math.clamp(ratio, MIN_SLOW_RATIO, MAX_SLOW_RATIO);
+  }
+
+  private RecentRatios.Quantiles estimateQuantiles(String queue) {
+    return isInForce()
+        ? queue(queue).estimateRatios.quantiles(now)
+        : RecentRatios.Quantiles.UNKNOWN;
+  }
+
+  private QueueProfile queue(String queue) {
+    QueueProfile known = queues.get(queue);
+    if (known != null) {
+      return known;
+    }
+    if (queues.size() >= MAX_QUEUES) {
+      queues.remove(queues.keySet().iterator().next());
+    }
+    QueueProfile added = new QueueProfile();
+    queues.put(queue, added);
+    return added;
+  }
+
+  /** The run times of the tasks of a queue. */
+  private static final class QueueProfile {
+
+    /** Run times on an upstream of usual speed, divided by the callers' estimates. */
+    private final RecentRatios estimateRatios = new RecentRatios();
+
+    /** Run times divided by the normal times that followed from finished siblings. */
+    private final RecentRatios normalRatios = new RecentRatios();
+  }
+}
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LoadSimulation.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LoadSimulation.java
@@ -274,6 +274,15 @@
     upstreams.values().stream().limit(count).forEach(upstream -> upstream.slowFactor = factor);
   }
 
+  /** Returns the value of the answers: a late one counts a fifth of one in time. */
+  double valueShare() {
+    double sum = 0;
+    for (JobStatistics each : statistics.values()) {
+      sum += (each.inTime + 0.2 * each.late) / each.jobs;
+    }
+    return sum / statistics.size();
+  }
+
   /** Returns the share of jobs completed in time, as the mean over the kinds of jobs. */
   double inTimeShare() {
     double sum = 0;
