Report learned speeds to the hosts that may take over

Cause: a successor of a dispatcher learned all speeds anew.

Change: every 2 s a dispatcher sends UpstreamSpeeds to the hosts of its failure domain: the ids of upstreams with 4 runs, and one byte each. A successor uses speeds up to 30 s old, as 4 runs, for the same instance. SpeedGossip has the wiring. On the wire, upstream_speeds stands beside an empty upstream_news, since hosts of an earlier version close a connection on which a body of an unknown kind arrives.

--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseDispatcher.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseDispatcher.java
@@ -1,6 +1,7 @@
 package org.burdockbay.core.lease;
 
 import java.util.List;
+import java.util.Map;
 import java.util.OptionalLong;
 import org.burdockbay.core.dispatch.DomainLoad;
 import org.burdockbay.core.fleet.UpstreamAnnouncement;
@@ -121,6 +122,11 @@
     return new DomainLoad(freeCores, Math.round(backlog.waitMillis()));
   }
 
+  /** Returns the speeds of upstreams to report to other hosts, by id; empty without the role. */
+  public Map<String, Double> upstreamSpeeds() {
+    return context.isDispatching() ? context.profiles().speedsToReport() : Map.of();
+  }
+
   private void observeTime(long time) {
     long gap = time - context.now();
     if (context.isDispatching() && gap > PAUSE_THRESHOLD_MILLIS) {
@@ -146,6 +152,7 @@
         }
         placementNeeded = true;
       }
+      case LeaseEvent.SpeedsReported reported -> leases.speedsReported(reported.speeds());
       case LeaseEvent.ProcessPaused paused -> {
         if (context.isDispatching()) {
           releaseRoleAfterPause(paused.pausedMillis());
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseEvent.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseEvent.java
@@ -1,6 +1,7 @@
 package org.burdockbay.core.lease;
 
 import java.util.List;
+import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
 import org.burdockbay.core.fleet.UpstreamAnnouncement;
@@ -113,6 +114,19 @@
     }
   }
 
+  /**
+   * A dispatcher has reported the speeds of upstreams.
+   *
+   * @param speeds speeds by id of the upstream; 1 is usual
+   */
+  record SpeedsReported(Map<String, Double> speeds) implements LeaseEvent {
+
+    /** Copies the map. */
+    public SpeedsReported {
+      speeds = Map.copyOf(speeds);
+    }
+  }
+
   /** The machine was suspended, which its monotonic clock doesn't show. */
   record ProcessPaused(long pausedMillis) implements LeaseEvent {}
 
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseTable.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseTable.java
@@ -221,6 +221,17 @@
         announcement.labels());
   }
 
+  /** Records the speeds of known upstreams for a takeover; they apply to the present instances. */
+  void speedsReported(Map<String, Double> speeds) {
+    speeds.forEach(
+        (id, speed) -> {
+          UpstreamLease upstream = upstreams.get(id);
+          if (upstream != null) {
+            context.profiles().recordReport(upstream.announcement, speed);
+          }
+        });
+  }
+
   void startAnswered(LeaseEvent.StartAnswered answered) {
     UpstreamLease upstream = findInstance(answered.upstream());
     if (upstream == null) {
--- a/burdockbay-core/src/main/java/org/burdockbay/core/message/PeerMessage.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/message/PeerMessage.java
@@ -1,6 +1,7 @@
 package org.burdockbay.core.message;
 
 import java.util.List;
+import java.util.Map;
 import java.util.OptionalLong;
 import org.burdockbay.core.agreement.GroupId;
 import org.burdockbay.core.agreement.RaftMessage;
@@ -129,6 +130,20 @@
     public record Announced(UpstreamAnnouncement announcement, long ageMillis) {}
   }
 
+  /**
+   * Reports the speeds of upstreams that a dispatcher has learned, to the hosts that may take over
+   * its shard.
+   *
+   * @param speeds speeds by id of the upstream; 1 is usual
+   */
+  record UpstreamSpeeds(Map<String, Double> speeds) implements PeerMessage {
+
+    /** Copies the map to make the message immutable. */
+    public UpstreamSpeeds {
+      speeds = Map.copyOf(speeds);
+    }
+  }
+
   /** Lists the hosts known to the sender, which itself comes first. */
   record KnownHosts(List<HostDescriptor> hosts) implements PeerMessage {
 
--- a/burdockbay-core/src/main/java/org/burdockbay/core/profile/UpstreamProfiles.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/profile/UpstreamProfiles.java
@@ -24,12 +24,18 @@
   /** Upper bound of {@link #maxNormalRatio}, and its value while too few runs are known. */
   static final double MAX_SLOW_RATIO = 3;
 
+  /**
+   * Time for which speeds that another dispatcher has reported may be taken over, in milliseconds.
+   */
+  static final long REPORT_RETENTION_MILLIS = 30_000;
+
   private static final long PRUNE_INTERVAL_MILLIS = 5_000;
   private static final int MAX_QUEUES = 64;
 
   private final boolean enabled;
   private boolean fleetDivided;
   private final Map<String, SpeedProfile> speeds = new HashMap<>();
+  private final Map<String, ReportedSpeed> reportedSpeeds = new HashMap<>();
   private final Map<String, QueueProfile> queues = new LinkedHashMap<>();
   private long now;
   private long pruneAt;
@@ -59,6 +65,7 @@
     if (now >= pruneAt) {
       pruneAt = now + PRUNE_INTERVAL_MILLIS;
       speeds.values().removeIf(this::isOutdated);
+      reportedSpeeds.values().removeIf(this::isOutdated);
     }
   }
 
@@ -66,6 +73,10 @@
     return now - profile.lastRunAt() > SPEED_RETENTION_MILLIS;
   }
 
+  private boolean isOutdated(ReportedSpeed reported) {
+    return now - reported.receivedAt > REPORT_RETENTION_MILLIS;
+  }
+
   /**
    * Records a run that has finished, or that was stopped because it took longer than that.
    *
@@ -103,13 +114,21 @@
     return profileOf(upstream).map(SpeedProfile::speed).orElse(1.0);
   }
 
-  /** Returns the profile of an instance. */
+  /** Returns the profile of an instance, which begins with its reported speed if there is one. */
   private Optional<SpeedProfile> profileOf(UpstreamAnnouncement upstream) {
     SpeedProfile known = speeds.get(upstream.id());
     if (known != null && known.startedAt == upstream.startedAt() && !isOutdated(known)) {
       return Optional.of(known);
     }
-    return Optional.empty();
+    ReportedSpeed reported = reportedSpeeds.remove(upstream.id());
+    if (reported == null || reported.startedAt != upstream.startedAt() || isOutdated(reported)) {
+      return Optional.empty();
+    }
+    SpeedProfile profile = addProfile(upstream);
+    for (int run = 0; run < SpeedProfile.MIN_REPORTED_RUNS; run++) {
+      profile.record(reported.speed, reported.receivedAt);
+    }
+    return Optional.of(profile);
   }
 
   private SpeedProfile addProfile(UpstreamAnnouncement upstream) {
@@ -118,6 +137,30 @@
     return profile;
   }
 
+  /**
+   * Records a speed that another dispatcher has learned. It is used after a takeover, and counts as
+   * few runs.
+   */
+  public void recordReport(UpstreamAnnouncement upstream, double speed) {
+    if (enabled) {
+      reportedSpeeds.put(upstream.id(), new ReportedSpeed(upstream.startedAt(), speed, now));
+    }
+  }
+
+  /** Returns the speeds to report to other hosts, by id of the upstream. */
+  public Map<String, Double> speedsToReport() {
+    Map<String, Double> report = new HashMap<>();
+    if (isInForce()) {
+      speeds.forEach(
+          (id, profile) -> {
+            if (profile.runs() >= SpeedProfile.MIN_REPORTED_RUNS && !isOutdated(profile)) {
+              report.put(id, profile.speed());
+            }
+          });
+    }
+    return report;
+  }
+
   /** Returns the expected run time of a task on an upstream of usual speed, in milliseconds. */
   public double expectedMillis(String queue, long estimateMillis) {
     return estimateMillis * estimateQuantiles(queue).median();
@@ -171,6 +214,9 @@
     return added;
   }
 
+  /** The speed of an instance of an upstream, as reported by a dispatcher. */
+  private record ReportedSpeed(long startedAt, double speed, long receivedAt) {}
+
   /** The run times of the tasks of a queue. */
   private static final class QueueProfile {
 
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LoadSimulation.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LoadSimulation.java
@@ -152,17 +152,18 @@
 
   /**
    * Replaces the dispatcher of a shard by one that knows the upstreams, but none of the work and
-   * none of the runs.
+   * none of the runs. It has received the speeds that its predecessor reported.
    */
   void replaceDispatcher(ShardId shard) {
     IntakeEvent.Dispatcher before = dispatcherByShard.get(shard);
-    dispatchers.remove(before.host());
+    Map<String, Double> speeds = dispatchers.remove(before.host()).upstreamSpeeds();
     String host = shard + "-" + (before.token() + 1);
     addDispatcher(shard, host, before.token() + 1, Set.copyOf(dispatcherByShard.keySet()));
     upstreams.values().stream()
         .filter(upstream -> !upstream.gone)
         .forEach(
             upstream -> notifyDispatcher(host, new LeaseEvent.Announced(upstream.announcement)));
+    notifyDispatcher(host, new LeaseEvent.SpeedsReported(speeds));
     notifyDispatcher(host, new LeaseEvent.RoleGained(before.token() + 1));
     intakes
         .keySet()
--- a/burdockbay-core/src/test/java/org/burdockbay/core/profile/UpstreamProfilesTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/profile/UpstreamProfilesTest.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
 import org.burdockbay.core.fleet.UpstreamAnnouncement;
@@ -157,12 +158,40 @@
     assertEquals(profiles.maxNormalRatio(QUEUE), UpstreamProfiles.MIN_SLOW_RATIO);
   }
 
+  /**
+   * Guards against a successor that learns all speeds anew: those that its predecessor reported up
+   * to 30 s ago count as 4 runs.
+   */
+  @Test
+  public void takesOverReportedSpeeds() {
+    UpstreamAnnouncement upstream = upstream("u", 1);
+    recordRuns(upstream, 40, 500);
+    recordRuns(upstream("v", 1), 3, 500);
+    Map<String, Double> report = profiles.speedsToReport();
+    assertEquals(report.keySet(), Set.of("u"), "only upstreams with 4 runs are reported");
+    UpstreamProfiles successor = newProfiles();
+    successor.recordReport(upstream, report.get("u"));
+    assertEquals(successor.speed(upstream), (4 * report.get("u") + 4) / 8, 1e-9);
+    assertEquals(successor.speed(upstream("u", 2)), 1.0, "another instance");
+  }
+
+  /** Guards against speeds of a report that is over 30 s old. */
+  @Test
+  public void ignoresOldReports() {
+    UpstreamAnnouncement upstream = upstream("u", 1);
+    profiles.recordReport(upstream, 2);
+    now += UpstreamProfiles.REPORT_RETENTION_MILLIS + 1;
+    profiles.advanceTo(now);
+    assertEquals(profiles.speed(upstream), 1.0);
+  }
+
   /** Guards against any effect in a fleet that isn't divided, or with the option off. */
   @Test
   public void learnsNothingUnlessInForce() {
     profiles.setFleetDivided(false);
     recordRuns(upstream("u", 1), 15, 500);
     assertEquals(profiles.speed(upstream("u", 1)), 1.0);
+    assertTrue(profiles.speedsToReport().isEmpty());
     UpstreamProfiles off = new UpstreamProfiles(false);
     off.setFleetDivided(true);
     off.recordRun(upstream("u", 1), QUEUE, 1_000, 500);
--- a/burdockbay-server/src/main/java/org/burdockbay/server/host/HostController.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/host/HostController.java
@@ -318,6 +318,7 @@
       case PeerMessage.CancelWork cancel -> logIgnored(host, message);
       case PeerMessage.ReportWork report -> logIgnored(host, message);
       case PeerMessage.UpstreamNews news -> logIgnored(host, message);
+      case PeerMessage.UpstreamSpeeds speeds -> logIgnored(host, message);
       case PeerMessage.KnownHosts known -> logIgnored(host, message);
       case PeerMessage.FetchCatalogPart fetch -> logIgnored(host, message);
       case PeerMessage.SendCatalogPart send -> logIgnored(host, message);
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
@@ -99,6 +99,7 @@
   private final PeerSyncTracker peerSync;
   private final UpstreamGossip upstreamGossip;
   private final WorkHandler workHandler;
+  private final SpeedGossip speedGossip;
   private final ProposalClient proposals;
   private final VoterKeeper voters;
   private final EpochKeeper epochs;
@@ -174,6 +175,9 @@
             this::claimSuperseded,
             this::resetMembership);
     this.upstreamGossip = new UpstreamGossip(workHandler::handleLeaseEvent, this::broadcast);
+    this.speedGossip =
+        new SpeedGossip(
+            directory, this::send, workHandler::upstreamSpeeds, workHandler::handleLeaseEvent);
     Optional<AgreementStorage> storage = openStorage();
     this.storageIncarnation = storage.map(AgreementStorage::incarnation).orElse(0L);
     this.agreement = storage.map(this::createDriver);
@@ -470,6 +474,7 @@
       case PeerMessage.KnownHosts known ->
           known.hosts().forEach(descriptor -> addDiscoveredHost(host, descriptor, now));
       case PeerMessage.UpstreamNews news -> upstreamGossip.handleNews(news, now);
+      case PeerMessage.UpstreamSpeeds speeds -> speedGossip.handleReport(speeds);
       case PeerMessage.ReportWork report ->
           workHandler.handleIntakeEvent(
               new IntakeEvent.OutcomeReported(host, report.workId(), report.outcome()));
@@ -703,6 +708,7 @@
     }
     workHandler.tick();
     upstreamGossip.tick(now);
+    speedGossip.tick(now);
     proposals.tick();
     if (heartbeatSchedule.isDue(now)) {
       sendHeartbeats();
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/WorkHandler.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/WorkHandler.java
@@ -105,6 +105,11 @@
     return dispatcher.load();
   }
 
+  /** Returns the speeds of upstreams that this host has learned as a dispatcher, by id. */
+  Map<String, Double> upstreamSpeeds() {
+    return dispatcher.upstreamSpeeds();
+  }
+
   /**
    * Applies evacuations to the intake and the dispatcher.
    *
--- a/burdockbay-wire/src/main/java/org/burdockbay/wire/FleetCodec.java
+++ b/burdockbay-wire/src/main/java/org/burdockbay/wire/FleetCodec.java
@@ -1,9 +1,13 @@
 package org.burdockbay.wire;
 
+import com.google.protobuf.ByteString;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Set;
 import org.burdockbay.core.fleet.UpstreamAnnouncement;
 import org.burdockbay.core.membership.HostDescriptor;
 import org.burdockbay.core.message.PeerMessage;
+import org.burdockbay.core.profile.SpeedCode;
 import org.burdockbay.wire.proto.Wire;
 
 /** Encodes and decodes announcements of upstreams and descriptors of hosts. */
@@ -21,6 +25,33 @@
     return builder.build();
   }
 
+  static Wire.UpstreamSpeeds encode(PeerMessage.UpstreamSpeeds message) {
+    Wire.UpstreamSpeeds.Builder builder = Wire.UpstreamSpeeds.newBuilder();
+    ByteString.Output codes = ByteString.newOutput(message.speeds().size());
+    message
+        .speeds()
+        .forEach(
+            (upstream, speed) -> {
+              builder.addUpstreams(upstream);
+              codes.write(SpeedCode.encode(speed));
+            });
+    return builder.setSpeeds(codes.toByteString()).build();
+  }
+
+  static PeerMessage.UpstreamSpeeds decode(Wire.UpstreamSpeeds message) throws WireException {
+    int count = message.getUpstreamsCount();
+    if (message.getSpeeds().size() != count) {
+      throw new WireException(
+          "speeds of " + message.getSpeeds().size() + " upstreams; expected " + count);
+    }
+    Map<String, Double> speeds = new HashMap<>();
+    for (int i = 0; i < count; i++) {
+      int code = Byte.toUnsignedInt(message.getSpeeds().byteAt(i));
+      speeds.put(message.getUpstreams(i), SpeedCode.decode(code));
+    }
+    return new PeerMessage.UpstreamSpeeds(speeds);
+  }
+
   static Wire.HostCards encode(PeerMessage.KnownHosts known) {
     Wire.HostCards.Builder builder = Wire.HostCards.newBuilder();
     for (HostDescriptor descriptor : known.hosts()) {
--- a/burdockbay-wire/src/main/java/org/burdockbay/wire/PeerCodec.java
+++ b/burdockbay-wire/src/main/java/org/burdockbay/wire/PeerCodec.java
@@ -69,6 +69,10 @@
       case PeerMessage.CancelWork cancel -> envelope.setCancelWork(WorkCodec.encode(cancel));
       case PeerMessage.ReportWork report -> envelope.setReportWork(WorkCodec.encode(report));
       case PeerMessage.UpstreamNews news -> envelope.setUpstreamNews(FleetCodec.encode(news));
+      case PeerMessage.UpstreamSpeeds speeds ->
+          envelope
+              .setUpstreamNews(Wire.UpstreamNews.getDefaultInstance())
+              .setUpstreamSpeeds(FleetCodec.encode(speeds));
       case PeerMessage.KnownHosts known -> envelope.setHostCards(FleetCodec.encode(known));
     }
     return envelope.build();
@@ -147,7 +151,10 @@
       case SUBMIT_WORK -> WorkCodec.decode(envelope.getSubmitWork());
       case CANCEL_WORK -> WorkCodec.decode(envelope.getCancelWork());
       case REPORT_WORK -> WorkCodec.decode(envelope.getReportWork());
-      case UPSTREAM_NEWS -> FleetCodec.decode(envelope.getUpstreamNews());
+      case UPSTREAM_NEWS ->
+          envelope.hasUpstreamSpeeds()
+              ? FleetCodec.decode(envelope.getUpstreamSpeeds())
+              : FleetCodec.decode(envelope.getUpstreamNews());
       case HOST_CARDS -> FleetCodec.decode(envelope.getHostCards());
       case HELLO, PROOF, PING, PONG, BODY_NOT_SET ->
           throw new WireException("peer message of an unknown kind: " + envelope.getBodyCase());
