--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseDispatcher.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseDispatcher.java
@@ -1,6 +1,7 @@
 package org.burdockbay.core.lease;
 
 import java.util.List;
+import java.util.Map;
 import java.util.OptionalLong;
 import org.burdockbay.core.dispatch.DomainLoad;
 import org.burdockbay.core.fleet.UpstreamAnnouncement;
@@ -110,7 +111,7 @@
   /** Returns the free capacity of the upstreams on which tasks may start now, and the backlog. */
   public DomainLoad load() {
     List<UpstreamLease> usableUpstreams = leases.usableUpstreams();
-    Backlog backlog = new Backlog(usableUpstreams);
+    Backlog backlog = new Backlog(usableUpstreams, context.profiles());
     works.unansweredWork().forEach(backlog::add);
     int freeCores =
         usableUpstreams.stream()
@@ -126,6 +127,11 @@
     return new DomainLoad(freeCores, Math.round(backlog.waitMillis()), totalCores);
   }
 
+  /** Returns the speeds of upstreams to report to other hosts, by id; empty without the role. */
+  public Map<String, Double> upstreamSpeeds() {
+    return context.isDispatching() ? context.profiles().speedsToReport() : Map.of();
+  }
+
   private void observeTime(long time) {
     long gap = time - context.now();
     if (context.isDispatching() && gap > PAUSE_THRESHOLD_MILLIS) {
@@ -151,6 +157,7 @@
         }
         placementNeeded = true;
       }
+      case LeaseEvent.SpeedsReported reported -> leases.speedsReported(reported.speeds());
       case LeaseEvent.ProcessPaused paused -> {
         if (context.isDispatching()) {
           releaseRoleAfterPause(paused.pausedMillis());
@@ -284,8 +291,8 @@
       return;
     }
     List<UpstreamLease> usableUpstreams = leases.usableUpstreams();
-    PlacementPolicy placement = new PlacementPolicy(usableUpstreams, context.now());
-    Backlog backlog = new Backlog(usableUpstreams);
+    PlacementPolicy placement = new PlacementPolicy(usableUpstreams, context);
+    Backlog backlog = new Backlog(usableUpstreams, context.profiles());
     boolean mayRefuse = leases.mayRefuseForCapacity();
     for (WorkState work : admission.order(works.unansweredWork(), context.now())) {
       if (context.now() < work.quietPeriodEndsAt) {
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseTable.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseTable.java
@@ -125,6 +125,7 @@
     all.add(own);
     ownShard = own;
     shards = ShardMap.of(all);
+    context.profiles().setFleetDivided(!own.equals(ShardId.WHOLE_FLEET));
     upstreams.values().forEach(this::updateShardMembership);
   }
 
@@ -228,6 +229,17 @@
         announcement.labels());
   }
 
+  /** Records the speeds of known upstreams for a takeover; they apply to the present instances. */
+  void speedsReported(Map<String, Double> speeds) {
+    speeds.forEach(
+        (id, speed) -> {
+          UpstreamLease upstream = upstreams.get(id);
+          if (upstream != null) {
+            context.profiles().recordReport(upstream.announcement, speed);
+          }
+        });
+  }
+
   void startAnswered(LeaseEvent.StartAnswered answered) {
     UpstreamLease upstream = findInstance(answered.upstream());
     if (upstream == null) {
@@ -418,6 +430,7 @@
     run.upstream.recordSuccess();
     if (task != null) {
       task.work.recordRunTime(task.id.step(), context.now() - run.beganAt);
+      runs.recordFinished(run, task);
       works.finishTask(task);
     }
   }
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseModel.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseModel.java
@@ -93,6 +93,12 @@
   /** Processor time of a host for one event, in microseconds; 0 for an unlimited processor. */
   long eventMicros;
 
+  /** Factor on the estimated run time, up to which an answer counts as prompt. */
+  double stretch = 1.6;
+
+  /** Number of runs that were moved because they were slower than usual. */
+  int earlyMoves;
+
   /** Whether failure domains are evacuated during the simulation. */
   boolean evacuates;
 
@@ -116,7 +122,18 @@
 
   LeaseModel(
       long seed, Network network, ShardLayout layout, int hostsInDomain, int upstreamsInDomain) {
-    this(seed, network, layout, hostsInDomain, upstreamsInDomain, START_TIME_MILLIS);
+    this(seed, network, layout, hostsInDomain, upstreamsInDomain, SchedulingOptions.NONE);
+  }
+
+  /** Creates a model of hosts with scheduling options that are on. */
+  LeaseModel(
+      long seed,
+      Network network,
+      ShardLayout layout,
+      int hostsInDomain,
+      int upstreamsInDomain,
+      SchedulingOptions options) {
+    this(seed, network, layout, hostsInDomain, upstreamsInDomain, START_TIME_MILLIS, options);
   }
 
   /**
@@ -362,7 +379,7 @@
             List.of(step),
             0,
             3,
-            1.6,
+            stretch,
             60,
             CALLER_TIMEOUT_MILLIS);
     submitAt(anyHost(), request);
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LoadSimulation.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LoadSimulation.java
@@ -88,6 +88,10 @@
 
   private long busyUntilMicros;
   private int roleChanges;
+  private final Set<String> slowRuns = new HashSet<>();
+  private int startedRuns;
+  private int movedSlowRuns;
+  private int movedUsualRuns;
 
   LoadSimulation(long seed) {
     this(seed, LoadScenario.smallFleet());
@@ -166,17 +170,18 @@
 
   /**
    * Replaces the dispatcher of a shard by one that knows the upstreams, but none of the work and
-   * none of the runs.
+   * none of the runs. It has received the speeds that its predecessor reported.
    */
   void replaceDispatcher(ShardId shard) {
     IntakeEvent.Dispatcher before = dispatcherByShard.get(shard);
-    dispatchers.remove(before.host());
+    Map<String, Double> speeds = dispatchers.remove(before.host()).upstreamSpeeds();
     String host = shard + "-" + (before.token() + 1);
     addDispatcher(shard, host, before.token() + 1, Set.copyOf(dispatcherByShard.keySet()));
     upstreams.values().stream()
         .filter(upstream -> !upstream.gone)
         .forEach(
             upstream -> notifyDispatcher(host, new LeaseEvent.Announced(upstream.announcement)));
+    notifyDispatcher(host, new LeaseEvent.SpeedsReported(speeds));
     notifyDispatcher(host, new LeaseEvent.RoleGained(before.token() + 1));
     intakes
         .keySet()
@@ -408,6 +413,16 @@
     return roleChanges;
   }
 
+  /** Returns the share of the runs that were drawn as slow and were moved early. */
+  double movedShareOfSlowRuns() {
+    return slowRuns.isEmpty() ? 0 : (double) movedSlowRuns / slowRuns.size();
+  }
+
+  /** Returns the share of all other runs that were moved early. */
+  double movedShareOfUsualRuns() {
+    return (double) movedUsualRuns / (startedRuns - slowRuns.size());
+  }
+
   /** Returns the number of jobs completed in time. */
   int jobsInTime() {
     return statistics.values().stream().mapToInt(each -> each.inTime).sum();
@@ -442,6 +457,15 @@
     return statistics.values().stream().mapToInt(count).sum();
   }
 
+  /** Returns the value of the answers: a late one counts a fifth of one in time. */
+  double valueShare() {
+    double sum = 0;
+    for (JobStatistics each : statistics.values()) {
+      sum += (each.inTime + 0.2 * each.late) / each.jobs;
+    }
+    return sum / statistics.size();
+  }
+
   /** Returns the share of jobs completed in time, as the mean over the kinds of jobs. */
   double inTimeShare() {
     double sum = 0;
@@ -648,9 +672,18 @@
         case LeaseEffect.Report report -> forwardReport(host, report);
         case LeaseEffect.RoleReleased released -> roleChanges++;
         case LeaseEffect.Superseded superseded -> roleChanges++;
-        case LeaseEffect.LogEvent logged -> {
-          // The log isn't evaluated.
-        }
+        case LeaseEffect.LogEvent logged -> recordEarlyMove(logged);
+      }
+    }
+  }
+
+  private void recordEarlyMove(LeaseEffect.LogEvent logged) {
+    if (logged.event().equals("run-moved-early")) {
+      String run = logged.fields().substring("run=".length(), logged.fields().indexOf(' '));
+      if (slowRuns.contains(run)) {
+        movedSlowRuns++;
+      } else {
+        movedUsualRuns++;
       }
     }
   }
@@ -832,7 +865,9 @@
           job == null
               ? 1
               : Math.max(
-                  1, Math.round(job.runMillis * randomFactor(0.15) * runFactor() * slowFactor));
+                  1,
+                  Math.round(
+                      job.runMillis * randomFactor(0.15) * runFactor(start.run()) * slowFactor));
       schedule(millis, () -> end(start.run(), RunEnd.Cause.DONE));
       enqueue(
           host,
@@ -841,8 +876,12 @@
     }
 
     /** Returns the factor on the run time by this upstream's speed and the run's own luck. */
-    private double runFactor() {
+    private double runFactor(RunId run) {
+      startedRuns++;
       boolean slow = scenario.slowTaskShare() > 0 && random.nextDouble() < scenario.slowTaskShare();
+      if (slow) {
+        slowRuns.add(run.toString());
+      }
       return (slow ? scenario.slowTaskFactor() : 1) / speed;
     }
 
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelEntryHost.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelEntryHost.java
@@ -624,8 +624,10 @@
                             superseded.token(), superseded.acceptedBefore(), clock())));
         case LeaseEffect.RoleReleased released ->
             deliver(0, () -> applyMembershipEffects(membership.reset(clock())));
-        case LeaseEffect.LogEvent logged ->
-            model.trace(name, logged.event() + " " + logged.fields());
+        case LeaseEffect.LogEvent logged -> {
+          model.earlyMoves += logged.event().equals("run-moved-early") ? 1 : 0;
+          model.trace(name, logged.event() + " " + logged.fields());
+        }
       }
     }
   }
