--- a/burdockbay-core/src/main/java/org/burdockbay/core/routing/ShardRouter.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/routing/ShardRouter.java
@@ -194,14 +194,15 @@
       WorkRequest request, Demand demand, Candidate selected, List<Candidate> rated, long now) {
     if (!isInOwnDomain(selected.shard) || rated.stream().allMatch(it -> it.hasWait(now))) {
       decisionLog.accept(
-          "work=%s to=%s cost=%.0f cores=%d estimate=%d candidates=%s"
-              .formatted(
-                  request.id(),
-                  selected.shard,
-                  selected.cost,
-                  demand.cores(),
-                  demand.estimateMillis(),
-                  rated.stream().map(it -> it.describe(now)).collect(Collectors.joining(","))));
+          String.format(
+              Locale.ROOT,
+              "work=%s to=%s cost=%.0f cores=%d estimate=%d candidates=%s",
+              request.id(),
+              selected.shard,
+              selected.cost,
+              demand.cores(),
+              demand.estimateMillis(),
+              rated.stream().map(it -> it.describe(now)).collect(Collectors.joining(","))));
     }
   }
 
