Pass a queue's share and the origin of work to the dispatcher

A dispatcher knows neither whose work it has nor what weight its queue has, so it can't share scarce capacity among callers.

A route of the configuration may have the field `share`, a number over 0 (default 1). It travels with the work as `SubmitWork.share` (15; 0, as older hosts send, means 1), and the entry host's failure domain as `SubmitWork.origin` (16; empty if not stated). Nothing uses them yet.

--- a/burdockbay-core/src/main/java/org/burdockbay/core/catalog/QueueRule.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/catalog/QueueRule.java
@@ -13,6 +13,7 @@
  * @param targetMillis time added to that product, in milliseconds
  * @param timeoutMillis time after which a request times out, in milliseconds
  * @param restricted whether an external service decides which upstreams may run a step
+ * @param share weight among the queues that compete for scarce capacity; over 0
  */
 public record QueueRule(
     String name,
@@ -24,4 +25,35 @@
     double stretch,
     long targetMillis,
     long timeoutMillis,
-    boolean restricted) {}
+    boolean restricted,
+    double share) {
+
+  /** The share of a queue that states none. */
+  public static final double DEFAULT_SHARE = 1;
+
+  /** Creates a queue with the default share. */
+  public QueueRule(
+      String name,
+      String hostName,
+      String pathPrefix,
+      String service,
+      int priority,
+      int maxAttempts,
+      double stretch,
+      long targetMillis,
+      long timeoutMillis,
+      boolean restricted) {
+    this(
+        name,
+        hostName,
+        pathPrefix,
+        service,
+        priority,
+        maxAttempts,
+        stretch,
+        targetMillis,
+        timeoutMillis,
+        restricted,
+        DEFAULT_SHARE);
+  }
+}
--- a/burdockbay-core/src/main/java/org/burdockbay/core/intake/IntakeEffect.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/intake/IntakeEffect.java
@@ -12,13 +12,15 @@
    * @param ageMillis the time since the caller's request arrived, in milliseconds
    * @param quietPeriodMillis the time during which the dispatcher must start no run of the work,
    *     because runs of an earlier dispatcher may continue, in milliseconds
+   * @param origin the failure domain of this host
    */
   record Submit(
       IntakeEvent.Dispatcher to,
       long ticket,
       WorkRequest request,
       long ageMillis,
-      long quietPeriodMillis)
+      long quietPeriodMillis,
+      String origin)
       implements IntakeEffect {}
 
   /**
--- a/burdockbay-core/src/main/java/org/burdockbay/core/intake/WorkIntake.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/intake/WorkIntake.java
@@ -58,6 +58,7 @@
   private static final long INBOUND_SILENCE_TIMEOUT_MILLIS = 450;
 
   private final String self;
+  private final String domain;
   private final long maxOrphanedRunMillis;
   private final ShardSelector shardSelector;
   private final Map<Long, PendingWork> workByTicket = new LinkedHashMap<>();
@@ -91,6 +92,7 @@
   public WorkIntake(
       String self, String domain, long maxOrphanedRunMillis, SchedulingOptions options) {
     this.self = self;
+    this.domain = domain;
     this.maxOrphanedRunMillis = maxOrphanedRunMillis;
     this.shardSelector = new ShardSelector(domain);
   }
@@ -334,7 +336,8 @@
             caller.ticket,
             caller.request,
             now - caller.arrivedAt,
-            Math.max(0, work.quietPeriodEndsAt - now)));
+            Math.max(0, work.quietPeriodEndsAt - now),
+            domain));
   }
 
   private void moveTo(PendingWork work, PendingWork.Caller caller, IntakeEvent.Dispatcher target) {
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseEvent.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseEvent.java
@@ -51,6 +51,7 @@
    * @param ticket the entry host's number for the request; the same in each repetition
    * @param ageMillis time since the caller's request arrived
    * @param quietPeriodMillis how long no task may start, as runs of an earlier dispatcher may go on
+   * @param origin the failure domain of the entry host; empty if not known
    */
   record Submitted(
       String entryHost,
@@ -58,8 +59,21 @@
       long ticket,
       WorkRequest request,
       long ageMillis,
-      long quietPeriodMillis)
-      implements LeaseEvent {}
+      long quietPeriodMillis,
+      String origin)
+      implements LeaseEvent {
+
+    /** Creates the submission of an entry host whose failure domain isn't known. */
+    public Submitted(
+        String entryHost,
+        long token,
+        long ticket,
+        WorkRequest request,
+        long ageMillis,
+        long quietPeriodMillis) {
+      this(entryHost, token, ticket, request, ageMillis, quietPeriodMillis, "");
+    }
+  }
 
   /**
    * An entry host no longer waits for work that it submitted.
--- a/burdockbay-core/src/main/java/org/burdockbay/core/message/PeerMessage.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/message/PeerMessage.java
@@ -95,10 +95,23 @@
    * @param ageMillis time since the caller's request arrived, in milliseconds
    * @param quietPeriodMillis time for which no task may start, in milliseconds, because an earlier
    *     dispatcher may still run some
+   * @param origin failure domain of the entry host; empty if not known
    */
   record SubmitWork(
-      long token, long ticket, WorkRequest request, long ageMillis, long quietPeriodMillis)
-      implements PeerMessage {}
+      long token,
+      long ticket,
+      WorkRequest request,
+      long ageMillis,
+      long quietPeriodMillis,
+      String origin)
+      implements PeerMessage {
+
+    /** Creates the message of a host that doesn't state its failure domain. */
+    public SubmitWork(
+        long token, long ticket, WorkRequest request, long ageMillis, long quietPeriodMillis) {
+      this(token, ticket, request, ageMillis, quietPeriodMillis, "");
+    }
+  }
 
   /**
    * Notifies the dispatcher that the caller no longer waits.
--- a/burdockbay-core/src/main/java/org/burdockbay/core/work/WorkRequest.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/work/WorkRequest.java
@@ -1,6 +1,7 @@
 package org.burdockbay.core.work;
 
 import java.util.List;
+import org.burdockbay.core.catalog.QueueRule;
 
 /**
  * A piece of work that a caller waits for, with the rules of its queue.
@@ -16,6 +17,7 @@
  *     as prompt
  * @param targetMillis time added to that product, in milliseconds
  * @param budgetMillis how long the caller waits, in milliseconds from the arrival
+ * @param share the queue's weight among the queues that compete for scarce capacity; over 0
  */
 public record WorkRequest(
     String id,
@@ -27,10 +29,37 @@
     int maxAttempts,
     double stretch,
     long targetMillis,
-    long budgetMillis) {
+    long budgetMillis,
+    double share) {
 
   /** Copies the list. */
   public WorkRequest {
     steps = List.copyOf(steps);
   }
+
+  /** Creates a request of a queue with the usual share. */
+  public WorkRequest(
+      String id,
+      String queue,
+      String service,
+      String payload,
+      List<WorkStep> steps,
+      int priority,
+      int maxAttempts,
+      double stretch,
+      long targetMillis,
+      long budgetMillis) {
+    this(
+        id,
+        queue,
+        service,
+        payload,
+        steps,
+        priority,
+        maxAttempts,
+        stretch,
+        targetMillis,
+        budgetMillis,
+        QueueRule.DEFAULT_SHARE);
+  }
 }
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
@@ -441,7 +441,8 @@
             submit.ticket(),
             submit.request(),
             submit.ageMillis(),
-            submit.quietPeriodMillis()),
+            submit.quietPeriodMillis(),
+            submit.origin()),
         arrivedAt);
   }
 
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/WorkHandler.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/WorkHandler.java
@@ -133,7 +133,8 @@
                     submit.ticket(),
                     submit.request(),
                     submit.ageMillis(),
-                    submit.quietPeriodMillis()));
+                    submit.quietPeriodMillis(),
+                    submit.origin()));
         case IntakeEffect.Cancel cancel ->
             sender.send(
                 cancel.to().host(),
--- a/burdockbay-wire/src/main/java/org/burdockbay/wire/WorkCodec.java
+++ b/burdockbay-wire/src/main/java/org/burdockbay/wire/WorkCodec.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.burdockbay.core.catalog.QueueRule;
 import org.burdockbay.core.message.PeerMessage;
 import org.burdockbay.core.work.TaskSize;
 import org.burdockbay.core.work.WorkOutcome;
@@ -31,7 +32,9 @@
             .setAgeMs(submit.ageMillis())
             .setQuietMs(submit.quietPeriodMillis())
             .setTicket(submit.ticket())
-            .setToken(submit.token());
+            .setToken(submit.token())
+            .setShare(request.share())
+            .setOrigin(submit.origin());
     request.steps().forEach(step -> builder.addSteps(encode(step)));
     return builder.build();
   }
@@ -91,9 +94,22 @@
             submit.getMaxAttempts(),
             submit.getStretch(),
             submit.getTargetMs(),
-            submit.getBudgetMs());
+            submit.getBudgetMs(),
+            decodeShare(submit.getShare()));
     return new PeerMessage.SubmitWork(
-        submit.getToken(), submit.getTicket(), request, submit.getAgeMs(), submit.getQuietMs());
+        submit.getToken(),
+        submit.getTicket(),
+        request,
+        submit.getAgeMs(),
+        submit.getQuietMs(),
+        submit.getOrigin());
+  }
+
+  private static double decodeShare(double share) throws WireException {
+    if (!(share >= 0) || Double.isInfinite(share)) {
+      throw new WireException("work share out of range: " + share);
+    }
+    return share == 0 ? QueueRule.DEFAULT_SHARE : share;
   }
 
   static PeerMessage.CancelWork decode(Wire.CancelWork cancel) {
