Share scarce capacity among the flows of a priority

Under overload, the order of arrival and the hash decide who is refused. One domain's callers that send 3 times their share make the jobs of the others late.

With the option fairShares, in a divided fleet, the virtual time of a flow (failure domain of the entry host, queue) advances by what is started for it, divided by its share. Work of a flow that is ahead of the least served one is placed as if its latest start were later by the excess, beyond a tolerance and by its own slack at most. Work that is placed last is the first that has no room: its refusal names `over share`, after a line `work-over-share`.

--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/AdmissionRule.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/AdmissionRule.java
@@ -51,14 +51,15 @@
    *
    * <p>Work that can still be answered promptly comes first, then the queue's priority counts, then
    * the latest start. When the load exceeds the capacity, kinds with little slack would otherwise
-   * wait behind those with much.
+   * wait behind those with much. Work of flows over their share counts as if it could start later.
    */
-  List<WorkState> order(Collection<WorkState> works, long now) {
+  List<WorkState> order(Collection<WorkState> works, long now, ShareRule shares) {
     List<WorkState> ordered = new ArrayList<>(works);
     ordered.sort(
         Comparator.comparing((WorkState work) -> now > work.latestStartAt() && !work.mayHaveStarted)
             .thenComparingInt((WorkState work) -> work.request.priority())
-            .thenComparingLong(WorkState::latestStartAt));
+            .thenComparingDouble(
+                (WorkState work) -> work.latestStartAt() + shares.delayMillis(work)));
     return ordered;
   }
 
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseDispatcher.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseDispatcher.java
@@ -32,6 +32,7 @@
 
   private final DispatchContext context;
   private final AdmissionRule admission = new AdmissionRule();
+  private final ShareRule shares;
   private final StragglerRule stragglers = new StragglerRule();
   private final RunTable runs;
   private final WorkTable works;
@@ -54,6 +55,7 @@
    */
   public LeaseDispatcher(String self, LeaseTiming timing, SchedulingOptions options) {
     this.context = new DispatchContext(options);
+    this.shares = new ShareRule(context);
     this.runs = new RunTable(context, timing);
     this.works = new WorkTable(self, context, runs, admission);
     this.leases = new LeaseTable(context, timing, runs, works);
@@ -137,6 +139,7 @@
       case LeaseEvent.Departed departed -> leases.upstreamDeparted(departed.announcement());
       case LeaseEvent.ShardsChanged changed -> {
         leases.shardsChanged(changed.ownShard(), changed.liveShards());
+        shares.shardChanged(changed.ownShard());
         placementNeeded = true;
       }
       case LeaseEvent.EvacuationsChanged changed -> {
@@ -266,6 +269,7 @@
     context.logEvent("role-lost", "token=" + context.token() + " unanswered=" + unansweredCount());
     context.setToken(0);
     works.clear();
+    shares.clear();
     runs.clear();
     leases.releaseLeases();
   }
@@ -282,12 +286,13 @@
     PlacementPolicy placement = new PlacementPolicy(usableUpstreams, context.now());
     Backlog backlog = new Backlog(usableUpstreams);
     boolean allAnswered = leases.allAnswered();
-    for (WorkState work : admission.order(works.unansweredWork(), context.now())) {
+    shares.compareFlows(works.unansweredWork(), usableUpstreams);
+    for (WorkState work : admission.order(works.unansweredWork(), context.now(), shares)) {
       if (context.now() < work.quietPeriodEndsAt) {
         continue;
       }
       if (allAnswered && !work.mayHaveStarted && cannotStartInTime(work, backlog, placement)) {
-        works.refuse(work, "no room in time", AdmissionRule.RETRY_AFTER_MILLIS);
+        works.refuse(work, shares.refusalReason(work), AdmissionRule.RETRY_AFTER_MILLIS);
       } else {
         placeWork(work, placement);
         backlog.add(work);
@@ -323,6 +328,7 @@
           return;
         }
         runs.start(task, chosen.get());
+        shares.recordStart(task);
         placement.updateMaxFreeCapacity();
       }
     }
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/WorkState.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/WorkState.java
@@ -15,6 +15,9 @@
   final WorkRequest request;
   final long arrivedAt;
 
+  /** The failure domain whose entry host accepted the work, or that entry host if not known. */
+  String origin = "";
+
   /** The entry hosts that wait for the outcome, with their numbers for the request. */
   final Map<String, Long> tickets = new LinkedHashMap<>();
 
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/WorkTable.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/WorkTable.java
@@ -134,6 +134,7 @@
     }
     WorkState work =
         new WorkState(submitted.request(), context.arrivedAt() - submitted.ageMillis());
+    work.origin = submitted.origin().isEmpty() ? submitted.entryHost() : submitted.origin();
     work.tickets.put(submitted.entryHost(), submitted.ticket());
     work.quietPeriodEndsAt = context.now() + submitted.quietPeriodMillis();
     // The work may have been dropped here, for an entry host that was lost and is back, or run by
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseFuzzTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseFuzzTest.java
@@ -5,6 +5,7 @@
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import org.burdockbay.core.FuzzOptions;
+import org.burdockbay.core.scheduling.SchedulingOptions;
 import org.burdockbay.core.shard.ShardLayout;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.DataProvider;
@@ -106,6 +107,27 @@
     }
   }
 
+  /** Guards against a task that runs twice because shares change the order of starts. */
+  @Test(dataProvider = "networks")
+  public void neverOverlapsRunsOfTaskWithFairShares(LeaseModel.Network network) {
+    SchedulingOptions options = SchedulingOptions.builder().fairShares(true).build();
+    int runs = FuzzOptions.exampleCount(RUNS);
+    for (int run = 0; run < runs; run++) {
+      long seed = FuzzOptions.seed() + run;
+      ShardLayout layout = dividedLayout(seed);
+      try {
+        simulate(
+            new LeaseModel(seed, network, layout, 2 + layout.shardsPerDomain() / 2, 3, options),
+            seed,
+            true,
+            true,
+            model -> {});
+      } catch (AssertionError e) {
+        throw new AssertionError("seed " + seed + ": " + e.getMessage(), e);
+      }
+    }
+  }
+
   private static void cutOneWay(LeaseModel model) {
     SplittableRandom random = model.faultRandom();
     if (random.nextInt(10) == 0) {
@@ -207,7 +229,20 @@
       boolean breaksConnections,
       boolean orderedDelivery,
       Consumer<LeaseModel> furtherFaults) {
-    LeaseModel model = new LeaseModel(seed, network, layout, 2 + layout.shardsPerDomain() / 2, 3);
+    simulate(
+        new LeaseModel(seed, network, layout, 2 + layout.shardsPerDomain() / 2, 3),
+        seed,
+        breaksConnections,
+        orderedDelivery,
+        furtherFaults);
+  }
+
+  private static void simulate(
+      LeaseModel model,
+      long seed,
+      boolean breaksConnections,
+      boolean orderedDelivery,
+      Consumer<LeaseModel> furtherFaults) {
     model.breaksConnections = breaksConnections;
     model.orderedDelivery = orderedDelivery;
     SplittableRandom random = new SplittableRandom(~seed);
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseModel.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseModel.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import org.burdockbay.core.evacuation.Evacuations;
+import org.burdockbay.core.scheduling.SchedulingOptions;
 import org.burdockbay.core.shard.ShardLayout;
 import org.burdockbay.core.work.RunId;
 import org.burdockbay.core.work.TaskId;
@@ -103,6 +104,9 @@
    */
   private boolean isFullSize;
 
+  /** The scheduling options of all hosts. */
+  final SchedulingOptions options;
+
   int answers;
   int completed;
   int starts;
@@ -113,7 +117,17 @@
 
   LeaseModel(
       long seed, Network network, ShardLayout layout, int hostsInDomain, int upstreamsInDomain) {
-    this(seed, network, layout, hostsInDomain, upstreamsInDomain, 1_000_000);
+    this(seed, network, layout, hostsInDomain, upstreamsInDomain, SchedulingOptions.NONE);
+  }
+
+  LeaseModel(
+      long seed,
+      Network network,
+      ShardLayout layout,
+      int hostsInDomain,
+      int upstreamsInDomain,
+      SchedulingOptions options) {
+    this(seed, network, layout, hostsInDomain, upstreamsInDomain, 1_000_000, options);
   }
 
   /**
@@ -128,6 +142,25 @@
       int hostsInDomain,
       int upstreamsInDomain,
       long startTimeMillis) {
+    this(
+        seed,
+        network,
+        layout,
+        hostsInDomain,
+        upstreamsInDomain,
+        startTimeMillis,
+        SchedulingOptions.NONE);
+  }
+
+  private LeaseModel(
+      long seed,
+      Network network,
+      ShardLayout layout,
+      int hostsInDomain,
+      int upstreamsInDomain,
+      long startTimeMillis,
+      SchedulingOptions options) {
+    this.options = options;
     now = startTimeMillis;
     random = new SplittableRandom(seed);
     faultRandom = new SplittableRandom(seed ^ FAULT_SEED_MASK);
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LoadSimulation.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LoadSimulation.java
@@ -57,6 +57,10 @@
   private final Map<Kind, JobStatistics> statistics = new EnumMap<>(Kind.class);
   private final Map<String, JobStatistics> statisticsByDomain = new LinkedHashMap<>();
   private final Map<Kind, Double> trafficFactors = new EnumMap<>(Kind.class);
+  private final Map<String, Map<Kind, JobStatistics>> statisticsByDomainAndKind = new HashMap<>();
+  private boolean omitsOrigins;
+  private final Map<String, Double> sharesByDomain = new HashMap<>();
+  private final Map<String, Double> trafficFactorsByDomain = new HashMap<>();
   private final Map<ShardId, IntakeEvent.Dispatcher> dispatcherByShard = new LinkedHashMap<>();
   private long now = 100_000;
   private long sequence;
@@ -173,11 +177,26 @@
     return dispatcherByShard.keySet().stream().sorted().toList();
   }
 
+  /** Lets entry hosts submit work without their failure domain, as older versions do. */
+  void omitOrigins() {
+    omitsOrigins = true;
+  }
+
+  /** Sets the share of the queues of one failure domain's callers; 1 unless set. */
+  void setShare(String domain, double share) {
+    sharesByDomain.put(domain, share);
+  }
+
   /** Multiplies the traffic of one kind of job from now on; 1 is the traffic of the scenario. */
   void setTraffic(Kind kind, double factor) {
     trafficFactors.put(kind, factor);
   }
 
+  /** Multiplies the traffic of one failure domain from now on. */
+  void setTraffic(String domain, double factor) {
+    trafficFactorsByDomain.put(domain, factor);
+  }
+
   /** Lets every n-th upstream announce that it leaves; it is gone after the notice. */
   void removeEveryNthUpstream(int n, long noticeMillis) {
     List<Upstream> all = List.copyOf(upstreams.values());
@@ -217,7 +236,8 @@
                             submit.ticket(),
                             submit.request(),
                             submit.ageMillis(),
-                            submit.quietPeriodMillis())));
+                            submit.quietPeriodMillis(),
+                            omitsOrigins ? "" : submit.origin())));
         case IntakeEffect.Answer answer -> recordAnswer(answer.request().id(), answer.outcome());
         case IntakeEffect.LogEvent logged ->
             spills += logged.event().equals("work-spilled") ? 1 : 0;
@@ -269,6 +289,13 @@
     return statisticsByDomain.get(domain);
   }
 
+  /** Returns the statistics of the jobs of one kind that arrived in a failure domain. */
+  JobStatistics statistics(String domain, Kind kind) {
+    return statisticsByDomainAndKind
+        .computeIfAbsent(domain, created -> new EnumMap<>(Kind.class))
+        .computeIfAbsent(kind, created -> new JobStatistics());
+  }
+
   /** Slows some upstreams down, which announce themselves as before. */
   void slowDownUpstreams(int count, double factor) {
     upstreams.values().stream().limit(count).forEach(upstream -> upstream.slowFactor = factor);
@@ -375,6 +402,18 @@
             0);
     double estimateFactor = 1 + MAX_ESTIMATE_ERROR * (random.nextDouble() * 2 - 1);
     WorkStep step = WorkStep.of(tasks, size, Math.round(runMillis * estimateFactor));
+    submit(kind, id, step, runMillis);
+    double intervalMillis =
+        -Math.log(1 - random.nextDouble())
+            * 1_000
+            / (traffic.perSecond() * meanWave() * trafficFactors.get(kind) * currentTraffic);
+    schedule(Math.max(1, Math.round(intervalMillis)), () -> arrive(kind));
+  }
+
+  /** Submits to the only dispatcher directly, or to a random entry host if there are any. */
+  private void submit(Kind kind, String id, WorkStep step, long runMillis) {
+    int entryHost = intakes.isEmpty() ? 0 : selectEntryHost();
+    Job job = new Job(kind, domainOfEntryHost(entryHost), step.taskCount(), now, runMillis);
     WorkRequest request =
         new WorkRequest(
             id,
@@ -386,28 +425,12 @@
             4,
             STRETCH,
             TARGET_MILLIS,
-            scenario.callerTimeoutMillis());
-    submit(request, kind, runMillis);
-    double intervalMillis =
-        -Math.log(1 - random.nextDouble())
-            * 1_000
-            / (traffic.perSecond() * meanWave() * trafficFactors.get(kind) * currentTraffic);
-    schedule(Math.max(1, Math.round(intervalMillis)), () -> arrive(kind));
-  }
-
-  /** Submits to the only dispatcher directly, or to a random entry host if there are any. */
-  private void submit(WorkRequest request, Kind kind, long runMillis) {
-    int entryHost = intakes.isEmpty() ? 0 : selectEntryHost();
-    Job job =
-        new Job(
-            kind,
-            domainOfEntryHost(entryHost),
-            request.steps().getFirst().taskCount(),
-            now,
-            runMillis);
+            scenario.callerTimeoutMillis(),
+            sharesByDomain.getOrDefault(job.domain, 1.0));
     jobs.put(request.id(), job);
     statistics.get(kind).jobs++;
     statisticsByDomain.get(job.domain).jobs++;
+    statistics(job.domain, kind).jobs++;
     if (intakes.isEmpty()) {
       enqueue(
           dispatchers.keySet().iterator().next(),
@@ -419,7 +442,7 @@
 
   /** Returns a random entry host, of a domain that is drawn by its share of the traffic. */
   private int selectEntryHost() {
-    if (scenario.swing() == 0) {
+    if (scenario.swing() == 0 && trafficFactorsByDomain.isEmpty()) {
       return random.nextInt(ENTRY_HOSTS);
     }
     List<String> domains = scenario.domains();
@@ -437,11 +460,12 @@
   private double wave(int domain) {
     double phase = (double) domain / scenario.domains().size();
     double turns = (double) now / scenario.wavePeriodMillis() + phase;
-    return 1 + scenario.swing() * Math.sin(2 * Math.PI * turns);
+    double factor = trafficFactorsByDomain.getOrDefault(scenario.domains().get(domain), 1.0);
+    return factor * (1 + scenario.swing() * Math.sin(2 * Math.PI * turns));
   }
 
   private double meanWave() {
-    if (scenario.swing() == 0) {
+    if (scenario.swing() == 0 && trafficFactorsByDomain.isEmpty()) {
       return 1;
     }
     return IntStream.range(0, scenario.domains().size())
@@ -501,6 +525,7 @@
     }
     recordAnswer(statistics.get(job.kind), job, outcome);
     recordAnswer(statisticsByDomain.get(job.domain), job, outcome);
+    recordAnswer(statistics(job.domain, job.kind), job, outcome);
   }
 
   private void recordAnswer(JobStatistics each, Job job, WorkOutcome outcome) {
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelEntryHost.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelEntryHost.java
@@ -97,7 +97,7 @@
     membership.restore(savedEpoch);
     intake =
         new WorkIntake(name, domain, SILENCE_TIMEOUT_MILLIS + LeaseTiming.DEFAULT.maxLeaseMillis());
-    dispatcher = new LeaseDispatcher(name, LeaseTiming.DEFAULT);
+    dispatcher = new LeaseDispatcher(name, LeaseTiming.DEFAULT, model.options);
     incarnations.clear();
     lastContacts.clear();
     evacuations = Evacuations.NONE;
@@ -501,7 +501,8 @@
                           submit.ticket(),
                           submit.request(),
                           submit.ageMillis(),
-                          submit.quietPeriodMillis()),
+                          submit.quietPeriodMillis(),
+                          submit.origin()),
                       arrivedAt));
         }
         case IntakeEffect.Cancel cancel -> {
