--- a/burdockbay-wire/src/main/java/org/burdockbay/wire/WorkCodec.java
+++ b/burdockbay-wire/src/main/java/org/burdockbay/wire/WorkCodec.java
@@ -105,13 +105,6 @@
         submit.getOrigin());
   }
 
-  private static double decodeShare(double share) throws WireException {
-    if (!(share >= 0) || Double.isInfinite(share)) {
-      throw new WireException("work share out of range: " + share);
-    }
-    return share == 0 ? QueueRule.DEFAULT_SHARE : share;
-  }
-
   static PeerMessage.CancelWork decode(Wire.CancelWork cancel) {
     return new PeerMessage.CancelWork(cancel.getToken(), cancel.getId());
   }
@@ -148,6 +141,13 @@
         step.getMostOnOneUpstream());
   }
 
+  private static double decodeShare(double share) throws WireException {
+    if (!(share >= 0) || Double.isInfinite(share)) {
+      throw new WireException("work share out of range: " + share);
+    }
+    return share == 0 ? QueueRule.DEFAULT_SHARE : share;
+  }
+
   private static Optional<String> optionalText(String text) {
     return text.isEmpty() ? Optional.empty() : Optional.of(text);
   }
