--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseFuzzTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseFuzzTest.java
@@ -204,6 +204,22 @@
     }
   }
 
+  /** Guards against a task that runs twice because shares change the order of starts. */
+  @Test(dataProvider = "networks")
+  public void neverOverlapsRunsOfTaskWithFairShares(LeaseModel.Network network) {
+    SchedulingOptions options = SchedulingOptions.builder().fairShares(true).build();
+    int runs = FuzzOptions.exampleCount(RUNS);
+    for (int run = 0; run < runs; run++) {
+      long seed = FuzzOptions.seed() + run;
+      try {
+        simulate(
+            seed, network, dividedLayout(seed), options, true, true, model -> {});
+      } catch (AssertionError e) {
+        throw new AssertionError("seed " + seed + ": " + e.getMessage(), e);
+      }
+    }
+  }
+
   private static void killAllHosts(LeaseModel model) {
     SplittableRandom random = model.faultRandom();
     if (random.nextInt(40) == 0) {
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelEntryHost.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelEntryHost.java
@@ -538,7 +538,8 @@
                           submit.ticket(),
                           submit.request(),
                           submit.ageMillis(),
-                          submit.quietPeriodMillis()),
+                          submit.quietPeriodMillis(),
+                          submit.origin()),
                       arrivedAt));
         }
         case IntakeEffect.Cancel cancel -> {
