--- a/burdockbay-wire/src/main/java/org/burdockbay/wire/FleetCodec.java
+++ b/burdockbay-wire/src/main/java/org/burdockbay/wire/FleetCodec.java
@@ -38,20 +38,6 @@
     return builder.setSpeeds(codes.toByteString()).build();
   }
 
-  static PeerMessage.UpstreamSpeeds decode(Wire.UpstreamSpeeds message) throws WireException {
-    int count = message.getUpstreamsCount();
-    if (message.getSpeeds().size() != count) {
-      throw new WireException(
-          "speeds of " + message.getSpeeds().size() + " upstreams; expected " + count);
-    }
-    Map<String, Double> speeds = new HashMap<>();
-    for (int i = 0; i < count; i++) {
-      int code = Byte.toUnsignedInt(message.getSpeeds().byteAt(i));
-      speeds.put(message.getUpstreams(i), SpeedCode.decode(code));
-    }
-    return new PeerMessage.UpstreamSpeeds(speeds);
-  }
-
   static Wire.HostCards encode(PeerMessage.KnownHosts known) {
     Wire.HostCards.Builder builder = Wire.HostCards.newBuilder();
     for (HostDescriptor descriptor : known.hosts()) {
@@ -90,6 +76,20 @@
         news.getDepartedList().stream().map(FleetCodec::decode).toList());
   }
 
+  static PeerMessage.UpstreamSpeeds decode(Wire.UpstreamSpeeds message) throws WireException {
+    int count = message.getUpstreamsCount();
+    if (message.getSpeeds().size() != count) {
+      throw new WireException(
+          "speeds of " + message.getSpeeds().size() + " upstreams; expected " + count);
+    }
+    Map<String, Double> speeds = new HashMap<>();
+    for (int i = 0; i < count; i++) {
+      int code = Byte.toUnsignedInt(message.getSpeeds().byteAt(i));
+      speeds.put(message.getUpstreams(i), SpeedCode.decode(code));
+    }
+    return new PeerMessage.UpstreamSpeeds(speeds);
+  }
+
   static PeerMessage.KnownHosts decode(Wire.HostCards hosts) {
     return new PeerMessage.KnownHosts(
         hosts.getHostsList().stream()
