Profiles: don't move runs that are slow for their upstream

Cause: the rule pays only if a second run is shorter than the rest of a slow first one, which the load model assumes.

Placement looks up the speeds once a round instead of once a task.

--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeasedRun.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeasedRun.java
@@ -36,9 +36,6 @@
   /** Whether the run has taken much longer than expected. */
   boolean overdue;
 
-  /** Whether the run was found slow by {@link SlowRunRule}. */
-  boolean slow;
-
   /**
    * Number of copies of the start that were sent under this role; 0 for a run of an earlier
    * dispatcher.
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/PlacementPolicy.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/PlacementPolicy.java
@@ -3,7 +3,6 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
-import java.util.function.ToLongFunction;
 import org.burdockbay.core.profile.UpstreamProfiles;
 import org.burdockbay.core.work.TaskSize;
 import org.burdockbay.core.work.WorkStep;
@@ -23,6 +22,10 @@
 
   private final List<UpstreamLease> candidates;
   private final UpstreamProfiles profiles;
+
+  /** The speeds of the candidates; looked up once, as a round compares them for each task. */
+  private final double[] speeds;
+
   private final RunForecast forecast;
   private final long now;
 
@@ -41,6 +44,7 @@
   PlacementPolicy(List<UpstreamLease> candidates, DispatchContext context) {
     this.candidates = candidates;
     this.profiles = context.profiles();
+    this.speeds = candidates.stream().mapToDouble(it -> profiles.speed(it.announcement)).toArray();
     this.forecast = new RunForecast(profiles);
     this.now = context.now();
     updateMaxFreeCapacity();
@@ -84,38 +88,26 @@
       return Optional.empty();
     }
     if (!profiles.isInForce()) {
-      return chooseBest(task, upstream -> score(upstream, task));
-    }
-    if (task.movedEarly) {
-      return chooseBest(task, upstream -> 0);
+      return chooseBest(task, (upstream, speed) -> score(upstream, task));
     }
     double upperTenthMillis = forecast.upperTenthMillis(task);
     double minSpeed = upperTenthMillis / Math.max(1, forecast.promptAnswerDeadline(task) - now);
     return chooseBest(
-        task,
-        upstream ->
-            score(upstream, task)
-                + (profiles.speed(upstream.announcement) < minSpeed ? TOO_SLOW_SCORE : 0));
-  }
-
-  /** Returns the fastest upstream but one on which the task could start now. */
-  Optional<UpstreamLease> chooseFastest(TaskState task, UpstreamLease excluded) {
-    return chooseBest(task, upstream -> upstream == excluded ? TOO_SLOW_SCORE : 0)
-        .filter(upstream -> upstream != excluded);
+        task, (upstream, speed) -> score(upstream, task) + (speed < minSpeed ? TOO_SLOW_SCORE : 0));
   }
 
   /** Returns the upstream with the lowest score; among equals, the first of the fastest ones. */
-  private Optional<UpstreamLease> chooseBest(
-      TaskState task, ToLongFunction<UpstreamLease> scoreOf) {
+  private Optional<UpstreamLease> chooseBest(TaskState task, Scoring scoring) {
     UpstreamLease best = null;
     long bestScore = Long.MAX_VALUE;
     double bestSpeed = 0;
-    for (UpstreamLease upstream : candidates) {
+    for (int i = 0; i < speeds.length; i++) {
+      UpstreamLease upstream = candidates.get(i);
       if (!isEligible(upstream, task)) {
         continue;
       }
-      long score = scoreOf.applyAsLong(upstream);
-      double speed = profiles.speed(upstream.announcement);
+      double speed = speeds[i];
+      long score = scoring.score(upstream, speed);
       if (score < bestScore || (score == bestScore && speed > bestSpeed)) {
         best = upstream;
         bestScore = score;
@@ -169,4 +161,10 @@
     long score = remainder.cpuMillicores() + ((long) remainder.accelerators() << 32);
     return offRack ? score + (1L << 48) : score;
   }
+
+  /** Rates a candidate of the given speed; the lowest score is best. */
+  private interface Scoring {
+
+    long score(UpstreamLease upstream, double speed);
+  }
 }
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/RunForecast.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/RunForecast.java
@@ -3,6 +3,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.OptionalDouble;
+import org.burdockbay.core.fleet.UpstreamAnnouncement;
 import org.burdockbay.core.profile.UpstreamProfiles;
 
 /**
@@ -26,51 +27,19 @@
   }
 
   /**
-   * Records the run time of a task for the profiles of the upstream and the queue.
+   * Records a finished run, for the profiles of the upstream and the queue and for the normal time
+   * of the task's siblings.
    *
    * <p>A run whose start was sent several times, or by an earlier dispatcher, began at an unknown
    * time and isn't recorded.
-   *
-   * @param runMillis the run time of a finished run, or the age at which a slow run was stopped
    */
-  void record(LeasedRun run, TaskState task, long runMillis) {
-    if (!profiles.isInForce() || run.startsSent != 1) {
-      return;
-    }
-    String queue = task.work.request.queue();
-    double speed = profiles.speed(run.upstream.announcement);
-    OptionalDouble normal = siblingMillis(task);
-    if (normal.isPresent()) {
-      profiles.recordNormalRatio(queue, runMillis * speed / normal.getAsDouble());
-    }
-    profiles.recordRun(run.upstream.announcement, queue, task.step.estimateMillis(), runMillis);
-  }
-
-  /** Records a finished run, for the profiles and for the normal time of the task's siblings. */
   void recordFinished(LeasedRun run, TaskState task, long runMillis) {
-    record(run, task, runMillis);
-    if (run.startsSent == 1) {
-      task.usualRunMillis = Math.max(1, runMillis) * profiles.speed(run.upstream.announcement);
+    if (run.startsSent != 1) {
+      return;
     }
-  }
-
-  /**
-   * Returns the age above which a run on an upstream of the given speed is slow, apart from a fixed
-   * allowance, in milliseconds.
-   */
-  double slowRunMillis(TaskState task, double speed) {
-    String queue = task.work.request.queue();
-    OptionalDouble normal = siblingMillis(task);
-    double usualMillis =
-        normal.isPresent()
-            ? normal.getAsDouble() * profiles.maxNormalRatio(queue)
-            : estimatedMillis(task) * profiles.maxEstimateRatio(queue);
-    return usualMillis / speed;
-  }
-
-  /** Returns the expected run time of a task at usual speed, in milliseconds. */
-  double usualMillis(TaskState task) {
-    return siblingMillis(task).orElseGet(() -> estimatedMillis(task));
+    UpstreamAnnouncement upstream = run.upstream.announcement;
+    profiles.recordRun(upstream, task.work.request.queue(), task.step.estimateMillis(), runMillis);
+    task.usualRunMillis = Math.max(1, runMillis) * profiles.speed(upstream);
   }
 
   /** Returns the run time at usual speed that nine tenths of such tasks don't exceed. */
@@ -92,10 +61,6 @@
         + task.work.request.stretch() * (normalMillis - estimateMillis);
   }
 
-  private double estimatedMillis(TaskState task) {
-    return profiles.expectedMillis(task.work.request.queue(), task.step.estimateMillis());
-  }
-
   /**
    * Returns the normal run time of a task at usual speed by its finished siblings, in milliseconds;
    * empty if there are none.
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/RunTable.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/RunTable.java
@@ -37,7 +37,6 @@
   private final Map<TaskId, LeasedRun> openRuns = new HashMap<>();
   private final TakenOverRuns takenOverRuns = new TakenOverRuns();
   private final RunForecast forecast;
-  private final SlowRunRule slowRunRule;
 
   /** Moving average of the time until a start is answered, in milliseconds. */
   private double meanAnswerMillis;
@@ -49,7 +48,6 @@
     this.context = context;
     this.timing = timing;
     this.forecast = new RunForecast(context.profiles());
-    this.slowRunRule = new SlowRunRule(context.profiles(), forecast);
   }
 
   /** Records how long a start took to be answered, in milliseconds. */
@@ -323,50 +321,11 @@
       PlacementPolicy placement = new PlacementPolicy(usableUpstreams.get(), context);
       stragglers.forEach(run -> handleStraggler(run, rule, placement));
     }
-    List<LeasedRun> slowRuns = slowRunRule.findSlowRuns(openRuns.values(), context.now());
-    if (!slowRuns.isEmpty()) {
-      PlacementPolicy placement = new PlacementPolicy(usableUpstreams.get(), context);
-      slowRuns.forEach(run -> moveSlowRun(run, placement));
-    }
-  }
-
-  private void moveSlowRun(LeasedRun run, PlacementPolicy placement) {
-    TaskState task = run.task;
-    if (task == null || run.phase != LeasedRun.Phase.RUNNING) {
-      return;
-    }
-    placement
-        .chooseFastest(task, run.upstream)
-        .filter(upstream -> slowRunRule.isWorthMoving(task, upstream, context.now()))
-        .ifPresent(
-            upstream -> {
-              long age = context.now() - run.beganAt;
-              forecast.record(run, task, age);
-              task.moves++;
-              task.movedEarly = true;
-              task.avoidedUpstream = run.upstream.announcement.id();
-              context.logEvent(
-                  "run-moved-early",
-                  "run="
-                      + run.id
-                      + " upstream="
-                      + task.avoidedUpstream
-                      + " age="
-                      + age
-                      + " expected="
-                      + Math.round(forecast.usualMillis(task)));
-              stop(run);
-            });
   }
 
   /** Records the run time of a finished run for the profiles. */
   void recordFinished(LeasedRun run, TaskState task) {
     long runMillis = context.arrivedAt() - run.beganAt;
-    if (task.movedEarly) {
-      context.logEvent(
-          "run-moved-early-done",
-          "run=" + run.id + " upstream=" + run.upstream.announcement.id() + " millis=" + runMillis);
-    }
     forecast.recordFinished(run, task, runMillis);
   }
 
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/TaskState.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/TaskState.java
@@ -22,9 +22,6 @@
    */
   double usualRunMillis;
 
-  /** Whether the task was moved because its run was slow by {@link SlowRunRule}. */
-  boolean movedEarly;
-
   long lastRunNumber;
 
   /** The run that is under way; null if there is none. */
--- a/burdockbay-core/src/main/java/org/burdockbay/core/profile/RecentRatios.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/profile/RecentRatios.java
@@ -47,7 +47,7 @@
       quantiles =
           older.getTotalCount() < MIN_RATIOS
               ? Quantiles.UNKNOWN
-              : new Quantiles(quantile(50), quantile(90), quantile(95));
+              : new Quantiles(quantile(50), quantile(90));
     }
     return quantiles;
   }
@@ -71,11 +71,10 @@
    *
    * @param median the 0.5 quantile
    * @param upperTenth the 0.9 quantile
-   * @param upperTwentieth the 0.95 quantile
    */
-  record Quantiles(double median, double upperTenth, double upperTwentieth) {
+  record Quantiles(double median, double upperTenth) {
 
     /** Stands for too few ratios; a ratio of 1 is expected. */
-    static final Quantiles UNKNOWN = new Quantiles(1, 1, Double.POSITIVE_INFINITY);
+    static final Quantiles UNKNOWN = new Quantiles(1, 1);
   }
 }
--- a/burdockbay-core/src/main/java/org/burdockbay/core/profile/UpstreamProfiles.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/profile/UpstreamProfiles.java
@@ -18,12 +18,6 @@
   /** Time without a run after which the speed of an upstream is forgotten, in milliseconds. */
   static final long SPEED_RETENTION_MILLIS = 60_000;
 
-  /** Lower bound of {@link #maxNormalRatio}. */
-  static final double MIN_SLOW_RATIO = 1.35;
-
-  /** Upper bound of {@link #maxNormalRatio}, and its value while too few runs are known. */
-  static final double MAX_SLOW_RATIO = 3;
-
   /**
    * Time for which speeds that another dispatcher has reported may be taken over, in milliseconds.
    */
@@ -78,7 +72,7 @@
   }
 
   /**
-   * Records a run that has finished, or that was stopped because it took longer than that.
+   * Records a run that has finished.
    *
    * @param estimateMillis the caller's estimate of the run time, in milliseconds
    * @param runMillis the run time, in milliseconds
@@ -95,17 +89,6 @@
     profileOf(upstream).orElseGet(() -> addProfile(upstream)).record(expected / runTime, now);
   }
 
-  /**
-   * Records how long a run took in relation to the normal time that followed from its siblings.
-   *
-   * @param ratio the run time divided by the normal time
-   */
-  public void recordNormalRatio(String queue, double ratio) {
-    if (isInForce()) {
-      queue(queue).normalRatios.record(ratio, now);
-    }
-  }
-
   /** Returns the speed of an upstream; 1 is usual. */
   public double speed(UpstreamAnnouncement upstream) {
     if (!isInForce()) {
@@ -174,27 +157,6 @@
     return estimateMillis * estimateQuantiles(queue).upperTenth();
   }
 
-  /**
-   * Returns the multiple of the expected run time above which a run is slow; applies where the run
-   * time is expected from the caller's estimate.
-   */
-  public double maxEstimateRatio(String queue) {
-    RecentRatios.Quantiles quantiles = estimateQuantiles(queue);
-    return clampSlowRatio(quantiles.upperTwentieth() / quantiles.median());
-  }
-
-  /**
-   * Returns the multiple of the normal run time above which a run is slow; applies where the normal
-   * time follows from finished siblings.
-   */
-  public double maxNormalRatio(String queue) {
-    return clampSlowRatio(queue(queue).normalRatios.quantiles(now).upperTwentieth());
-  }
-
-  private static double clampSlowRatio(double ratio) {
-    return Math.clamp(ratio, MIN_SLOW_RATIO, MAX_SLOW_RATIO);
-  }
-
   private RecentRatios.Quantiles estimateQuantiles(String queue) {
     return isInForce()
         ? queue(queue).estimateRatios.quantiles(now)
@@ -222,8 +184,5 @@
 
     /** Run times on an upstream of usual speed, divided by the callers' estimates. */
     private final RecentRatios estimateRatios = new RecentRatios();
-
-    /** Run times divided by the normal times that followed from finished siblings. */
-    private final RecentRatios normalRatios = new RecentRatios();
   }
 }
