--- a/burdockbay-core/src/main/java/org/burdockbay/core/routing/ShardRouter.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/routing/ShardRouter.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
@@ -194,15 +193,18 @@
       WorkRequest request, Demand demand, Candidate selected, List<Candidate> rated, long now) {
     if (!isInOwnDomain(selected.shard) || rated.stream().allMatch(it -> it.hasWait(now))) {
       decisionLog.accept(
-          String.format(
-              Locale.ROOT,
-              "work=%s to=%s cost=%.0f cores=%d estimate=%d candidates=%s",
-              request.id(),
-              selected.shard,
-              selected.cost,
-              demand.cores(),
-              demand.estimateMillis(),
-              rated.stream().map(it -> it.describe(now)).collect(Collectors.joining(","))));
+          "work="
+              + request.id()
+              + " to="
+              + selected.shard
+              + " cost="
+              + Math.round(selected.cost)
+              + " cores="
+              + demand.cores()
+              + " estimate="
+              + demand.estimateMillis()
+              + " candidates="
+              + rated.stream().map(it -> it.describe(now)).collect(Collectors.joining(",")));
     }
   }
 
@@ -216,13 +218,12 @@
       String inputs =
           report == null
               ? "unknown"
-              : String.format(
-                  Locale.ROOT,
-                  "%d:%.0f:%d",
-                  report.remainingWaitMillis(now),
-                  report.sentMillis(),
-                  report.remainingFreeCores());
-      return String.format(Locale.ROOT, "%s:%s:%.0f", shard, inputs, cost);
+              : report.remainingWaitMillis(now)
+                  + ":"
+                  + Math.round(report.sentMillis())
+                  + ":"
+                  + report.remainingFreeCores();
+      return shard + ":" + inputs + ":" + Math.round(cost);
     }
   }
 }
