--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/RunForecast.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/RunForecast.java
@@ -66,8 +66,8 @@
    * empty if there are none.
    *
    * <p>The median of the finished siblings is corrected for its rank among all that have started:
-   * the siblings that finish first are the fastest. Without the correction, a quarter of the normal
-   * runs of four siblings would count as slow after the first of them has finished.
+   * the siblings that finish first are the fastest. Without the correction, the time would be too
+   * short until most of them have finished.
    */
   private static OptionalDouble siblingMillis(TaskState task) {
     List<TaskState> siblings = task.work.steps.get(task.id.step());
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LoadSimulation.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LoadSimulation.java
@@ -474,7 +474,7 @@
     return statistics.values().stream().mapToInt(count).sum();
   }
 
-  /** Returns the value of the answers: a late one counts a fifth of one in time. */
+  /** Returns the same value as the mean over the kinds of jobs, however many jobs each has. */
   double valueShare() {
     double sum = 0;
     for (JobStatistics each : statistics.values()) {
