Events, effects and timing for the registration of work

Types only: a dispatcher registers work with the registrar of its id, which confirms it once no other dispatcher has the work. LeaseTiming names the callers' shortest retry delay, which its documentation relied on without a field.

--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseDispatcher.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseDispatcher.java
@@ -160,6 +160,9 @@
         }
         placementNeeded = true;
       }
+      case LeaseEvent.DispatchersChanged changed -> {
+        // Registrars aren't used yet.
+      }
       case LeaseEvent.SpeedsReported reported -> leases.speedsReported(reported.speeds());
       case LeaseEvent.ProcessPaused paused -> {
         if (context.isDispatching()) {
@@ -192,6 +195,15 @@
           handleAnswer(
               answered.upstream(), answered.clockMillis(), () -> leases.renewalAnswered(answered));
       case LeaseEvent.Tick tick -> tick();
+      case LeaseEvent.WorkRegistered registered -> {
+        // Registrations aren't kept yet.
+      }
+      case LeaseEvent.RegistrationConfirmed confirmed -> {
+        // Work isn't registered yet.
+      }
+      case LeaseEvent.WorkDeregistered deregistered -> {
+        // Registrations aren't kept yet.
+      }
       default ->
           throw new IllegalStateException("unexpected event in the dispatcher role: " + event);
     }
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseEffect.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseEffect.java
@@ -43,6 +43,29 @@
   /** Reports the outcome of work to an entry host. */
   record Report(String entryHost, String workId, WorkOutcome outcome) implements LeaseEffect {}
 
+  /**
+   * Registers work that this dispatcher has accepted; sent again until it is confirmed.
+   *
+   * @param registrarToken the token under which the registrar dispatches
+   * @param token the token of this dispatcher
+   * @param underWay whether tasks of the work may have started
+   */
+  record RegisterWork(
+      String registrar, long registrarToken, long token, String workId, boolean underWay)
+      implements LeaseEffect {}
+
+  /**
+   * Confirms, as the registrar, that no other dispatcher has the work.
+   *
+   * @param token the token of the dispatcher that registered the work
+   * @param quietPeriodMillis how long no task may start, as runs of an earlier dispatcher may go on
+   */
+  record ConfirmRegistration(String dispatcher, long token, String workId, long quietPeriodMillis)
+      implements LeaseEffect {}
+
+  /** Removes the registration of work of which no run is left. */
+  record DeregisterWork(String registrar, long token, String workId) implements LeaseEffect {}
+
   /**
    * Signals that an upstream keeps refusing this host's token because it has seen a higher one.
    *
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseEvent.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseEvent.java
@@ -5,6 +5,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import org.burdockbay.core.fleet.UpstreamAnnouncement;
+import org.burdockbay.core.registration.ShardDispatcher;
 import org.burdockbay.core.shard.ShardId;
 import org.burdockbay.core.work.RunId;
 import org.burdockbay.core.work.WorkRequest;
@@ -32,6 +33,42 @@
     }
   }
 
+  /**
+   * The dispatchers of the fleet, which are the registrars of work, have changed.
+   *
+   * @param dispatchers the dispatcher of each shard that has one
+   */
+  record DispatchersChanged(Map<ShardId, ShardDispatcher> dispatchers) implements LeaseEvent {
+
+    /** Copies the map. */
+    public DispatchersChanged {
+      dispatchers = Map.copyOf(dispatchers);
+    }
+  }
+
+  /**
+   * A dispatcher registers work with this host as the registrar.
+   *
+   * @param registrarToken the token under which the dispatcher regards this host as the registrar
+   * @param token the token of the dispatcher
+   * @param underWay whether tasks of the work may have started there
+   */
+  record WorkRegistered(
+      String dispatcher, long registrarToken, long token, String workId, boolean underWay)
+      implements LeaseEvent {}
+
+  /**
+   * A registrar has confirmed that no other dispatcher has the work.
+   *
+   * @param token the token under which this host registered the work
+   * @param quietPeriodMillis how long no task may start, as runs of an earlier dispatcher may go on
+   */
+  record RegistrationConfirmed(
+      String registrar, long token, String workId, long quietPeriodMillis) implements LeaseEvent {}
+
+  /** A dispatcher has removed the registration of work of which no run is left. */
+  record WorkDeregistered(String dispatcher, long token, String workId) implements LeaseEvent {}
+
   /**
    * The set of evacuated failure domains has changed.
    *
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseTiming.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseTiming.java
@@ -8,9 +8,15 @@
  * @param resendIntervalMillis silence after which an order is sent again, or a renewal counts as
  *     unanswered beyond its wait, at the earliest
  * @param answerTimeoutMillis silence after which an order counts as unanswered
+ * @param callerRetryDelayMillis shortest time from a broken connection of a caller until its next
+ *     attempt
  */
 public record LeaseTiming(
-    long leaseMillis, long pollMillis, long resendIntervalMillis, long answerTimeoutMillis) {
+    long leaseMillis,
+    long pollMillis,
+    long resendIntervalMillis,
+    long answerTimeoutMillis,
+    long callerRetryDelayMillis) {
 
   /**
    * Silence after which an entry host is considered lost and its work is dropped, in milliseconds:
@@ -37,7 +43,21 @@
    * domains; one without an answer after 40 ms is lost or delayed, and half of a short task's slack
    * is left.
    */
-  public static final LeaseTiming DEFAULT = new LeaseTiming(700, 150, 40, 300);
+  public static final LeaseTiming DEFAULT = new LeaseTiming(700, 150, 40, 300, 1_300);
+
+  /** Returns this timing for callers that retry after another delay, in milliseconds. */
+  public LeaseTiming withCallerRetryDelay(long delayMillis) {
+    return new LeaseTiming(
+        leaseMillis, pollMillis, resendIntervalMillis, answerTimeoutMillis, delayMillis);
+  }
+
+  /**
+   * Returns the longest time for which a run may continue after its entry host was lost or its
+   * caller's connection broke, in milliseconds.
+   */
+  public long maxOrphanedRunMillis() {
+    return ENTRY_HOST_SILENCE_TIMEOUT_MILLIS + maxLeaseMillis();
+  }
 
   /**
    * Returns the longest real time that a lease renewed now may last, including the end of its runs,
