--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseEvent.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseEvent.java
@@ -63,8 +63,8 @@
    * @param token the token under which this host registered the work
    * @param quietPeriodMillis how long no task may start, as runs of an earlier dispatcher may go on
    */
-  record RegistrationConfirmed(
-      String registrar, long token, String workId, long quietPeriodMillis) implements LeaseEvent {}
+  record RegistrationConfirmed(String registrar, long token, String workId, long quietPeriodMillis)
+      implements LeaseEvent {}
 
   /** A dispatcher has removed the registration of work of which no run is left. */
   record WorkDeregistered(String dispatcher, long token, String workId) implements LeaseEvent {}
