Carry the messages of the registration of work in the models

ModelEntryHost and LoadSimulation send the messages between dispatchers and the registrar like reports, and notify dispatchers of the current dispatchers, which are the registrars. LoadSimulation charges a message like any other event.

No behaviour changes, as no dispatcher registers work yet.

--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LoadSimulation.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LoadSimulation.java
@@ -23,6 +23,7 @@
 import org.burdockbay.core.intake.IntakeEffect;
 import org.burdockbay.core.intake.IntakeEvent;
 import org.burdockbay.core.intake.WorkIntake;
+import org.burdockbay.core.registration.ShardDispatcher;
 import org.burdockbay.core.shard.ShardId;
 import org.burdockbay.core.shard.ShardLayout;
 import org.burdockbay.core.shard.ShardMap;
@@ -136,6 +137,7 @@
     dispatchers
         .keySet()
         .forEach(host -> notifyDispatcher(host, new LeaseEvent.RoleGained(FIRST_TOKEN)));
+    notifyRegistrarsChanged();
     if (!scenario.layout().undivided()) {
       startEntryHosts();
     }
@@ -187,6 +189,7 @@
             upstream -> notifyDispatcher(host, new LeaseEvent.Announced(upstream.announcement)));
     notifyDispatcher(host, new LeaseEvent.SpeedsReported(speeds));
     notifyDispatcher(host, new LeaseEvent.RoleGained(before.token() + 1));
+    notifyRegistrarsChanged();
     intakes
         .keySet()
         .forEach(
@@ -235,6 +238,7 @@
               notifyDispatcher(host, new LeaseEvent.Announced(upstream.announcement));
             });
     notifyDispatcher(host, new LeaseEvent.RoleGained(token));
+    notifyRegistrarsChanged();
     intakes.keySet().forEach(this::notifyDispatchersChanged);
     schedule(random.nextLong(HEARTBEAT_INTERVAL_MILLIS), () -> reportLoad(host));
   }
@@ -251,6 +255,16 @@
     notifyIntake(entry, new IntakeEvent.DispatchersChanged(Map.copyOf(dispatcherByShard)));
   }
 
+  /** Notifies all dispatchers of the current ones, which are the registrars of work. */
+  private void notifyRegistrarsChanged() {
+    Map<ShardId, ShardDispatcher> registrars = new HashMap<>();
+    dispatcherByShard.forEach(
+        (shard, dispatcher) ->
+            registrars.put(shard, new ShardDispatcher(dispatcher.host(), dispatcher.token())));
+    LeaseEvent changed = new LeaseEvent.DispatchersChanged(registrars);
+    List.copyOf(dispatchers.keySet()).forEach(host -> notifyDispatcher(host, changed));
+  }
+
   /** Delivers a submission, which a cold dispatcher handles some time after its arrival. */
   private void deliverSubmission(String host, LeaseEvent.Submitted submitted) {
     long arrivedAt = now;
@@ -684,6 +698,24 @@
           schedule(1, () -> upstream.stop(host, stop));
         }
         case LeaseEffect.Report report -> forwardReport(host, report);
+        case LeaseEffect.RegisterWork register ->
+            sendLeaseEvent(
+                register.registrar(),
+                new LeaseEvent.WorkRegistered(
+                    host,
+                    register.registrarToken(),
+                    register.token(),
+                    register.workId(),
+                    register.underWay()));
+        case LeaseEffect.ConfirmRegistration confirm ->
+            sendLeaseEvent(
+                confirm.dispatcher(),
+                new LeaseEvent.RegistrationConfirmed(
+                    host, confirm.token(), confirm.workId(), confirm.quietPeriodMillis()));
+        case LeaseEffect.DeregisterWork deregister ->
+            sendLeaseEvent(
+                deregister.registrar(),
+                new LeaseEvent.WorkDeregistered(host, deregister.token(), deregister.workId()));
         case LeaseEffect.RoleReleased released -> roleChanges++;
         case LeaseEffect.Superseded superseded -> roleChanges++;
         case LeaseEffect.LogEvent logged -> {
@@ -693,6 +725,11 @@
     }
   }
 
+  /** Sends a message between dispatchers, which takes the processor time of one event. */
+  private void sendLeaseEvent(String receiver, LeaseEvent event) {
+    schedule(1, () -> enqueue(receiver, event));
+  }
+
   private void forwardReport(String host, LeaseEffect.Report report) {
     if (intakes.isEmpty()) {
       recordAnswer(report.workId(), report.outcome());
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelEntryHost.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelEntryHost.java
@@ -19,6 +19,7 @@
 import org.burdockbay.core.membership.MembershipEffect;
 import org.burdockbay.core.membership.MembershipOptions;
 import org.burdockbay.core.membership.RouteView;
+import org.burdockbay.core.registration.ShardDispatcher;
 import org.burdockbay.core.shard.ShardId;
 import org.burdockbay.core.work.WorkRequest;
 
@@ -495,12 +496,16 @@
   private void applyRoutes(RouteView view) {
     membership.claimedShard().ifPresent(own -> notifyShardsChanged(own, view));
     Map<ShardId, IntakeEvent.Dispatcher> dispatchers = new HashMap<>();
+    Map<ShardId, ShardDispatcher> registrars = new HashMap<>();
     view.shards()
         .forEach(
-            (shard, dispatching) ->
-                dispatchers.put(
-                    shard, new IntakeEvent.Dispatcher(dispatching.host(), dispatching.epoch())));
+            (shard, dispatching) -> {
+              dispatchers.put(
+                  shard, new IntakeEvent.Dispatcher(dispatching.host(), dispatching.epoch()));
+              registrars.put(shard, new ShardDispatcher(dispatching.host(), dispatching.epoch()));
+            });
     reportContact(dispatchers.values());
+    dispatch(new LeaseEvent.DispatchersChanged(registrars));
     handleIntake(new IntakeEvent.OwnShardsChanged(Set.copyOf(membership.layout().shards(domain))));
     handleIntake(new IntakeEvent.DispatchersChanged(dispatchers));
   }
@@ -616,6 +621,24 @@
                   target.handleIntake(
                       new IntakeEvent.OutcomeReported(name, report.workId(), report.outcome())));
         }
+        case LeaseEffect.RegisterWork register ->
+            sendLeaseEvent(
+                register.registrar(),
+                new LeaseEvent.WorkRegistered(
+                    name,
+                    register.registrarToken(),
+                    register.token(),
+                    register.workId(),
+                    register.underWay()));
+        case LeaseEffect.ConfirmRegistration confirm ->
+            sendLeaseEvent(
+                confirm.dispatcher(),
+                new LeaseEvent.RegistrationConfirmed(
+                    name, confirm.token(), confirm.workId(), confirm.quietPeriodMillis()));
+        case LeaseEffect.DeregisterWork deregister ->
+            sendLeaseEvent(
+                deregister.registrar(),
+                new LeaseEvent.WorkDeregistered(name, deregister.token(), deregister.workId()));
         case LeaseEffect.Superseded superseded ->
             deliver(
                 0,
@@ -632,6 +655,12 @@
     }
   }
 
+  /** Sends a message between dispatchers, which arrives as the given event. */
+  private void sendLeaseEvent(String receiver, LeaseEvent event) {
+    ModelEntryHost target = model.hosts.get(receiver);
+    send(target, () -> target.dispatch(event));
+  }
+
   private static OptionalLong clockOf(ModelUpstream upstream, OrderResult result) {
     return result == OrderResult.OTHER_LIFE
         ? OptionalLong.empty()
