Fuzz callers that retry at other hosts, and callers who leave silently

Callers could see a charge carried out twice: two first runs of a task, in two failure domains.

LeaseModel let a caller retry 1,300 ms after its entry host had noticed the break, a constant that exceeds the longest time for which a run outlives its entry host (1,225 ms). The interface to callers doesn't name such a wait. The callers of the new tests retry after the retry interval of a deployment, which is drawn from 50 ms to 3 s in each simulation, plus up to 1 s. Their second attempt also arrives at the moment in which the first host notices the break, after that host was paused, after an outcome that was left open, and seconds after an answer. In the tests with silent callers half of the breaks aren't noticed until up to 3 s later, half of these never. The model tells each dispatcher the interval of its deployment. One test checks that the refusal of a later attempt is true as well: no run is under way at that moment, and none starts afterwards.

With the refusals, the shard of the second attempt refuses for lack of room while the first entry host still holds the work at another one.

--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseFuzzTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseFuzzTest.java
@@ -1,9 +1,11 @@
 package org.burdockbay.core.lease;
 
+import java.util.Arrays;
 import java.util.List;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 import org.burdockbay.core.FuzzOptions;
 import org.burdockbay.core.scheduling.SchedulingOptions;
 import org.burdockbay.core.shard.ShardLayout;
@@ -18,6 +20,9 @@
   private static final int GROWTH_STEP = 40;
   private static final int RUNS = 40;
 
+  /** The number of upstreams in each failure domain. */
+  private static final int UPSTREAMS = 3;
+
   /**
    * Guards against two simultaneous runs of a task, which would sell a lot twice, and against
    * reporting a task as not run which has run, such as the confirmation of a contract. Hosts are
@@ -208,6 +213,82 @@
     }
   }
 
+  /** Guards against overlapping runs when a second attempt reaches another shard. */
+  @Test(dataProvider = "networksAndOptions")
+  public void neverOverlapsRunsOfTaskWithRetriesAtOtherHosts(
+      LeaseModel.Network network, SchedulingOptions options) {
+    simulateCallers(network, options, ModelCallers.Behavior.QUICK_RETRIES, false);
+  }
+
+  /** Guards against overlapping runs when a host takes a caller that retried for connected. */
+  @Test(dataProvider = "networksAndOptions")
+  public void neverOverlapsRunsOfTaskWithSilentCallers(
+      LeaseModel.Network network, SchedulingOptions options) {
+    simulateCallers(network, options, ModelCallers.Behavior.SILENT_BREAKS, false);
+  }
+
+  /** Guards against reporting work as not run that another attempt of its caller runs. */
+  @Test(dataProvider = "networksAndOptions")
+  public void neverRefusesWorkThatAnotherAttemptRuns(
+      LeaseModel.Network network, SchedulingOptions options) {
+    simulateCallers(network, options, ModelCallers.Behavior.SILENT_BREAKS, true);
+  }
+
+  private static void simulateCallers(
+      LeaseModel.Network network,
+      SchedulingOptions options,
+      ModelCallers.Behavior callerBehavior,
+      boolean checksRefusedRetries) {
+    int runs = FuzzOptions.exampleCount(RUNS);
+    for (int run = 0; run < runs; run++) {
+      long seed = FuzzOptions.seed() + run;
+      try {
+        simulateCallers(seed, network, options, callerBehavior, checksRefusedRetries);
+      } catch (AssertionError e) {
+        throw new AssertionError("seed " + seed + ": " + e.getMessage(), e);
+      }
+    }
+  }
+
+  private static void simulateCallers(
+      long seed,
+      LeaseModel.Network network,
+      SchedulingOptions options,
+      ModelCallers.Behavior callerBehavior,
+      boolean checksRefusedRetries) {
+    ShardLayout layout = dividedLayout(seed);
+    LeaseModel model =
+        new LeaseModel(
+            seed, network, layout, hostsInDomain(layout), UPSTREAMS, options, callerBehavior);
+    model.breaksConnections = true;
+    model.orderedDelivery = true;
+    model.checksRefusedRetries = checksRefusedRetries;
+    simulate(
+        seed,
+        model,
+        stepped -> {
+          stepped.callers().injectFaults();
+          cutOneWay(stepped);
+          if ((seed & 4) == 0) {
+            changeEvacuations(stepped);
+          }
+          if ((seed & 8) == 0) {
+            killAllHosts(stepped);
+          }
+        });
+  }
+
+  /** Returns all kinds of networks, without scheduling options and with all of them. */
+  @DataProvider
+  public Object[][] networksAndOptions() {
+    return Arrays.stream(LeaseModel.Network.values())
+        .flatMap(
+            network ->
+                Stream.of(SchedulingOptions.NONE, SchedulingOptions.ALL)
+                    .map(options -> new Object[] {network, options}))
+        .toArray(Object[][]::new);
+  }
+
   private static void killAllHosts(LeaseModel model) {
     SplittableRandom random = model.faultRandom();
     if (random.nextInt(40) == 0) {
@@ -309,7 +390,11 @@
 
   private static LeaseModel model(
       long seed, LeaseModel.Network network, ShardLayout layout, SchedulingOptions options) {
-    return new LeaseModel(seed, network, layout, 2 + layout.shardsPerDomain() / 2, 3, options);
+    return new LeaseModel(seed, network, layout, hostsInDomain(layout), UPSTREAMS, options);
+  }
+
+  private static int hostsInDomain(ShardLayout layout) {
+    return 2 + layout.shardsPerDomain() / 2;
   }
 
   /** Simulates broken connections, ordered delivery and further faults in each step. */
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseModel.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseModel.java
@@ -38,7 +38,6 @@
   static final List<String> DOMAINS = List.of("north", "south", "east");
   private static final long FAULT_SEED_MASK = 0x5DEECE66DL;
 
-  private static final long CALLER_RETRY_DELAY_MILLIS = 1_300;
   static final long CALLER_TIMEOUT_MILLIS = 2_500;
 
   /** The stated objective for the time from the last fault until callers are served again. */
@@ -56,6 +55,7 @@
   private final Network network;
   private final SchedulingOptions options;
   private final ShardLayout layout;
+  private final ModelCallers callers;
   private final Map<Set<ModelEntryHost>, Link> links = new HashMap<>();
   private final PriorityQueue<ScheduledAction> queue = new PriorityQueue<>();
   private final Map<TaskId, ModelUpstream> runningOn = new HashMap<>();
@@ -97,6 +97,12 @@
   /** Processor time of a host for one event, in microseconds; 0 for an unlimited processor. */
   long eventMicros;
 
+  /**
+   * Whether the refusal of a later attempt must be true as well: no run of the work is under way,
+   * and none starts unless the caller sends it again.
+   */
+  boolean checksRefusedRetries;
+
   /** Whether failure domains are evacuated during the simulation. */
   boolean evacuates;
 
@@ -134,6 +140,26 @@
     this(seed, network, layout, hostsInDomain, upstreamsInDomain, START_TIME_MILLIS, options);
   }
 
+  /** Creates a model with callers of a certain behavior. */
+  LeaseModel(
+      long seed,
+      Network network,
+      ShardLayout layout,
+      int hostsInDomain,
+      int upstreamsInDomain,
+      SchedulingOptions options,
+      ModelCallers.Behavior callerBehavior) {
+    this(
+        seed,
+        network,
+        layout,
+        hostsInDomain,
+        upstreamsInDomain,
+        START_TIME_MILLIS,
+        options,
+        callerBehavior);
+  }
+
   /**
    * Creates a model.
    *
@@ -170,8 +196,29 @@
       int upstreamsInDomain,
       long startTimeMillis,
       SchedulingOptions options) {
+    this(
+        seed,
+        network,
+        layout,
+        hostsInDomain,
+        upstreamsInDomain,
+        startTimeMillis,
+        options,
+        ModelCallers.Behavior.FIXED_DELAY);
+  }
+
+  private LeaseModel(
+      long seed,
+      Network network,
+      ShardLayout layout,
+      int hostsInDomain,
+      int upstreamsInDomain,
+      long startTimeMillis,
+      SchedulingOptions options,
+      ModelCallers.Behavior callerBehavior) {
     now = startTimeMillis;
     this.options = options;
+    callers = new ModelCallers(this, seed, callerBehavior);
     random = new SplittableRandom(seed);
     faultRandom = new SplittableRandom(seed ^ FAULT_SEED_MASK);
     this.network = network;
@@ -202,6 +249,14 @@
     return options;
   }
 
+  ModelCallers callers() {
+    return callers;
+  }
+
+  boolean faultsEnded() {
+    return faultsEnded;
+  }
+
   SplittableRandom random() {
     return random;
   }
@@ -380,21 +435,26 @@
             STRETCH,
             60,
             CALLER_TIMEOUT_MILLIS);
-    submitAt(anyHost(), request);
+    callers.send(new CallerAttempt(request), anyHost());
+  }
+
+  /** Records that the request of an attempt will be sent again. */
+  void recordRetry(CallerAttempt attempt) {
+    resubmittedWork.add(attempt.workId());
   }
 
-  /** Resubmits the work of a caller whose connection broke, later and at a random host. */
-  void resubmitLater(WorkRequest request) {
-    resubmittedWork.add(request.id());
-    schedule(CALLER_RETRY_DELAY_MILLIS, () -> submitAt(anyHost(), request));
+  /** Records that a request is sent again, whose work may run even after an earlier refusal. */
+  void recordAttempt(CallerAttempt attempt) {
+    refusedWork.remove(attempt.workId());
   }
 
-  void recordAnswer(WorkRequest request, WorkOutcome outcome) {
+  void recordAnswer(CallerAttempt attempt, WorkOutcome outcome) {
+    WorkRequest request = attempt.request;
     answers++;
     trace("caller", "answered " + request.id() + " " + outcome);
     switch (outcome) {
       case WorkOutcome.Completed done -> {
-        completed++;
+        completed += attempt.isDuplicate ? 0 : 1;
         for (int index = 0; index < request.steps().getFirst().taskCount(); index++) {
           TaskId task = new TaskId(request.id(), 0, index);
           check(
@@ -408,12 +468,28 @@
               !startedWork.contains(request.id()),
               request.id() + " was reported as not run, but a run of it has started");
           refusedWork.add(request.id());
+        } else if (checksRefusedRetries) {
+          checkNotRunning(request);
+          refusedWork.add(request.id());
         }
       }
       default -> {
         // There is no guarantee about work that failed or was given up.
       }
     }
+    callers.handleAnswer(attempt, outcome);
+  }
+
+  private void checkNotRunning(WorkRequest request) {
+    runningOn.forEach(
+        (task, upstream) ->
+            check(
+                !task.work().equals(request.id()),
+                request.id()
+                    + " was reported as not run while "
+                    + task
+                    + " runs on "
+                    + upstream.id));
   }
 
   void recordStart(RunId run, ModelUpstream upstream) {
@@ -493,10 +569,6 @@
     }
   }
 
-  private void submitAt(ModelEntryHost host, WorkRequest request) {
-    host.submit(request);
-  }
-
   private void announcePeriodically(ModelUpstream upstream) {
     if (upstream.up) {
       upstream.sequence++;
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelEntryHost.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelEntryHost.java
@@ -21,7 +21,6 @@
 import org.burdockbay.core.membership.RouteView;
 import org.burdockbay.core.registration.ShardDispatcher;
 import org.burdockbay.core.shard.ShardId;
-import org.burdockbay.core.work.WorkRequest;
 
 /**
  * One host of a {@link LeaseModel}, with membership, intake and dispatcher wired as in a process.
@@ -38,7 +37,7 @@
   final String name;
   final String domain;
   private final LeaseModel model;
-  private final Map<Long, WorkRequest> callers = new HashMap<>();
+  private final Map<Long, CallerAttempt> callers = new HashMap<>();
   private final Map<String, Long> incarnations = new HashMap<>();
   private final Map<String, Long> restartSeenAt = new HashMap<>();
   private final Map<String, Long> lastContacts = new HashMap<>();
@@ -109,7 +108,9 @@
             domain,
             SILENCE_TIMEOUT_MILLIS + LeaseTiming.DEFAULT.maxLeaseMillis(),
             model.options());
-    dispatcher = new LeaseDispatcher(name, LeaseTiming.DEFAULT, model.options());
+    LeaseTiming timing =
+        LeaseTiming.DEFAULT.withCallerRetryDelay(model.callers().retryIntervalMillis());
+    dispatcher = new LeaseDispatcher(name, timing, model.options());
     incarnations.clear();
     lastContacts.clear();
     evacuations = Evacuations.NONE;
@@ -126,8 +127,9 @@
     up = false;
     generation++;
     heldActions.clear();
-    callers.values().forEach(model::resubmitLater);
+    List<CallerAttempt> accepted = List.copyOf(callers.values());
     callers.clear();
+    model.callers().hostEnded(this, accepted);
   }
 
   /**
@@ -177,21 +179,41 @@
     applyMembershipEffects(membership.drain(clock()));
   }
 
-  void submit(WorkRequest request) {
-    model.trace(name, "submitted " + request.id() + " up=" + up);
+  void submit(CallerAttempt attempt) {
+    model.trace(name, "submitted " + attempt.workId() + " up=" + up);
     if (!up) {
-      model.resubmitLater(request);
+      model.callers().retryLater(attempt);
       return;
     }
+    deliverWork(1, arrivedAt -> accept(attempt));
+  }
+
+  private void accept(CallerAttempt attempt) {
+    lastTicket++;
+    attempt.ticket = lastTicket;
+    callers.put(lastTicket, attempt);
+    handleIntake(new IntakeEvent.RequestReceived(lastTicket, attempt.request));
+    if (attempt.isDisconnected) {
+      forgetCaller(attempt);
+    }
+  }
+
+  /** Notices that the connection of an attempt broke, behind its request. */
+  void disconnect(CallerAttempt attempt) {
     deliverWork(
-        1,
+        0,
         arrivedAt -> {
-          lastTicket++;
-          callers.put(lastTicket, request);
-          handleIntake(new IntakeEvent.RequestReceived(lastTicket, request));
+          attempt.isDisconnected = true;
+          forgetCaller(attempt);
         });
   }
 
+  private void forgetCaller(CallerAttempt attempt) {
+    if (callers.remove(attempt.ticket, attempt)) {
+      handleIntake(new IntakeEvent.CallerDisconnected(attempt.ticket));
+    }
+  }
+
   void receiveAnnouncement(UpstreamAnnouncement announcement) {
     dispatch(new LeaseEvent.Announced(announcement));
     applyMembershipEffects(membership.growLayout(model.layout(), clock()));
@@ -406,9 +428,11 @@
     }
     List<Long> tickets = List.copyOf(callers.keySet());
     long ticket = tickets.get(model.faultRandom().nextInt(tickets.size()));
-    WorkRequest request = callers.remove(ticket);
-    model.trace(name, "lost the caller of " + request.id());
-    model.resubmitLater(request);
+    CallerAttempt attempt = callers.remove(ticket);
+    model.trace(name, "lost the caller of " + attempt.workId());
+    if (attempt.isWaiting) {
+      model.callers().retryLater(attempt);
+    }
     deliver(0, () -> handleIntake(new IntakeEvent.CallerDisconnected(ticket)));
   }
 
@@ -557,9 +581,9 @@
           sendWork(target, arrivedAt -> target.dispatch(cancelled, arrivedAt));
         }
         case IntakeEffect.Answer answer -> {
-          WorkRequest request = callers.remove(answer.ticket());
-          if (request != null) {
-            model.recordAnswer(request, answer.outcome());
+          CallerAttempt attempt = callers.remove(answer.ticket());
+          if (attempt != null && attempt.isWaiting) {
+            model.recordAnswer(attempt, answer.outcome());
           }
         }
         case IntakeEffect.LogEvent logged ->
