--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelCallers.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelCallers.java
@@ -15,6 +15,10 @@
 final class ModelCallers {
 
   private static final long SEED_MASK = 0x9E3779B97F4A7C15L;
+
+  /** The retry interval of the deployments known so far. */
+  private static final long KNOWN_RETRY_INTERVAL_MILLIS = 1_300;
+
   private static final long MIN_RETRY_INTERVAL_MILLIS = 50;
   private static final long MAX_RETRY_INTERVAL_MILLIS = 3_000;
   private static final long MAX_EXTRA_DELAY_MILLIS = 1_000;
@@ -43,7 +47,7 @@
     random = new SplittableRandom(seed ^ SEED_MASK);
     retryIntervalMillis =
         behavior == Behavior.FIXED_DELAY
-            ? LeaseTiming.DEFAULT.callerRetryDelayMillis()
+            ? KNOWN_RETRY_INTERVAL_MILLIS
             : randomRetryIntervalMillis();
     model.trace("callers", "behavior=" + behavior + " retry-interval=" + retryIntervalMillis);
   }
