--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelEntryHost.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelEntryHost.java
@@ -19,8 +19,8 @@
 import org.burdockbay.core.membership.MembershipEffect;
 import org.burdockbay.core.membership.MembershipOptions;
 import org.burdockbay.core.membership.RouteView;
+import org.burdockbay.core.registration.ShardDispatcher;
 import org.burdockbay.core.shard.ShardId;
-import org.burdockbay.core.work.WorkRequest;
 
 /**
  * One host of a {@link LeaseModel}, with membership, intake and dispatcher wired as in a process.
@@ -37,7 +37,7 @@
   final String name;
   final String domain;
   private final LeaseModel model;
-  private final Map<Long, WorkRequest> callers = new HashMap<>();
+  private final Map<Long, CallerAttempt> callers = new HashMap<>();
   private final Map<String, Long> incarnations = new HashMap<>();
   private final Map<String, Long> restartSeenAt = new HashMap<>();
   private final Map<String, Long> lastContacts = new HashMap<>();
@@ -108,7 +108,9 @@
             domain,
             SILENCE_TIMEOUT_MILLIS + LeaseTiming.DEFAULT.maxLeaseMillis(),
             model.options());
-    dispatcher = new LeaseDispatcher(name, LeaseTiming.DEFAULT, model.options());
+    LeaseTiming timing =
+        LeaseTiming.DEFAULT.withCallerRetryDelay(model.callers().retryIntervalMillis());
+    dispatcher = new LeaseDispatcher(name, timing, model.options());
     incarnations.clear();
     lastContacts.clear();
     evacuations = Evacuations.NONE;
@@ -125,8 +127,9 @@
     up = false;
     generation++;
     heldActions.clear();
-    callers.values().forEach(model::resubmitLater);
+    List<CallerAttempt> accepted = List.copyOf(callers.values());
     callers.clear();
+    model.callers().hostEnded(this, accepted);
   }
 
   /**
@@ -176,21 +179,41 @@
     applyMembershipEffects(membership.drain(clock()));
   }
 
-  void submit(WorkRequest request) {
-    model.trace(name, "submitted " + request.id() + " up=" + up);
+  void submit(CallerAttempt attempt) {
+    model.trace(name, "submitted " + attempt.workId() + " up=" + up);
     if (!up) {
-      model.resubmitLater(request);
+      model.callers().retryLater(attempt);
       return;
     }
+    deliverWork(1, arrivedAt -> accept(attempt));
+  }
+
+  private void accept(CallerAttempt attempt) {
+    lastTicket++;
+    attempt.ticket = lastTicket;
+    callers.put(lastTicket, attempt);
+    handleIntake(new IntakeEvent.RequestReceived(lastTicket, attempt.request));
+    if (attempt.isDisconnected) {
+      forgetCaller(attempt);
+    }
+  }
+
+  /** Notices that the connection of an attempt broke, behind its request. */
+  void disconnect(CallerAttempt attempt) {
     deliverWork(
-        1,
+        0,
         arrivedAt -> {
-          lastTicket++;
-          callers.put(lastTicket, request);
-          handleIntake(new IntakeEvent.RequestReceived(lastTicket, request));
+          attempt.isDisconnected = true;
+          forgetCaller(attempt);
         });
   }
 
+  private void forgetCaller(CallerAttempt attempt) {
+    if (callers.remove(attempt.ticket, attempt)) {
+      handleIntake(new IntakeEvent.CallerDisconnected(attempt.ticket));
+    }
+  }
+
   void receiveAnnouncement(UpstreamAnnouncement announcement) {
     dispatch(new LeaseEvent.Announced(announcement));
     applyMembershipEffects(membership.growLayout(model.layout(), clock()));
@@ -405,9 +428,11 @@
     }
     List<Long> tickets = List.copyOf(callers.keySet());
     long ticket = tickets.get(model.faultRandom().nextInt(tickets.size()));
-    WorkRequest request = callers.remove(ticket);
-    model.trace(name, "lost the caller of " + request.id());
-    model.resubmitLater(request);
+    CallerAttempt attempt = callers.remove(ticket);
+    model.trace(name, "lost the caller of " + attempt.workId());
+    if (attempt.isWaiting) {
+      model.callers().retryLater(attempt);
+    }
     deliver(0, () -> handleIntake(new IntakeEvent.CallerDisconnected(ticket)));
   }
 
@@ -495,12 +520,16 @@
   private void applyRoutes(RouteView view) {
     membership.claimedShard().ifPresent(own -> notifyShardsChanged(own, view));
     Map<ShardId, IntakeEvent.Dispatcher> dispatchers = new HashMap<>();
+    Map<ShardId, ShardDispatcher> registrars = new HashMap<>();
     view.shards()
         .forEach(
-            (shard, dispatching) ->
-                dispatchers.put(
-                    shard, new IntakeEvent.Dispatcher(dispatching.host(), dispatching.epoch())));
+            (shard, dispatching) -> {
+              dispatchers.put(
+                  shard, new IntakeEvent.Dispatcher(dispatching.host(), dispatching.epoch()));
+              registrars.put(shard, new ShardDispatcher(dispatching.host(), dispatching.epoch()));
+            });
     reportContact(dispatchers.values());
+    dispatch(new LeaseEvent.DispatchersChanged(registrars));
     handleIntake(new IntakeEvent.OwnShardsChanged(Set.copyOf(membership.layout().shards(domain))));
     handleIntake(new IntakeEvent.DispatchersChanged(dispatchers));
   }
@@ -552,9 +581,9 @@
           sendWork(target, arrivedAt -> target.dispatch(cancelled, arrivedAt));
         }
         case IntakeEffect.Answer answer -> {
-          WorkRequest request = callers.remove(answer.ticket());
-          if (request != null) {
-            model.recordAnswer(request, answer.outcome());
+          CallerAttempt attempt = callers.remove(answer.ticket());
+          if (attempt != null && attempt.isWaiting) {
+            model.recordAnswer(attempt, answer.outcome());
           }
         }
         case IntakeEffect.LogEvent logged ->
@@ -616,6 +645,24 @@
                   target.handleIntake(
                       new IntakeEvent.OutcomeReported(name, report.workId(), report.outcome())));
         }
+        case LeaseEffect.RegisterWork register ->
+            sendLeaseEvent(
+                register.registrar(),
+                new LeaseEvent.WorkRegistered(
+                    name,
+                    register.registrarToken(),
+                    register.token(),
+                    register.workId(),
+                    register.underWay()));
+        case LeaseEffect.ConfirmRegistration confirm ->
+            sendLeaseEvent(
+                confirm.dispatcher(),
+                new LeaseEvent.RegistrationConfirmed(
+                    name, confirm.token(), confirm.workId(), confirm.quietPeriodMillis()));
+        case LeaseEffect.DeregisterWork deregister ->
+            sendLeaseEvent(
+                deregister.registrar(),
+                new LeaseEvent.WorkDeregistered(name, deregister.token(), deregister.workId()));
         case LeaseEffect.Superseded superseded ->
             deliver(
                 0,
@@ -632,6 +679,12 @@
     }
   }
 
+  /** Sends a message between dispatchers, which arrives as the given event. */
+  private void sendLeaseEvent(String receiver, LeaseEvent event) {
+    ModelEntryHost target = model.hosts.get(receiver);
+    send(target, () -> target.dispatch(event));
+  }
+
   private static OptionalLong clockOf(ModelUpstream upstream, OrderResult result) {
     return result == OrderResult.OTHER_LIFE
         ? OptionalLong.empty()
