Messages for the registration of work between hosts

Cause: the registrar of work is usually another host, and no message carried a registration to it.

A host closes a connection on which a body of an unknown kind arrives, and with it loses heartbeats, so a new kind of body would disturb hosts of earlier releases for the length of an upgrade. (Trial with a body of number 1000: peer-refused, "peer message of an unknown kind: BODY_NOT_SET", connection closed.)

Change: register_work, work_registered and deregister_work are fields beside an empty upstream_news, as upstream_speeds is; the four form a oneof, which leaves the encoding of upstream_speeds as it was.

--- a/burdockbay-core/src/main/java/org/burdockbay/core/message/PeerMessage.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/message/PeerMessage.java
@@ -124,6 +124,32 @@
   /** Reports the outcome of work to its entry host. */
   record ReportWork(String workId, WorkOutcome outcome) implements PeerMessage {}
 
+  /**
+   * Registers work with the registrar of its id; resent until it is confirmed.
+   *
+   * @param registrarToken fencing token under which the sender considers the receiver the registrar
+   * @param token fencing token under which the sender dispatches the work
+   * @param underWay whether tasks of the work may have started
+   */
+  record RegisterWork(long registrarToken, long token, String workId, boolean underWay)
+      implements PeerMessage {}
+
+  /**
+   * Confirms a {@link RegisterWork}: no other dispatcher has the work.
+   *
+   * @param token fencing token under which the receiver registered the work
+   * @param quietPeriodMillis time for which no task may start, in milliseconds, because an earlier
+   *     dispatcher may still run some
+   */
+  record WorkRegistered(long token, String workId, long quietPeriodMillis) implements PeerMessage {}
+
+  /**
+   * Removes the registration of work of which no run is left.
+   *
+   * @param token fencing token under which the sender registered the work
+   */
+  record DeregisterWork(long token, String workId) implements PeerMessage {}
+
   /**
    * Forwards announcements of upstreams.
    *
--- a/burdockbay-server/src/test/java/org/burdockbay/server/transport/InboundHandlerTest.java
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/transport/InboundHandlerTest.java
@@ -5,6 +5,7 @@
 import static org.testng.Assert.assertTrue;
 
 import com.codahale.metrics.MetricRegistry;
+import com.google.protobuf.ByteString;
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.util.ArrayList;
 import java.util.List;
@@ -76,6 +77,24 @@
     assertFalse(channel.isOpen());
   }
 
+  /**
+   * Guards against closed connections in an upgrade: a host of a later version sends messages of
+   * new kinds in fields beside empty news.
+   */
+  @Test
+  public void acceptsUnknownFieldsBesideNews() throws Exception {
+    channel.writeInbound(
+        withUnknownField(PeerCodec.encode(new PeerMessage.UpstreamNews(List.of(), List.of()))));
+    assertEquals(received, List.of(new PeerMessage.UpstreamNews(List.of(), List.of())));
+    assertTrue(channel.isOpen());
+  }
+
+  /** Appends a field that no version uses: number 1000, varint 1. */
+  private static Wire.Envelope withUnknownField(Wire.Envelope envelope) throws Exception {
+    ByteString unknown = ByteString.copyFrom(new byte[] {(byte) 0xC0, 0x3E, 1});
+    return Wire.Envelope.parseFrom(envelope.toByteString().concat(unknown));
+  }
+
   private static TransportSettings settings(String host) {
     return new TransportSettings(
         "c", host, "", new HostAddress(host, 1), other -> true, 1, 1_000, 1_000, MAX_GAP_MILLIS);
--- a/burdockbay-wire/src/main/java/org/burdockbay/wire/PeerCodec.java
+++ b/burdockbay-wire/src/main/java/org/burdockbay/wire/PeerCodec.java
@@ -70,9 +70,13 @@
       case PeerMessage.ReportWork report -> envelope.setReportWork(WorkCodec.encode(report));
       case PeerMessage.UpstreamNews news -> envelope.setUpstreamNews(FleetCodec.encode(news));
       case PeerMessage.UpstreamSpeeds speeds ->
-          envelope
-              .setUpstreamNews(Wire.UpstreamNews.getDefaultInstance())
-              .setUpstreamSpeeds(FleetCodec.encode(speeds));
+          extension(envelope).setUpstreamSpeeds(FleetCodec.encode(speeds));
+      case PeerMessage.RegisterWork register ->
+          extension(envelope).setRegisterWork(WorkCodec.encode(register));
+      case PeerMessage.WorkRegistered registered ->
+          extension(envelope).setWorkRegistered(WorkCodec.encode(registered));
+      case PeerMessage.DeregisterWork deregister ->
+          extension(envelope).setDeregisterWork(WorkCodec.encode(deregister));
       case PeerMessage.KnownHosts known -> envelope.setHostCards(FleetCodec.encode(known));
     }
     return envelope.build();
@@ -103,6 +107,14 @@
         .build();
   }
 
+  /**
+   * Prepares an envelope for a message that hosts of earlier versions don't know. They read it as
+   * empty news, and would close the connection if it had no body that they know.
+   */
+  private static Wire.Envelope.Builder extension(Wire.Envelope.Builder envelope) {
+    return envelope.setUpstreamNews(Wire.UpstreamNews.getDefaultInstance());
+  }
+
   /**
    * Decodes a message.
    *
@@ -153,10 +165,7 @@
       case SUBMIT_WORK -> WorkCodec.decode(envelope.getSubmitWork());
       case CANCEL_WORK -> WorkCodec.decode(envelope.getCancelWork());
       case REPORT_WORK -> WorkCodec.decode(envelope.getReportWork());
-      case UPSTREAM_NEWS ->
-          envelope.hasUpstreamSpeeds()
-              ? FleetCodec.decode(envelope.getUpstreamSpeeds())
-              : FleetCodec.decode(envelope.getUpstreamNews());
+      case UPSTREAM_NEWS -> decodeNewsOrExtension(envelope);
       case HOST_CARDS -> FleetCodec.decode(envelope.getHostCards());
       case HELLO, PROOF, PING, PONG, BODY_NOT_SET ->
           throw new WireException("peer message of an unknown kind: " + envelope.getBodyCase());
@@ -182,6 +191,16 @@
         status.getWeight());
   }
 
+  private static PeerMessage decodeNewsOrExtension(Wire.Envelope envelope) throws WireException {
+    return switch (envelope.getExtensionCase()) {
+      case UPSTREAM_SPEEDS -> FleetCodec.decode(envelope.getUpstreamSpeeds());
+      case REGISTER_WORK -> WorkCodec.decode(envelope.getRegisterWork());
+      case WORK_REGISTERED -> WorkCodec.decode(envelope.getWorkRegistered());
+      case DEREGISTER_WORK -> WorkCodec.decode(envelope.getDeregisterWork());
+      case EXTENSION_NOT_SET -> FleetCodec.decode(envelope.getUpstreamNews());
+    };
+  }
+
   private static Wire.Envelope.CatalogPart catalogPart(CatalogPart part) {
     return Wire.Envelope.CatalogPart.newBuilder()
         .setVersion(part.version())
--- a/burdockbay-wire/src/main/java/org/burdockbay/wire/WorkCodec.java
+++ b/burdockbay-wire/src/main/java/org/burdockbay/wire/WorkCodec.java
@@ -11,7 +11,7 @@
 import org.burdockbay.core.work.WorkStep;
 import org.burdockbay.wire.proto.Wire;
 
-/** Encodes and decodes work and its outcomes. */
+/** Encodes and decodes work, its registration and its outcomes. */
 final class WorkCodec {
 
   private WorkCodec() {}
@@ -58,6 +58,30 @@
     return builder.build();
   }
 
+  static Wire.RegisterWork encode(PeerMessage.RegisterWork register) {
+    return Wire.RegisterWork.newBuilder()
+        .setId(register.workId())
+        .setToken(register.token())
+        .setRegistrarToken(register.registrarToken())
+        .setUnderWay(register.underWay())
+        .build();
+  }
+
+  static Wire.WorkRegistered encode(PeerMessage.WorkRegistered registered) {
+    return Wire.WorkRegistered.newBuilder()
+        .setId(registered.workId())
+        .setToken(registered.token())
+        .setQuietMs(registered.quietPeriodMillis())
+        .build();
+  }
+
+  static Wire.DeregisterWork encode(PeerMessage.DeregisterWork deregister) {
+    return Wire.DeregisterWork.newBuilder()
+        .setId(deregister.workId())
+        .setToken(deregister.token())
+        .build();
+  }
+
   static Wire.TaskSize encode(TaskSize size) {
     return Wire.TaskSize.newBuilder()
         .setCpuMillicores(size.cpuMillicores())
@@ -123,6 +147,23 @@
     return new PeerMessage.ReportWork(report.getId(), outcome);
   }
 
+  static PeerMessage.RegisterWork decode(Wire.RegisterWork register) {
+    return new PeerMessage.RegisterWork(
+        register.getRegistrarToken(),
+        register.getToken(),
+        register.getId(),
+        register.getUnderWay());
+  }
+
+  static PeerMessage.WorkRegistered decode(Wire.WorkRegistered registered) {
+    return new PeerMessage.WorkRegistered(
+        registered.getToken(), registered.getId(), registered.getQuietMs());
+  }
+
+  static PeerMessage.DeregisterWork decode(Wire.DeregisterWork deregister) {
+    return new PeerMessage.DeregisterWork(deregister.getToken(), deregister.getId());
+  }
+
   static TaskSize decode(Wire.TaskSize size) {
     return new TaskSize(size.getCpuMillicores(), size.getMemoryMegabytes(), size.getAccelerators());
   }
