Count messages that are sent beside empty news by their own kind

Cause: counters of messages between hosts go by the body, which is upstream_news for registrations and for the speeds of upstreams, so what these cost couldn't be told from the news.

Change: a message with an extension counts as the kind of the extension: register-work, work-registered, deregister-work, upstream-speeds. The counters of upstream-news no longer contain the speeds.

--- a/burdockbay-server/src/main/java/org/burdockbay/server/transport/TransportCounters.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/transport/TransportCounters.java
@@ -3,7 +3,10 @@
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
+import java.util.ArrayList;
 import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.function.LongSupplier;
@@ -27,10 +30,9 @@
   }
 
   private final MetricRegistry registry;
-  private final Map<Wire.Envelope.BodyCase, Traffic> receivedByKind;
-  private final Map<Wire.Envelope.BodyCase, Traffic> sentByKind;
-  private final Map<Wire.Envelope.BodyCase, Counter> droppedByKind =
-      new EnumMap<>(Wire.Envelope.BodyCase.class);
+  private final Map<Enum<?>, Traffic> receivedByKind;
+  private final Map<Enum<?>, Traffic> sentByKind;
+  private final Map<Enum<?>, Counter> droppedByKind = new HashMap<>();
   private final Map<ConnectReason, Counter> connectionsByReason =
       new EnumMap<>(ConnectReason.class);
   private final Counter refused;
@@ -41,7 +43,7 @@
     this.refused = registry.counter("peer.refused");
     this.receivedByKind = trafficByKind("peer.received");
     this.sentByKind = trafficByKind("peer.sent");
-    for (Wire.Envelope.BodyCase kind : Wire.Envelope.BodyCase.values()) {
+    for (Enum<?> kind : kinds()) {
       droppedByKind.put(kind, registry.counter("peer.dropped." + metricName(kind)));
     }
     for (ConnectReason reason : ConnectReason.values()) {
@@ -55,15 +57,15 @@
   }
 
   void countReceived(Wire.Envelope envelope, int bytes) {
-    receivedByKind.get(envelope.getBodyCase()).count(bytes);
+    receivedByKind.get(kind(envelope)).count(bytes);
   }
 
   void countSent(Wire.Envelope envelope) {
-    sentByKind.get(envelope.getBodyCase()).count(envelope.getSerializedSize());
+    sentByKind.get(kind(envelope)).count(envelope.getSerializedSize());
   }
 
   void countDropped(Wire.Envelope envelope) {
-    droppedByKind.get(envelope.getBodyCase()).inc();
+    droppedByKind.get(kind(envelope)).inc();
   }
 
   void countConnection(ConnectReason reason) {
@@ -74,15 +76,30 @@
     refused.inc();
   }
 
-  private Map<Wire.Envelope.BodyCase, Traffic> trafficByKind(String prefix) {
-    Map<Wire.Envelope.BodyCase, Traffic> byKind = new EnumMap<>(Wire.Envelope.BodyCase.class);
-    for (Wire.Envelope.BodyCase kind : Wire.Envelope.BodyCase.values()) {
+  private Map<Enum<?>, Traffic> trafficByKind(String prefix) {
+    Map<Enum<?>, Traffic> byKind = new HashMap<>();
+    for (Enum<?> kind : kinds()) {
       String name = prefix + "." + metricName(kind);
       byKind.put(kind, new Traffic(registry.counter(name), registry.counter(name + ".bytes")));
     }
     return byKind;
   }
 
+  private static List<Enum<?>> kinds() {
+    List<Enum<?>> kinds = new ArrayList<>(List.of(Wire.Envelope.BodyCase.values()));
+    kinds.addAll(List.of(Wire.Envelope.ExtensionCase.values()));
+    kinds.remove(Wire.Envelope.ExtensionCase.EXTENSION_NOT_SET);
+    return kinds;
+  }
+
+  /** Returns the kind of a message; the body of one with an extension is empty news. */
+  private static Enum<?> kind(Wire.Envelope envelope) {
+    Wire.Envelope.ExtensionCase extension = envelope.getExtensionCase();
+    return extension == Wire.Envelope.ExtensionCase.EXTENSION_NOT_SET
+        ? envelope.getBodyCase()
+        : extension;
+  }
+
   private static String metricName(Enum<?> value) {
     return value.name().toLowerCase(Locale.ROOT).replace('_', '-');
   }
