Carry registrations of work between hosts

Cause: the dispatcher emits and handles registrations, but the host neither sent them nor delivered those of others, and the dispatcher wasn't told which host dispatches which shard.

Ruled out: the work lane, in which those of an overloaded registrar would wait behind its own submissions; and changes to ConnectionScheduler: a host that may dispatch connects at once to the dispatchers of other domains that it has discovered, also while it defers connections, and to all hosts at the latest after a second (ConnectionSchedulerTest.connectsToDispatchersOfOtherDomainsAtOnce).

Change: WorkHandler sends the three effects; NodeController delivers the messages in the control lane, and passes the dispatchers of all shards to the dispatcher before the intake gets them, after the heartbeats to those that have appeared.

--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
@@ -37,6 +37,7 @@
 import org.burdockbay.core.membership.MembershipOptions;
 import org.burdockbay.core.membership.RouteView;
 import org.burdockbay.core.message.PeerMessage;
+import org.burdockbay.core.registration.ShardDispatcher;
 import org.burdockbay.core.shard.ShardId;
 import org.burdockbay.core.work.WorkOutcome;
 import org.burdockbay.core.work.WorkRequest;
@@ -472,6 +473,10 @@
    * <p>Reports of outcomes are control messages too. In the work lane, a change of dispatcher that
    * arrived later could overtake a report, which would then answer a caller whose work the next
    * dispatcher continues.
+   *
+   * <p>So are registrations of work: in the work lane, those of an overloaded registrar would hold
+   * up the tasks of other dispatchers. The registrations and deregistrations of a host stay in
+   * order, as all of them use this lane.
    */
   private void handle(String host, PeerMessage message, long arrivedAt) {
     long now = clock.millis();
@@ -488,6 +493,12 @@
       case PeerMessage.ReportWork report ->
           workHandler.handleIntakeEvent(
               new IntakeEvent.OutcomeReported(host, report.workId(), report.outcome()));
+      case PeerMessage.RegisterWork register ->
+          workHandler.handleLeaseEvent(RegistrationMessages.toEvent(host, register), arrivedAt);
+      case PeerMessage.WorkRegistered registered ->
+          workHandler.handleLeaseEvent(RegistrationMessages.toEvent(host, registered), arrivedAt);
+      case PeerMessage.DeregisterWork deregister ->
+          workHandler.handleLeaseEvent(RegistrationMessages.toEvent(host, deregister), arrivedAt);
       case PeerMessage.Agreement received ->
           agreement
               .filter(driver -> received.group().equals(GroupId.CONTROL))
@@ -649,12 +660,22 @@
         (shard, found) ->
             known.put(shard, new IntakeEvent.Dispatcher(found.host(), found.epoch())));
     reportContact(earlier);
+    // The work that the intake submits now is registered with the new registrars.
+    workHandler.handleLeaseEvent(new LeaseEvent.DispatchersChanged(registrars(dispatchers)));
     workHandler.handleIntakeEvent(
         new IntakeEvent.OwnShardsChanged(
             Set.copyOf(membership.layout().shards(settings.descriptor().domain()))));
     workHandler.handleIntakeEvent(new IntakeEvent.DispatchersChanged(known));
   }
 
+  private static Map<ShardId, ShardDispatcher> registrars(
+      Map<ShardId, RouteView.ActiveDispatcher> dispatchers) {
+    Map<ShardId, ShardDispatcher> registrars = new HashMap<>();
+    dispatchers.forEach(
+        (shard, found) -> registrars.put(shard, new ShardDispatcher(found.host(), found.epoch())));
+    return registrars;
+  }
+
   /**
    * Sends heartbeats to the dispatchers that have appeared, ahead of the submissions to them: a
    * dispatcher starts nothing for a host whose last report says that it had lost contact.
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/WorkHandler.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/WorkHandler.java
@@ -176,6 +176,12 @@
         case LeaseEffect.Report report ->
             sender.send(
                 report.entryHost(), new PeerMessage.ReportWork(report.workId(), report.outcome()));
+        case LeaseEffect.RegisterWork register ->
+            sender.send(register.registrar(), RegistrationMessages.toMessage(register));
+        case LeaseEffect.ConfirmRegistration confirm ->
+            sender.send(confirm.dispatcher(), RegistrationMessages.toMessage(confirm));
+        case LeaseEffect.DeregisterWork deregister ->
+            sender.send(deregister.registrar(), RegistrationMessages.toMessage(deregister));
         case LeaseEffect.Superseded superseded ->
             controlExecutor.execute(() -> onSuperseded.accept(superseded));
         case LeaseEffect.RoleReleased released -> controlExecutor.execute(onRoleReleased);
