Read the callers' retry delay from the settings

Cause: the time for which runs of a lost attempt are waited for depends on the callers' retry delay, which was assumed to be 1,300 ms; the settings have it as bounds.resend_interval_ms.

A start with a shorter delay than a run may outlast its attempt (1,225 ms) logs caller-retry-delay-short with both figures and the wait that follows. The delay is read at the start only.

The warning was not run.

--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
@@ -201,6 +201,7 @@
    * @throws ServerException if the peer address is in use
    */
   public void start() throws ServerException {
+    logShortRetryDelay();
     parts.transport().start(this);
     agreement.ifPresent(AgreementDriver::start);
     parts.thread().start(this::tick, this::flush);
@@ -344,6 +345,22 @@
     }
   }
 
+  private void logShortRetryDelay() {
+    if (settings.unregisteredWaitMillis() > 0) {
+      log.warn(
+          "caller-retry-delay-short",
+          "delay="
+              + settings.callerRetryDelayMillis()
+              + " longest-run="
+              + settings.leaseTiming().maxOrphanedRunMillis()
+              + " effect="
+              + EventLog.quote(
+                  "work whose registrar is unreachable waits up to "
+                      + settings.unregisteredWaitMillis()
+                      + " ms"));
+    }
+  }
+
   private void sendMissedNews(String host, long incarnation, long now) {
     OptionalLong since = peerSync.connected(host, incarnation, now);
     boolean fullSync = since.isEmpty() && peerSync.sendsFullSync(host, liveHosts());
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeSettings.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeSettings.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import org.burdockbay.core.lease.LeaseTiming;
 import org.burdockbay.core.membership.HostDescriptor;
 import org.burdockbay.core.scheduling.SchedulingOptions;
 import org.burdockbay.server.settings.HostAddress;
@@ -22,6 +23,8 @@
  * @param scheduling the scheduling options that are on
  * @param weight weight in the election of dispatchers: the share of a core, in thousandths; 0 if
  *     unknown
+ * @param callerRetryDelayMillis shortest time from a broken connection of a caller until its next
+ *     attempt, in milliseconds
  */
 public record NodeSettings(
     String cluster,
@@ -33,7 +36,8 @@
     Optional<Path> dataFolder,
     boolean firstStart,
     SchedulingOptions scheduling,
-    int weight) {
+    int weight,
+    long callerRetryDelayMillis) {
 
   /** Copies the domains and the seeds. */
   public NodeSettings {
@@ -58,6 +62,20 @@
         dataFolder,
         firstStart,
         scheduling,
-        weight);
+        weight,
+        callerRetryDelayMillis);
+  }
+
+  /** Returns the durations of leases and orders for callers with this retry delay. */
+  public LeaseTiming leaseTiming() {
+    return LeaseTiming.DEFAULT.withCallerRetryDelay(callerRetryDelayMillis);
+  }
+
+  /**
+   * Returns how long work waits whose registrar is unreachable, in milliseconds: until the runs for
+   * an earlier attempt of its caller have ended; 0 if they have by the time of its next attempt.
+   */
+  public long unregisteredWaitMillis() {
+    return Math.max(0, leaseTiming().maxOrphanedRunMillis() - callerRetryDelayMillis);
   }
 }
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/WorkHandler.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/WorkHandler.java
@@ -58,14 +58,14 @@
       Executor work,
       Consumer<LeaseEffect.Superseded> onSuperseded,
       Runnable onRoleReleased) {
+    LeaseTiming timing = parts.settings().leaseTiming();
     this.dispatcher =
-        new LeaseDispatcher(
-            parts.settings().host(), LeaseTiming.DEFAULT, parts.settings().scheduling());
+        new LeaseDispatcher(parts.settings().host(), timing, parts.settings().scheduling());
     this.intake =
         new WorkIntake(
             parts.settings().host(),
             parts.settings().descriptor().domain(),
-            LeaseTiming.ENTRY_HOST_SILENCE_TIMEOUT_MILLIS + LeaseTiming.DEFAULT.maxLeaseMillis(),
+            timing.maxOrphanedRunMillis(),
             parts.settings().scheduling());
     this.clock = parts.clock();
     this.log = parts.log();
--- a/burdockbay-server/src/test/java/org/burdockbay/server/node/ConnectionSchedulerTest.java
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/node/ConnectionSchedulerTest.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import org.burdockbay.core.dispatch.DomainLoad;
 import org.burdockbay.core.evacuation.Evacuations;
+import org.burdockbay.core.lease.LeaseTiming;
 import org.burdockbay.core.membership.HostDescriptor;
 import org.burdockbay.core.membership.HostStatus;
 import org.burdockbay.core.membership.Membership;
@@ -151,7 +152,8 @@
             Optional.empty(),
             false,
             options,
-            ShardAssignment.UNKNOWN_WEIGHT);
+            ShardAssignment.UNKNOWN_WEIGHT,
+            LeaseTiming.DEFAULT.callerRetryDelayMillis());
     scheduler =
         new ConnectionScheduler(
             settings,
--- a/burdockbay-server/src/test/java/org/burdockbay/server/node/OverloadedHostTest.java
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/node/OverloadedHostTest.java
@@ -73,7 +73,8 @@
             Optional.empty(),
             false,
             SchedulingOptions.NONE,
-            ShardAssignment.UNKNOWN_WEIGHT);
+            ShardAssignment.UNKNOWN_WEIGHT,
+            LeaseTiming.DEFAULT.callerRetryDelayMillis());
     node =
         new NodeController(
             new NodeParts(
