Test the connections of a dispatcher to those of other domains

Cause: dispatchers now send to dispatchers of other domains, and no test had a host that dispatches itself while its connections are deferred.

Change: a test; ConnectionScheduler already connects to them at the next tick.

Measured: the test passes, and fails with the call of connectDispatchers disabled, as connectsToDispatchersOfOtherDomainsAtOnce does.

--- a/burdockbay-server/src/test/java/org/burdockbay/server/node/ConnectionSchedulerTest.java
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/node/ConnectionSchedulerTest.java
@@ -1,6 +1,7 @@
 package org.burdockbay.server.node;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import java.util.ArrayList;
@@ -105,6 +106,31 @@
     assertEquals(connected, List.of("10.0.1.19"));
   }
 
+  /**
+   * Guards against registrations that find no connection: a dispatcher registers work at those of
+   * other domains, also while another shard of its domain has none.
+   */
+  @Test
+  public void connectsToDispatchersOfOtherDomainsWhileItDispatches() {
+    final ShardLayout twoShards = new ShardLayout(2);
+    membership =
+        Membership.withDiscovery(
+            SELF, MembershipOptions.ofAddress(SELF.id(), 450, true).withClaimsByDomain(true), now);
+    discoverRemoteHosts(200);
+    membership.addHost("10.0.9.1", "control", "east", now);
+    while (membership.claimedEpoch() == 0) {
+      tickFor(TICK_MILLIS);
+      heartbeat("10.0.9.1", "east", 0, 1, twoShards);
+      membership.tick(now);
+    }
+    assertFalse(membership.isOwnDomainServed());
+    assertFalse(connected.contains("10.0.1.199"));
+    heartbeat("10.0.1.199", "south", 7, 0, twoShards);
+    tickFor(TICK_MILLIS);
+    assertTrue(connected.contains("10.0.1.199"));
+    assertTrue(connected.size() < 200, "the others are still deferred");
+  }
+
   /** Guards against connecting to the address that a host has left meanwhile. */
   @Test
   public void connectsToLatestAddressOnce() {
