--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/WorkHandler.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/WorkHandler.java
@@ -58,14 +58,14 @@
       Executor work,
       Consumer<LeaseEffect.Superseded> onSuperseded,
       Runnable onRoleReleased) {
+    LeaseTiming timing = parts.settings().leaseTiming();
     this.dispatcher =
-        new LeaseDispatcher(
-            parts.settings().host(), LeaseTiming.DEFAULT, parts.settings().scheduling());
+        new LeaseDispatcher(parts.settings().host(), timing, parts.settings().scheduling());
     this.intake =
         new WorkIntake(
             parts.settings().host(),
             parts.settings().descriptor().domain(),
-            LeaseTiming.ENTRY_HOST_SILENCE_TIMEOUT_MILLIS + LeaseTiming.DEFAULT.maxLeaseMillis(),
+            timing.maxOrphanedRunMillis(),
             parts.settings().scheduling());
     this.clock = parts.clock();
     this.log = parts.log();
@@ -176,6 +176,12 @@
         case LeaseEffect.Report report ->
             sender.send(
                 report.entryHost(), new PeerMessage.ReportWork(report.workId(), report.outcome()));
+        case LeaseEffect.RegisterWork register ->
+            sender.send(register.registrar(), RegistrationMessages.toMessage(register));
+        case LeaseEffect.ConfirmRegistration confirm ->
+            sender.send(confirm.dispatcher(), RegistrationMessages.toMessage(confirm));
+        case LeaseEffect.DeregisterWork deregister ->
+            sender.send(deregister.registrar(), RegistrationMessages.toMessage(deregister));
         case LeaseEffect.Superseded superseded ->
             controlExecutor.execute(() -> onSuperseded.accept(superseded));
         case LeaseEffect.RoleReleased released -> controlExecutor.execute(onRoleReleased);
