Register work with a registrar before its first start

Callers could see a charge carried out twice: two first runs of a task, in two failure domains, started by dispatchers of two shards, one of them stopped shortly after.

Cause: entry hosts select the shard of an id independently, so a second attempt at another entry host may reach another shard while the first one is under way. Only a bound by time kept them apart (a run outlives its entry host by 1,225 ms at most, callers wait 1,300 ms), and it counts from a break that the entry host may notice late: a host that was paused moves the work of a caller who has left, or reads its request from the socket buffer.

Change: a dispatcher registers work with the dispatcher of the shard that rendezvous hashing selects for the id, starts and refuses nothing before the confirmation, and removes the registration once no run is left and the quiet period is over. The next dispatcher waits until then, or until the leases of a lost holder have run out. A new registrar waits 200 ms for the registrations of the others; one that doesn't answer for 100 ms is passed over, with a quiet period of the longest orphaned run less the callers' retry delay. Log lines: work-accepted with the entry host, work-elsewhere, registration-unanswered, registration-conflict, and the entry host in work-abandoned.

--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseDispatcher.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseDispatcher.java
@@ -19,7 +19,8 @@
  *
  * <p>No two runs of a task overlap: a task starts only when every earlier run of it that this
  * dispatcher has recorded is over; runs of an earlier dispatcher are over when the work's quiet
- * period ends. Not thread-safe.
+ * period ends, and the registrar of the work lets one dispatcher have it at a time. Not
+ * thread-safe.
  */
 public final class LeaseDispatcher {
 
@@ -36,6 +37,7 @@
   private final ShareRule shares;
   private final StragglerRule stragglers = new StragglerRule();
   private final RunTable runs;
+  private final WorkRegistrations registrations;
   private final WorkTable works;
   private final LeaseTable leases;
 
@@ -58,7 +60,8 @@
     this.context = new DispatchContext(options);
     this.shares = new ShareRule(context);
     this.runs = new RunTable(context, timing);
-    this.works = new WorkTable(self, context, runs, admission);
+    this.registrations = new WorkRegistrations(self, context, runs, timing);
+    this.works = new WorkTable(self, context, runs, admission, registrations);
     this.leases = new LeaseTable(context, timing, runs, works);
   }
 
@@ -81,6 +84,7 @@
     observeTime(time);
     context.setArrivedAt(arrivedAt);
     route(event);
+    registrations.removeEnded();
     return context.takeEffects();
   }
 
@@ -161,7 +165,8 @@
         placementNeeded = true;
       }
       case LeaseEvent.DispatchersChanged changed -> {
-        // Registrars aren't used yet.
+        registrations.updateDispatchers(changed.dispatchers());
+        placementNeeded = true;
       }
       case LeaseEvent.SpeedsReported reported -> leases.speedsReported(reported.speeds());
       case LeaseEvent.ProcessPaused paused -> {
@@ -172,12 +177,18 @@
       default -> {
         if (context.isDispatching()) {
           handleAsDispatcher(event);
-          placementNeeded = true;
+          placementNeeded |= mayAllowStarts(event);
         }
       }
     }
   }
 
+  /** Returns whether tasks may start because of an event; registrations by others start none. */
+  private static boolean mayAllowStarts(LeaseEvent event) {
+    return !(event instanceof LeaseEvent.WorkRegistered
+        || event instanceof LeaseEvent.RegistrationDeferred);
+  }
+
   private void handleAsDispatcher(LeaseEvent event) {
     switch (event) {
       case LeaseEvent.Submitted submitted -> workSubmitted(submitted);
@@ -195,15 +206,17 @@
           handleAnswer(
               answered.upstream(), answered.clockMillis(), () -> leases.renewalAnswered(answered));
       case LeaseEvent.Tick tick -> tick();
-      case LeaseEvent.WorkRegistered registered -> {
-        // Registrations aren't kept yet.
-      }
-      case LeaseEvent.RegistrationConfirmed confirmed -> {
-        // Work isn't registered yet.
-      }
-      case LeaseEvent.WorkDeregistered deregistered -> {
-        // Registrations aren't kept yet.
-      }
+      case LeaseEvent.WorkRegistered registered -> registrations.workRegistered(registered);
+      case LeaseEvent.WorkDeregistered removed -> registrations.workDeregistered(removed);
+      case LeaseEvent.RegistrationConfirmed confirmed ->
+          registrations.confirmed(
+              confirmed.registrar(),
+              confirmed.token(),
+              confirmed.workId(),
+              confirmed.quietPeriodMillis());
+      case LeaseEvent.RegistrationDeferred deferred ->
+          registrations.deferred(
+              deferred.registrar(), deferred.token(), deferred.workId(), deferred.holder());
       default ->
           throw new IllegalStateException("unexpected event in the dispatcher role: " + event);
     }
@@ -260,6 +273,7 @@
     runs.tick();
     runs.moveStragglers(stragglers, leases::usableUpstreams);
     works.endEvacuatedWork(leases);
+    registrations.tick();
     works.tick();
   }
 
@@ -267,6 +281,7 @@
     context.setToken(token);
     context.logEvent(
         "role-gained", "token=" + token + " upstreams=" + leases.ownUpstreams().size());
+    registrations.roleGained();
     leases.takeOver();
   }
 
@@ -293,6 +308,7 @@
     context.logEvent("role-lost", "token=" + context.token() + " unanswered=" + unansweredCount());
     context.setToken(0);
     works.clear();
+    registrations.clear();
     shares.clear();
     runs.clear();
     leases.releaseLeases();
@@ -306,13 +322,14 @@
     if (works.unansweredWork().isEmpty()) {
       return;
     }
+    works.admitConfirmed(leases);
     List<UpstreamLease> usableUpstreams = leases.usableUpstreams();
     PlacementPolicy placement = new PlacementPolicy(usableUpstreams, context);
     Backlog backlog = new Backlog(usableUpstreams, context.profiles());
     boolean mayRefuse = leases.mayRefuseForCapacity();
     shares.compareFlows(works.unansweredWork(), usableUpstreams);
     for (WorkState work : admission.order(works.unansweredWork(), context.now(), shares)) {
-      if (context.now() < work.quietPeriodEndsAt) {
+      if (!works.mayStart(work)) {
         continue;
       }
       if (mayRefuse && !work.mayHaveStarted && cannotStartInTime(work, backlog, placement)) {
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseEffect.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseEffect.java
@@ -63,6 +63,15 @@
   record ConfirmRegistration(String dispatcher, long token, String workId, long quietPeriodMillis)
       implements LeaseEffect {}
 
+  /**
+   * Notifies, as the registrar, a dispatcher that another one has the work.
+   *
+   * @param token the token of the dispatcher that registered the work
+   * @param holder the host of the dispatcher that has it; empty if not known yet
+   */
+  record DeferRegistration(String dispatcher, long token, String workId, String holder)
+      implements LeaseEffect {}
+
   /** Removes the registration of work of which no run is left. */
   record DeregisterWork(String registrar, long token, String workId) implements LeaseEffect {}
 
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseEvent.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseEvent.java
@@ -66,6 +66,15 @@
   record RegistrationConfirmed(String registrar, long token, String workId, long quietPeriodMillis)
       implements LeaseEvent {}
 
+  /**
+   * A registrar has answered that another dispatcher has the work.
+   *
+   * @param token the token under which this host registered the work
+   * @param holder the host of the dispatcher that has it; empty if not known yet
+   */
+  record RegistrationDeferred(String registrar, long token, String workId, String holder)
+      implements LeaseEvent {}
+
   /** A dispatcher has removed the registration of work of which no run is left. */
   record WorkDeregistered(String dispatcher, long token, String workId) implements LeaseEvent {}
 
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/RunTable.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/RunTable.java
@@ -35,6 +35,10 @@
   private final DispatchContext context;
   private final LeaseTiming timing;
   private final Map<TaskId, LeasedRun> openRuns = new HashMap<>();
+
+  /** Number of open runs of each piece of work that has any. */
+  private final Map<String, Integer> openRunCounts = new HashMap<>();
+
   private final TakenOverRuns takenOverRuns = new TakenOverRuns();
   private final RunForecast forecast;
 
@@ -95,8 +99,27 @@
     return openRuns.containsKey(task);
   }
 
+  /** Returns whether a run of the work may be under way. */
+  boolean hasOpenRuns(String workId) {
+    return openRunCounts.containsKey(workId);
+  }
+
+  private void addOpenRun(TaskId task, LeasedRun run) {
+    if (openRuns.put(task, run) == null) {
+      openRunCounts.merge(task.work(), 1, Integer::sum);
+    }
+  }
+
+  private void removeOpenRun(LeasedRun run) {
+    if (openRuns.remove(run.id.task(), run)) {
+      openRunCounts.computeIfPresent(
+          run.id.task().work(), (work, count) -> count > 1 ? count - 1 : null);
+    }
+  }
+
   void clear() {
     openRuns.clear();
+    openRunCounts.clear();
     takenOverRuns.clear();
   }
 
@@ -107,7 +130,7 @@
     task.run = run;
     task.work.mayHaveStarted = true;
     upstream.addRun(run);
-    openRuns.put(task.id, run);
+    addOpenRun(task.id, run);
     upstream.extendCoverage(timing, context.now());
     run.leaseEndMillis = upstream.leaseDeadline(timing, context.now());
     sendStart(run, task);
@@ -160,7 +183,7 @@
     task.lastRunNumber = Math.max(task.lastRunNumber, id.number());
     task.work.mayHaveStarted = true;
     upstream.addRun(run);
-    openRuns.put(task.id, run);
+    addOpenRun(task.id, run);
     context.logEvent("run-adopted", "run=" + id + " upstream=" + upstream.announcement.id());
   }
 
@@ -277,6 +300,18 @@
     sendStop(run);
   }
 
+  /** Stops the runs of work; its tasks wait again once these are over. */
+  void stopRunsOf(WorkState work) {
+    for (List<TaskState> tasks : work.steps) {
+      for (TaskState task : tasks) {
+        LeasedRun run = task.run;
+        if (run != null && run.phase != LeasedRun.Phase.STOPPING) {
+          stop(run);
+        }
+      }
+    }
+  }
+
   private void sendStop(LeasedRun run) {
     run.lastStopSentAt = context.now();
     run.stopsSent++;
@@ -286,7 +321,7 @@
   /** Records that a run is over, whatever its result; its task may start again. */
   void endRun(LeasedRun run) {
     run.upstream.removeRun(run);
-    openRuns.remove(run.id.task(), run);
+    removeOpenRun(run);
     TaskState task = run.task;
     if (task != null) {
       task.run = null;
@@ -416,7 +451,9 @@
         "run-unclaimed", "run=" + found.run() + " upstream=" + found.upstream().announcement.id());
     LeasedRun run = new LeasedRun(found.run(), found.upstream(), context.now());
     found.upstream().addRun(run);
-    openRuns.putIfAbsent(found.run().task(), run);
+    if (!hasOpenRun(found.run().task())) {
+      addOpenRun(found.run().task(), run);
+    }
     stop(run);
   }
 
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/WorkState.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/WorkState.java
@@ -45,6 +45,12 @@
    */
   boolean mayHaveStarted;
 
+  /** Whether it was decided, once its registration was confirmed, that the work is accepted. */
+  boolean admitted;
+
+  /** How long the submission waited on this host, in milliseconds. */
+  long waitedMillis;
+
   WorkState(WorkRequest request, long arrivedAt) {
     this.request = request;
     this.arrivedAt = arrivedAt;
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/WorkTable.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/WorkTable.java
@@ -37,6 +37,7 @@
   private final DispatchContext context;
   private final RunTable runs;
   private final AdmissionRule admission;
+  private final WorkRegistrations registrations;
   private final Map<String, WorkState> works = new LinkedHashMap<>();
 
   /** When each entry host last received a message of this host, as far as known. */
@@ -46,11 +47,17 @@
   private final Map<RefusedTicket, RetainedOutcome> refusals = new HashMap<>();
   private final Map<String, Long> highestRunNumbers = new LinkedHashMap<>();
 
-  WorkTable(String self, DispatchContext context, RunTable runs, AdmissionRule admission) {
+  WorkTable(
+      String self,
+      DispatchContext context,
+      RunTable runs,
+      AdmissionRule admission,
+      WorkRegistrations registrations) {
     this.self = self;
     this.context = context;
     this.runs = runs;
     this.admission = admission;
+    this.registrations = registrations;
   }
 
   /** Returns the work that isn't answered yet. */
@@ -80,7 +87,7 @@
       return;
     }
     for (WorkState work : List.copyOf(works.values())) {
-      if (context.now() >= work.quietPeriodEndsAt && needsEvacuated(work, own, startable)) {
+      if (mayStart(work) && needsEvacuated(work, own, startable)) {
         if (work.mayHaveStarted) {
           context.logEvent(
               "work-evacuated",
@@ -93,6 +100,11 @@
     }
   }
 
+  /** Returns whether tasks of the work may start, as far as other dispatchers are concerned. */
+  boolean mayStart(WorkState work) {
+    return context.now() >= work.quietPeriodEndsAt && registrations.isConfirmed(work);
+  }
+
   private boolean needsEvacuated(
       WorkState work, List<UpstreamLease> own, List<UpstreamLease> startable) {
     return work.steps.stream()
@@ -166,11 +178,41 @@
     long lastRun = highestRunNumbers.getOrDefault(id, 0L);
     work.steps.forEach(tasks -> tasks.forEach(task -> task.lastRunNumber = lastRun));
     runs.adoptRuns(work);
+    work.waitedMillis = context.waitedMillis();
+    registrations.register(work);
+    context.logEvent(
+        "work-accepted",
+        "work="
+            + id
+            + " from="
+            + submitted.entryHost()
+            + " age="
+            + submitted.ageMillis()
+            + " quiet="
+            + submitted.quietPeriodMillis()
+            + " registered="
+            + registrations.isConfirmed(work));
     if (work.isComplete()) {
       answer(work, new WorkOutcome.Completed());
-    } else if (leases.mayRefuseForCapacity()
+    } else if (registrations.isConfirmed(work)) {
+      admit(work, leases);
+    }
+  }
+
+  /** Decides about the work whose registration was confirmed since it was submitted. */
+  void admitConfirmed(LeaseTable leases) {
+    for (WorkState work : List.copyOf(works.values())) {
+      if (!work.admitted && registrations.isConfirmed(work)) {
+        admit(work, leases);
+      }
+    }
+  }
+
+  private void admit(WorkState work, LeaseTable leases) {
+    work.admitted = true;
+    if (leases.mayRefuseForCapacity()
         && !work.mayHaveStarted
-        && admission.waitedTooLong(work, context.waitedMillis())) {
+        && admission.waitedTooLong(work, work.waitedMillis)) {
       refuse(work, "dispatcher overloaded", AdmissionRule.RETRY_AFTER_MILLIS);
     } else {
       refuseImpossible(work, leases);
@@ -207,7 +249,8 @@
     work.tickets.remove(entryHost);
     if (work.tickets.isEmpty()) {
       context.logEvent(
-          "work-abandoned", "work=" + workId + " age=" + (context.now() - work.arrivedAt));
+          "work-abandoned",
+          "work=" + workId + " age=" + (context.now() - work.arrivedAt) + " from=" + entryHost);
       drop(work);
     }
   }
@@ -272,6 +315,7 @@
             + " reason="
             + reason.replace(' ', '-'));
     works.remove(work.request.id());
+    registrations.workEnded(work.request.id());
     WorkOutcome outcome = new WorkOutcome.NotRun(reason, retryAfterMillis);
     work.tickets.forEach(
         (host, ticket) -> {
@@ -299,6 +343,7 @@
         }
       }
     }
+    registrations.workEnded(work.request.id());
   }
 
   /**
@@ -348,8 +393,9 @@
   }
 
   private void expireIfDue(WorkState work) {
+    boolean mayRunElsewhere = !registrations.isConfirmed(work);
     if (context.now() >= work.expiresAt()) {
-      if (work.mayHaveStarted) {
+      if (work.mayHaveStarted || mayRunElsewhere) {
         context.logEvent(
             "work-expired",
             "work=" + work.request.id() + " age=" + (context.now() - work.arrivedAt));
@@ -357,7 +403,9 @@
       } else {
         refuse(work, "not started in time", AdmissionRule.RETRY_AFTER_MILLIS);
       }
-    } else if (!work.mayHaveStarted && admission.exceedsTimeout(work, context.now())) {
+    } else if (!work.mayHaveStarted
+        && !mayRunElsewhere
+        && admission.exceedsTimeout(work, context.now())) {
       refuse(work, "no room in time", AdmissionRule.RETRY_AFTER_MILLIS);
     }
   }
--- a/burdockbay-core/src/main/java/org/burdockbay/core/message/PeerMessage.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/message/PeerMessage.java
@@ -141,7 +141,17 @@
    * @param quietPeriodMillis time for which no task may start, in milliseconds, because an earlier
    *     dispatcher may still run some
    */
-  record WorkRegistered(long token, String workId, long quietPeriodMillis) implements PeerMessage {}
+  record ConfirmRegistration(long token, String workId, long quietPeriodMillis)
+      implements PeerMessage {}
+
+  /**
+   * Answers, as the registrar, that another dispatcher has the work; a confirmation follows once it
+   * no longer has.
+   *
+   * @param token fencing token under which the receiver registered the work
+   * @param holder host of the dispatcher that has the work; empty if not known yet
+   */
+  record DeferRegistration(long token, String workId, String holder) implements PeerMessage {}
 
   /**
    * Removes the registration of work of which no run is left.
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseDispatcherTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseDispatcherTest.java
@@ -11,7 +11,10 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.stream.IntStream;
 import org.burdockbay.core.fleet.UpstreamAnnouncement;
+import org.burdockbay.core.registration.ShardDispatcher;
+import org.burdockbay.core.registration.WorkRegistrar;
 import org.burdockbay.core.shard.ShardId;
 import org.burdockbay.core.work.RunId;
 import org.burdockbay.core.work.TaskId;
@@ -870,6 +873,85 @@
     return handle(new LeaseEvent.ShardsChanged(own, Set.of(own, other)));
   }
 
+  /** Guards against a start of work that another dispatcher runs. */
+  @Test
+  public void startsNothingBeforeRegistrationIsConfirmed() {
+    addUpstream("u1");
+    String work = addRegistrar();
+    List<LeaseEffect> submitted = submit(work, 1, HALF_CAPACITY);
+    assertTrue(starts(submitted).isEmpty());
+    assertEquals(
+        effectsOfType(submitted, LeaseEffect.RegisterWork.class),
+        List.of(new LeaseEffect.RegisterWork("registrar", 2_000, TOKEN, work, false)));
+    handle(new LeaseEvent.RegistrationDeferred("registrar", TOKEN, work, "other"));
+    tickUntil(now + 1_000);
+    assertEquals(starts(confirmRegistration(work, 0)).size(), 1);
+  }
+
+  /** Guards against work that waits for a registrar which is down. */
+  @Test
+  public void startsWorkWhoseRegistrarDoesNotAnswer() {
+    addUpstream("u1");
+    submit(addRegistrar(), 1, HALF_CAPACITY);
+    now += 100;
+    assertEquals(starts(handle(new LeaseEvent.Tick())).size(), 1);
+  }
+
+  /** Guards against a refusal as "not run" of work that another dispatcher may have run. */
+  @Test
+  public void givesUpWorkThatOtherDispatcherHasUntilTimeout() {
+    addUpstream("u1");
+    String work = addRegistrar();
+    submit(work, 1, HALF_CAPACITY);
+    handle(new LeaseEvent.RegistrationDeferred("registrar", TOKEN, work, "other"));
+    List<LeaseEffect.Report> reports = reports(tickUntil(now + 10_000));
+    assertEquals(reports.size(), 1);
+    assertEquals(reports.getFirst().outcome().getClass(), WorkOutcome.GivenUp.class);
+  }
+
+  /** Guards against another dispatcher's start while a stopped run is ending here. */
+  @Test
+  public void keepsCancelledWorkRegisteredUntilItsRunsAreOver() {
+    UpstreamAnnouncement upstream = addUpstream("u1");
+    String work = addRegistrar();
+    submit(work, 1, HALF_CAPACITY);
+    RunId run = starts(confirmRegistration(work, 0)).getFirst().run();
+    List<LeaseEffect> cancelled = handle(new LeaseEvent.Cancelled("entry", TOKEN, work));
+    assertTrue(effectsOfType(cancelled, LeaseEffect.DeregisterWork.class).isEmpty());
+    assertEquals(
+        effectsOfType(
+            endRun(upstream, run, 1, RunEnd.Cause.CUT_SHORT), LeaseEffect.DeregisterWork.class),
+        List.of(new LeaseEffect.DeregisterWork("registrar", TOKEN, work)));
+  }
+
+  /** Adds a dispatcher of another shard, and returns the id of work of which it is registrar. */
+  private String addRegistrar() {
+    ShardDispatcher other = new ShardDispatcher("registrar", 2_000);
+    Map<ShardId, ShardDispatcher> dispatchers =
+        Map.of(OWN_SHARD, new ShardDispatcher("self", TOKEN), OTHER_SHARD, other);
+    handle(new LeaseEvent.DispatchersChanged(dispatchers));
+    return IntStream.range(0, 100)
+        .mapToObj(number -> "w" + number)
+        .filter(id -> WorkRegistrar.registrarOf(id, dispatchers).equals(Optional.of(other)))
+        .findFirst()
+        .orElseThrow();
+  }
+
+  private List<LeaseEffect> confirmRegistration(String work, long quietPeriodMillis) {
+    return handle(
+        new LeaseEvent.RegistrationConfirmed("registrar", TOKEN, work, quietPeriodMillis));
+  }
+
+  private List<LeaseEffect> tickUntil(long end) {
+    List<LeaseEffect> effects = new ArrayList<>();
+    while (now < end) {
+      now += 25;
+      handle(new LeaseEvent.EntryHostMessageReceived("entry", OptionalLong.of(0)));
+      effects.addAll(handle(new LeaseEvent.Tick()));
+    }
+    return effects;
+  }
+
   private long upstreamClock() {
     return UPSTREAM_CLOCK_OFFSET + now + clockAheadMillis;
   }
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseFuzzTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseFuzzTest.java
@@ -20,6 +20,9 @@
   private static final int GROWTH_STEP = 40;
   private static final int RUNS = 40;
 
+  /** The numbers of the faults that kill, pause or cut off hosts. */
+  private static final Set<Integer> HOST_FAULTS = Set.of(0, 1, 2, 3, 4, 5, 14, 15);
+
   /** The number of upstreams in each failure domain. */
   private static final int UPSTREAMS = 3;
 
@@ -220,6 +223,26 @@
     simulateCallers(network, options, ModelCallers.Behavior.QUICK_RETRIES, false);
   }
 
+  /** Guards against overlapping runs of two attempts while all hosts reach each other. */
+  @Test(dataProvider = "networksAndOptions")
+  public void neverOverlapsRunsOfAttemptsWhileRegistrarsAreReachable(
+      LeaseModel.Network network, SchedulingOptions options) {
+    int runs = FuzzOptions.exampleCount(RUNS);
+    for (int run = 0; run < runs; run++) {
+      long seed = FuzzOptions.seed() + run;
+      try {
+        simulateCallers(
+            seed,
+            network,
+            options,
+            ModelCallers.Behavior.SILENT_BREAKS,
+            model -> model.hostsFail = false);
+      } catch (AssertionError e) {
+        throw new AssertionError("seed " + seed + ": " + e.getMessage(), e);
+      }
+    }
+  }
+
   /** Guards against overlapping runs when a host takes a caller that retried for connected. */
   @Test(dataProvider = "networksAndOptions")
   public void neverOverlapsRunsOfTaskWithSilentCallers(
@@ -243,7 +266,12 @@
     for (int run = 0; run < runs; run++) {
       long seed = FuzzOptions.seed() + run;
       try {
-        simulateCallers(seed, network, options, callerBehavior, checksRefusedRetries);
+        simulateCallers(
+            seed,
+            network,
+            options,
+            callerBehavior,
+            model -> model.checksRefusedRetries = checksRefusedRetries);
       } catch (AssertionError e) {
         throw new AssertionError("seed " + seed + ": " + e.getMessage(), e);
       }
@@ -255,24 +283,26 @@
       LeaseModel.Network network,
       SchedulingOptions options,
       ModelCallers.Behavior callerBehavior,
-      boolean checksRefusedRetries) {
+      Consumer<LeaseModel> settings) {
     ShardLayout layout = dividedLayout(seed);
     LeaseModel model =
         new LeaseModel(
             seed, network, layout, hostsInDomain(layout), UPSTREAMS, options, callerBehavior);
-    model.breaksConnections = true;
     model.orderedDelivery = true;
-    model.checksRefusedRetries = checksRefusedRetries;
+    settings.accept(model);
+    model.breaksConnections = model.hostsFail;
     simulate(
         seed,
         model,
         stepped -> {
           stepped.callers().injectFaults();
-          cutOneWay(stepped);
+          if (stepped.hostsFail) {
+            cutOneWay(stepped);
+          }
           if ((seed & 4) == 0) {
             changeEvacuations(stepped);
           }
-          if ((seed & 8) == 0) {
+          if (stepped.hostsFail && (seed & 8) == 0) {
             killAllHosts(stepped);
           }
         });
@@ -473,6 +503,9 @@
     ModelEntryHost host = host(model, random);
     ModelUpstream upstream = model.upstreams.get(random.nextInt(model.upstreams.size()));
     int fault = random.nextInt(16);
+    if (!model.hostsFail && HOST_FAULTS.contains(fault)) {
+      return;
+    }
     model.trace("faults", "fault=" + fault + " host=" + host.name + " upstream=" + upstream.id);
     switch (fault) {
       case 0, 1 -> {
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseModel.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseModel.java
@@ -103,6 +103,9 @@
    */
   boolean checksRefusedRetries;
 
+  /** Whether hosts are killed, paused and cut off, and connections between them break. */
+  boolean hostsFail = true;
+
   /** Whether failure domains are evacuated during the simulation. */
   boolean evacuates;
 
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LoadSimulation.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LoadSimulation.java
@@ -712,6 +712,11 @@
                 confirm.dispatcher(),
                 new LeaseEvent.RegistrationConfirmed(
                     host, confirm.token(), confirm.workId(), confirm.quietPeriodMillis()));
+        case LeaseEffect.DeferRegistration defer ->
+            sendLeaseEvent(
+                defer.dispatcher(),
+                new LeaseEvent.RegistrationDeferred(
+                    host, defer.token(), defer.workId(), defer.holder()));
         case LeaseEffect.DeregisterWork deregister ->
             sendLeaseEvent(
                 deregister.registrar(),
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelEntryHost.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelEntryHost.java
@@ -659,6 +659,11 @@
                 confirm.dispatcher(),
                 new LeaseEvent.RegistrationConfirmed(
                     name, confirm.token(), confirm.workId(), confirm.quietPeriodMillis()));
+        case LeaseEffect.DeferRegistration defer ->
+            sendLeaseEvent(
+                defer.dispatcher(),
+                new LeaseEvent.RegistrationDeferred(
+                    name, defer.token(), defer.workId(), defer.holder()));
         case LeaseEffect.DeregisterWork deregister ->
             sendLeaseEvent(
                 deregister.registrar(),
--- a/burdockbay-server/src/main/java/org/burdockbay/server/host/HostController.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/host/HostController.java
@@ -318,7 +318,8 @@
       case PeerMessage.CancelWork cancel -> logIgnored(host, message);
       case PeerMessage.ReportWork report -> logIgnored(host, message);
       case PeerMessage.RegisterWork register -> logIgnored(host, message);
-      case PeerMessage.WorkRegistered registered -> logIgnored(host, message);
+      case PeerMessage.ConfirmRegistration confirm -> logIgnored(host, message);
+      case PeerMessage.DeferRegistration defer -> logIgnored(host, message);
       case PeerMessage.DeregisterWork deregister -> logIgnored(host, message);
       case PeerMessage.UpstreamNews news -> logIgnored(host, message);
       case PeerMessage.UpstreamSpeeds speeds -> logIgnored(host, message);
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
@@ -512,8 +512,10 @@
               new IntakeEvent.OutcomeReported(host, report.workId(), report.outcome()));
       case PeerMessage.RegisterWork register ->
           workHandler.handleLeaseEvent(RegistrationMessages.toEvent(host, register), arrivedAt);
-      case PeerMessage.WorkRegistered registered ->
-          workHandler.handleLeaseEvent(RegistrationMessages.toEvent(host, registered), arrivedAt);
+      case PeerMessage.ConfirmRegistration confirm ->
+          workHandler.handleLeaseEvent(RegistrationMessages.toEvent(host, confirm), arrivedAt);
+      case PeerMessage.DeferRegistration defer ->
+          workHandler.handleLeaseEvent(RegistrationMessages.toEvent(host, defer), arrivedAt);
       case PeerMessage.DeregisterWork deregister ->
           workHandler.handleLeaseEvent(RegistrationMessages.toEvent(host, deregister), arrivedAt);
       case PeerMessage.Agreement received ->
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/RegistrationMessages.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/RegistrationMessages.java
@@ -14,11 +14,15 @@
         register.registrarToken(), register.token(), register.workId(), register.underWay());
   }
 
-  static PeerMessage.WorkRegistered toMessage(LeaseEffect.ConfirmRegistration confirm) {
-    return new PeerMessage.WorkRegistered(
+  static PeerMessage.ConfirmRegistration toMessage(LeaseEffect.ConfirmRegistration confirm) {
+    return new PeerMessage.ConfirmRegistration(
         confirm.token(), confirm.workId(), confirm.quietPeriodMillis());
   }
 
+  static PeerMessage.DeferRegistration toMessage(LeaseEffect.DeferRegistration defer) {
+    return new PeerMessage.DeferRegistration(defer.token(), defer.workId(), defer.holder());
+  }
+
   static PeerMessage.DeregisterWork toMessage(LeaseEffect.DeregisterWork deregister) {
     return new PeerMessage.DeregisterWork(deregister.token(), deregister.workId());
   }
@@ -28,9 +32,13 @@
         host, register.registrarToken(), register.token(), register.workId(), register.underWay());
   }
 
-  static LeaseEvent toEvent(String host, PeerMessage.WorkRegistered registered) {
+  static LeaseEvent toEvent(String host, PeerMessage.ConfirmRegistration confirm) {
     return new LeaseEvent.RegistrationConfirmed(
-        host, registered.token(), registered.workId(), registered.quietPeriodMillis());
+        host, confirm.token(), confirm.workId(), confirm.quietPeriodMillis());
+  }
+
+  static LeaseEvent toEvent(String host, PeerMessage.DeferRegistration defer) {
+    return new LeaseEvent.RegistrationDeferred(host, defer.token(), defer.workId(), defer.holder());
   }
 
   static LeaseEvent toEvent(String host, PeerMessage.DeregisterWork deregister) {
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/WorkHandler.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/WorkHandler.java
@@ -180,6 +180,8 @@
             sender.send(register.registrar(), RegistrationMessages.toMessage(register));
         case LeaseEffect.ConfirmRegistration confirm ->
             sender.send(confirm.dispatcher(), RegistrationMessages.toMessage(confirm));
+        case LeaseEffect.DeferRegistration defer ->
+            sender.send(defer.dispatcher(), RegistrationMessages.toMessage(defer));
         case LeaseEffect.DeregisterWork deregister ->
             sender.send(deregister.registrar(), RegistrationMessages.toMessage(deregister));
         case LeaseEffect.Superseded superseded ->
--- a/burdockbay-server/src/test/java/org/burdockbay/server/transport/RegistrationCodecTest.java
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/transport/RegistrationCodecTest.java
@@ -18,8 +18,9 @@
     return new Object[][] {
       {new PeerMessage.RegisterWork(1, 2, "w", true)},
       {new PeerMessage.RegisterWork(1, 2, "w", false)},
-      {new PeerMessage.WorkRegistered(2, "w", 3)},
-      {new PeerMessage.WorkRegistered(2, "w", 0)},
+      {new PeerMessage.ConfirmRegistration(2, "w", 3)},
+      {new PeerMessage.ConfirmRegistration(2, "w", 0)},
+      {new PeerMessage.DeferRegistration(2, "w", "holder")},
       {new PeerMessage.DeregisterWork(2, "w")},
     };
   }
--- a/burdockbay-wire/src/main/java/org/burdockbay/wire/PeerCodec.java
+++ b/burdockbay-wire/src/main/java/org/burdockbay/wire/PeerCodec.java
@@ -73,8 +73,10 @@
           extension(envelope).setUpstreamSpeeds(FleetCodec.encode(speeds));
       case PeerMessage.RegisterWork register ->
           extension(envelope).setRegisterWork(WorkCodec.encode(register));
-      case PeerMessage.WorkRegistered registered ->
-          extension(envelope).setWorkRegistered(WorkCodec.encode(registered));
+      case PeerMessage.ConfirmRegistration confirm ->
+          extension(envelope).setConfirmRegistration(WorkCodec.encode(confirm));
+      case PeerMessage.DeferRegistration defer ->
+          extension(envelope).setDeferRegistration(WorkCodec.encode(defer));
       case PeerMessage.DeregisterWork deregister ->
           extension(envelope).setDeregisterWork(WorkCodec.encode(deregister));
       case PeerMessage.KnownHosts known -> envelope.setHostCards(FleetCodec.encode(known));
@@ -195,7 +197,8 @@
     return switch (envelope.getExtensionCase()) {
       case UPSTREAM_SPEEDS -> FleetCodec.decode(envelope.getUpstreamSpeeds());
       case REGISTER_WORK -> WorkCodec.decode(envelope.getRegisterWork());
-      case WORK_REGISTERED -> WorkCodec.decode(envelope.getWorkRegistered());
+      case CONFIRM_REGISTRATION -> WorkCodec.decode(envelope.getConfirmRegistration());
+      case DEFER_REGISTRATION -> WorkCodec.decode(envelope.getDeferRegistration());
       case DEREGISTER_WORK -> WorkCodec.decode(envelope.getDeregisterWork());
       case EXTENSION_NOT_SET -> FleetCodec.decode(envelope.getUpstreamNews());
     };
--- a/burdockbay-wire/src/main/java/org/burdockbay/wire/WorkCodec.java
+++ b/burdockbay-wire/src/main/java/org/burdockbay/wire/WorkCodec.java
@@ -67,11 +67,19 @@
         .build();
   }
 
-  static Wire.WorkRegistered encode(PeerMessage.WorkRegistered registered) {
-    return Wire.WorkRegistered.newBuilder()
-        .setId(registered.workId())
-        .setToken(registered.token())
-        .setQuietMs(registered.quietPeriodMillis())
+  static Wire.ConfirmRegistration encode(PeerMessage.ConfirmRegistration confirm) {
+    return Wire.ConfirmRegistration.newBuilder()
+        .setId(confirm.workId())
+        .setToken(confirm.token())
+        .setQuietMs(confirm.quietPeriodMillis())
+        .build();
+  }
+
+  static Wire.DeferRegistration encode(PeerMessage.DeferRegistration defer) {
+    return Wire.DeferRegistration.newBuilder()
+        .setId(defer.workId())
+        .setToken(defer.token())
+        .setHolder(defer.holder())
         .build();
   }
 
@@ -155,9 +163,13 @@
         register.getUnderWay());
   }
 
-  static PeerMessage.WorkRegistered decode(Wire.WorkRegistered registered) {
-    return new PeerMessage.WorkRegistered(
-        registered.getToken(), registered.getId(), registered.getQuietMs());
+  static PeerMessage.ConfirmRegistration decode(Wire.ConfirmRegistration confirm) {
+    return new PeerMessage.ConfirmRegistration(
+        confirm.getToken(), confirm.getId(), confirm.getQuietMs());
+  }
+
+  static PeerMessage.DeferRegistration decode(Wire.DeferRegistration defer) {
+    return new PeerMessage.DeferRegistration(defer.getToken(), defer.getId(), defer.getHolder());
   }
 
   static PeerMessage.DeregisterWork decode(Wire.DeregisterWork deregister) {
