Confirm work that waits for a new registrar as its own settling ends

Found on reading the change: work that waited for the registrations of other dispatchers was confirmed only once no change of dispatchers had come for 200 ms, so a series of changes, as after a total restart, would hold all of it back. Each id is now confirmed once its own registrar has stayed the same for that time. The notice that another dispatcher has the work counts for one registrar only; after a change the next one's holder is handled again. LeaseDispatcherTest and WorkRegistrarTest pass.

--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/WorkRegistrations.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/WorkRegistrations.java
@@ -276,6 +276,7 @@
     registration.registrar = target;
     registration.requestedAt = context.now();
     registration.deferred = false;
+    registration.isHeldElsewhere = false;
     if (target == null) {
       // The only dispatcher of an undivided fleet needs no registrar.
       registration.state = State.CONFIRMED;
--- a/burdockbay-core/src/main/java/org/burdockbay/core/registration/WorkRegistrar.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/registration/WorkRegistrar.java
@@ -230,9 +230,11 @@
   /** Confirms work that has waited, drops registrations whose removal was lost. */
   public List<Decision> tick(long now) {
     replacedViews.removeIf(view -> now - view.replacedAt() >= SETTLING_MILLIS);
-    if (replacedViews.isEmpty()) {
-      unsettledWork.forEach(work -> confirm(work, registrations.get(work), now));
-      unsettledWork.clear();
+    for (String work : List.copyOf(unsettledWork)) {
+      if (isSettled(work, now)) {
+        unsettledWork.remove(work);
+        confirm(work, registrations.get(work), now);
+      }
     }
     for (Map.Entry<String, Registration> entry : List.copyOf(registrations.entrySet())) {
       if (now - entry.getValue().repeatedAt > REGISTRATION_TIMEOUT_MILLIS) {
