--- a/review/src/Fleet.java
+++ b/review/src/Fleet.java
@@ -33,22 +33,33 @@
   private final PrintWriter record;
   private final int firstPort;
   private final int hostCount;
+  private final int controlCount;
+  private final int toleratedMachines;
   final String subnet;
 
+  /** Creates a fleet with one control host in each zone, of which one may be lost. */
   Fleet(Path recordFile) throws IOException {
-    this(recordFile, 1);
+    this(recordFile, 1, 1);
   }
 
-  Fleet(Path recordFile, int entryHostsPerZone) throws IOException {
-    hostCount = (1 + entryHostsPerZone) * ZONES.size();
+  /**
+   * Creates a fleet that isn't started yet.
+   *
+   * @param toleratedMachines number of machines with a disk that may be lost at once, as the
+   *     settings say
+   */
+  Fleet(Path recordFile, int controlHostsPerZone, int toleratedMachines) throws IOException {
+    this.toleratedMachines = toleratedMachines;
+    controlCount = controlHostsPerZone * ZONES.size();
+    hostCount = controlCount + ZONES.size();
     record = new PrintWriter(Files.newBufferedWriter(recordFile));
     subnet = "127." + (2 + ProcessHandle.current().pid() % 250);
     firstPort = findFreePorts();
     for (int i = 0; i < hostCount; i++) {
       String zone = ZONES.get(i % ZONES.size());
-      boolean control = i < ZONES.size();
+      boolean control = i < controlCount;
       String name =
-          control ? "core-" + zone + "-1" : "frontend-" + zone + "-" + i / ZONES.size();
+          control ? "core-" + zone + "-" + (1 + i / ZONES.size()) : "frontend-" + zone + "-1";
       hosts.add(new Host(name, zone, subnet + ".1." + (i + 1), control));
     }
     Runtime.getRuntime().addShutdownHook(new Thread(this::killAll));
@@ -105,7 +116,7 @@
     return List.of(matcher.group(1).split(" "));
   }
 
-  /** Returns settings with the values of kahawa-ridge, but for addresses and paths. */
+  /** Returns settings with the values of kahawa-ridge, but for addresses, paths and tolerance. */
   private String settings(Host host, boolean firstStart) {
     String listen =
         host.control
@@ -113,7 +124,7 @@
             : "{\"frontend\":\"%s\",\"readiness\":\"%s\"}"
                 .formatted(host.ip + ":" + (firstPort + 2), host.ip + ":" + (firstPort + 3));
     StringBuilder seeds = new StringBuilder();
-    for (Host seed : controlHosts()) {
+    for (Host seed : controlHosts().subList(0, ZONES.size())) {
       seeds.append(seeds.isEmpty() ? "" : ",");
       seeds.append('"').append(seed.ip).append(':').append(firstPort + 4).append('"');
     }
@@ -126,7 +137,7 @@
         "file_descriptors":4100,"link_mbps":1000.0,"disk_mb":%d},"data_directory":%s,
         "discovery":"registration","entry":"virtual_ip","heartbeat_interval_ms":1500,
         "contracts":["base","drain","config","cost","recover","sched","advice","upkeep","sharing"],
-        "fault_tolerance":{"machines":1,"zones":1,"region_losses":0},"bounds":{"seed_lag_s":3,
+        "fault_tolerance":{"machines":%d,"zones":1,"region_losses":0},"bounds":{"seed_lag_s":3,
         "address_reuse_s":2,"contact_ms":3000,"ack_timeout_ms":4000,"catch_up_s":4,"drain_ms":2000,
         "grace_period_s":6,"loss_slack_ms":200,"config_apply_ms":2000,"rollback_slack_ms":250,
         "max_stretch_ms":5000,"recovery_s":12,"max_hold_ms":1000,"stop_timeout_ms":50,
@@ -152,15 +163,16 @@
             firstStart,
             host.control,
             host.control ? 128 : 0,
-            host.control ? "\"" + data + "\"" : "null");
+            host.control ? "\"" + data + "\"" : "null",
+            toleratedMachines);
   }
 
   List<Host> controlHosts() {
-    return hosts.subList(0, ZONES.size());
+    return hosts.subList(0, controlCount);
   }
 
   List<Host> entryHosts() {
-    return hosts.subList(ZONES.size(), hostCount);
+    return hosts.subList(controlCount, hostCount);
   }
 
   InetSocketAddress controlAddress(Host host) {
@@ -183,14 +195,29 @@
         .waitFor();
   }
 
-  boolean isRunning(Host host) {
-    return processes.get(host).isAlive();
+  /** Kills a host, empties its disk and starts it again after a pause. */
+  void loseDisk(List<Host> lost, int downMillis) throws IOException, InterruptedException {
+    for (Host host : lost) {
+      signal(host, "KILL");
+    }
+    for (Host host : lost) {
+      processes.get(host).waitFor();
+      deleteTree(folder.resolve("data-" + host.name));
+      log("platform", host.name + " has lost its disk");
+    }
+    Thread.sleep(downMillis);
+    for (Host host : lost) {
+      log("platform", "start of " + host.name);
+      start(host, false);
+    }
   }
 
-  /** Starts a host whose process has ended again. */
-  void restart(Host host) throws IOException {
-    log("platform", "start of " + host.name);
-    start(host, false);
+  private static void deleteTree(Path tree) throws IOException {
+    try (Stream<Path> files = Files.walk(tree)) {
+      for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+        Files.delete(file);
+      }
+    }
   }
 
   List<String> logLines(Host host) throws IOException {
@@ -198,14 +225,14 @@
   }
 
   /** Puts a configuration; repeats it at the next control host until one acknowledges it. */
-  void putConfiguration(String body, int timeoutMillis) throws Exception {
+  Host putConfiguration(String body, int timeoutMillis) throws Exception {
     long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMillis);
     for (int attempt = 0; System.nanoTime() < end; attempt++) {
-      Host host = controlHosts().get(attempt % 3);
+      Host host = controlHosts().get(attempt % controlCount);
       int status = call(controlAddress(host), "PUT", "/-/configuration", "", "", body, 1_000).status;
       log("operator", "PUT /-/configuration at " + host.name + ": " + status);
       if (status == 200) {
-        return;
+        return host;
       }
       Thread.sleep(300);
     }
@@ -296,11 +323,7 @@
     killAll();
     processes.values().forEach(process -> process.onExit().join());
     if (System.getenv("KEEP_LOGS") == null) {
-      try (Stream<Path> files = Files.walk(folder)) {
-        for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
-          Files.delete(file);
-        }
-      }
+      deleteTree(folder);
     } else {
       System.err.println("logs: " + folder);
     }
