--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeSettings.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeSettings.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import org.burdockbay.core.agreement.FaultTolerance;
 import org.burdockbay.core.lease.LeaseTiming;
 import org.burdockbay.core.membership.HostDescriptor;
 import org.burdockbay.core.scheduling.SchedulingOptions;
@@ -25,6 +26,7 @@
  *     unknown
  * @param callerRetryDelayMillis shortest time from a broken connection of a caller until its next
  *     attempt, in milliseconds
+ * @param faultTolerance losses that the hosts with a data folder must bear
  */
 public record NodeSettings(
     String cluster,
@@ -37,7 +39,36 @@
     boolean firstStart,
     SchedulingOptions scheduling,
     int weight,
-    long callerRetryDelayMillis) {
+    long callerRetryDelayMillis,
+    FaultTolerance faultTolerance) {
+
+  /** Creates settings with the default tolerance. */
+  public NodeSettings(
+      String cluster,
+      HostDescriptor descriptor,
+      HostAddress address,
+      Set<String> domains,
+      boolean mayDispatch,
+      List<HostAddress> seeds,
+      Optional<Path> dataFolder,
+      boolean firstStart,
+      SchedulingOptions scheduling,
+      int weight,
+      long callerRetryDelayMillis) {
+    this(
+        cluster,
+        descriptor,
+        address,
+        domains,
+        mayDispatch,
+        seeds,
+        dataFolder,
+        firstStart,
+        scheduling,
+        weight,
+        callerRetryDelayMillis,
+        FaultTolerance.DEFAULT);
+  }
 
   /** Copies the domains and the seeds. */
   public NodeSettings {
@@ -63,7 +94,8 @@
         firstStart,
         scheduling,
         weight,
-        callerRetryDelayMillis);
+        callerRetryDelayMillis,
+        faultTolerance);
   }
 
   /** Returns the durations of leases and orders for callers with this retry delay. */
--- a/burdockbay-server/src/main/java/org/burdockbay/server/settings/HostSettings.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/settings/HostSettings.java
@@ -11,6 +11,10 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import org.burdockbay.core.agreement.FaultMargin;
+import org.burdockbay.core.agreement.FaultTolerance;
+import org.burdockbay.core.agreement.VoterId;
+import org.burdockbay.core.agreement.VoterSet;
 import org.burdockbay.core.configuration.ConfigurationException;
 import org.burdockbay.core.configuration.Problem;
 import org.burdockbay.core.configuration.ValidSection;
@@ -32,6 +36,7 @@
  * @param limits limits on the requests of callers
  * @param drainTimeoutMillis maximum time for which a planned stop waits for requests in flight
  * @param peers the other hosts
+ * @param faultTolerance losses that the voters must bear
  */
 public record HostSettings(
     String id,
@@ -46,7 +51,8 @@
     Optional<TlsFiles> tls,
     RequestLimits limits,
     long drainTimeoutMillis,
-    List<PeerSettings> peers) {
+    List<PeerSettings> peers,
+    FaultTolerance faultTolerance) {
 
   /** PEM files of the certificate chain and the private key. */
   public record TlsFiles(Path certificate, Path key) {}
@@ -99,7 +105,12 @@
       problems.sort(Comparator.comparingInt(Problem::line));
       throw new ConfigurationException(problems);
     }
-    return createSettings(host.orElseThrow(), sections);
+    HostSettings settings = createSettings(host.orElseThrow(), sections);
+    settings.validateTolerance(host.orElseThrow(), problems);
+    if (!problems.isEmpty()) {
+      throw new ConfigurationException(problems);
+    }
+    return settings;
   }
 
   /** Returns the failure domain of each host by host id, including this host. */
@@ -169,7 +180,37 @@
         new RequestLimits(
             host.wholeNumber("max-open-requests"), host.wholeNumber("max-body-kib") * 1024),
         host.wholeNumber("drain-ms"),
-        peers);
+        peers,
+        new FaultTolerance(
+            host.wholeNumber("tolerated-hosts"), host.wholeNumber("tolerated-domains")));
+  }
+
+  /** Reports tolerances that the document contains and the voters can't bear. */
+  private void validateTolerance(ValidSection host, List<Problem> problems) {
+    Map<String, String> domains = domainByHost();
+    List<VoterId> voters = voterIds().stream().map(voter -> new VoterId(voter, 0)).toList();
+    FaultMargin margin =
+        FaultMargin.of(
+            new VoterSet(voters, List.of()), voter -> true, voter -> domains.get(voter.host()));
+    if (host.lines().containsKey("tolerated-hosts") && margin.hosts() < faultTolerance.hosts()) {
+      problems.add(
+          host.problem(
+              "tolerated-hosts",
+              "is %d, found %d voters, expected at least %d"
+                  .formatted(
+                      faultTolerance.hosts(), voters.size(), 2 * faultTolerance.hosts() + 1)));
+    }
+    if (host.lines().containsKey("tolerated-domains")
+        && margin.domains() < faultTolerance.domains()) {
+      problems.add(
+          host.problem(
+              "tolerated-domains",
+              "is %d, found voters in the domains %s, expected a majority outside any %d of them"
+                  .formatted(
+                      faultTolerance.domains(),
+                      voters.stream().map(voter -> domains.get(voter.host())).toList(),
+                      faultTolerance.domains())));
+    }
   }
 
   private static Optional<Path> optionalPath(ValidSection section, String key) {
--- a/burdockbay-server/src/main/java/org/burdockbay/server/settings/HostSettingsSchema.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/settings/HostSettingsSchema.java
@@ -3,6 +3,7 @@
 import static org.burdockbay.core.configuration.SettingDefinition.key;
 
 import java.util.List;
+import org.burdockbay.core.agreement.FaultTolerance;
 import org.burdockbay.core.configuration.DispatchSchema;
 import org.burdockbay.core.configuration.DocumentSchema;
 import org.burdockbay.core.configuration.SectionDefinition;
@@ -50,6 +51,18 @@
                 .text(".*", "a path, or nothing on a host without a disk")
                 .defaultValue("")
                 .build("Data folder; a host that has one takes part in the agreement."),
+            key("tolerated-hosts")
+                .wholeNumber(0, FaultTolerance.MAX_LOSSES)
+                .defaultValue(Integer.toString(FaultTolerance.DEFAULT.hosts()))
+                .build(
+                    "Voters that may be lost at once; it takes two voters more for each. A number"
+                        + " that the voters can't bear is an error."),
+            key("tolerated-domains")
+                .wholeNumber(0, FaultTolerance.MAX_LOSSES)
+                .defaultValue(Integer.toString(FaultTolerance.DEFAULT.domains()))
+                .build(
+                    "Failure domains that may be lost at once; a majority of the voters must be"
+                        + " outside them. A number that the voters can't bear is an error."),
             key("tls-certificate")
                 .text(".*", "a path to a PEM file, or nothing")
                 .defaultValue("")
--- a/burdockbay-server/src/test/java/org/burdockbay/server/settings/HostSettingsTest.java
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/settings/HostSettingsTest.java
@@ -5,6 +5,7 @@
 import static org.testng.Assert.expectThrows;
 
 import java.util.List;
+import org.burdockbay.core.agreement.FaultTolerance;
 import org.burdockbay.core.configuration.ConfigurationException;
 import org.testng.annotations.Test;
 
@@ -46,6 +47,27 @@
     assertTrue(e.getMessage().startsWith("a.ini:13: [peer b] address"), e.getMessage());
   }
 
+  /** Guards against a tolerance that the voters don't bear and nobody notices. */
+  @Test
+  public void rejectsToleranceThatVotersDoNotBear() throws ConfigurationException {
+    String hosts = VALID.replace("[peer b]", "tolerated-hosts = 1\n[peer b]");
+    ConfigurationException tooFew =
+        expectThrows(ConfigurationException.class, () -> HostSettings.parse("a.ini", hosts));
+    assertEquals(
+        tooFew.getMessage(),
+        "a.ini:11: [host] tolerated-hosts: is 1, found 2 voters, expected at least 3");
+    String domains =
+        VALID.replace("[peer b]", "tolerated-domains = 1\n[peer b]")
+            + "[peer c]\ndomain = south\naddress = 127.0.0.1:7005\nvoter = true\n";
+    ConfigurationException crowded =
+        expectThrows(ConfigurationException.class, () -> HostSettings.parse("a.ini", domains));
+    assertEquals(
+        crowded.getMessage(),
+        "a.ini:11: [host] tolerated-domains: is 1, found voters in the domains [north, south,"
+            + " south], expected a majority outside any 1 of them");
+    assertEquals(HostSettings.parse("a.ini", VALID).faultTolerance(), FaultTolerance.DEFAULT);
+  }
+
   /** A missing key is reported with its section. */
   @Test
   public void reportsMissingKeys() {
