--- a/burdockbay-core/src/main/java/org/burdockbay/core/agreement/RaftNode.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/agreement/RaftNode.java
@@ -284,6 +284,11 @@
     return log.voters();
   }
 
+  /** Returns the members at the highest index known to be committed. */
+  public VoterSet committedVoters() {
+    return log.votersAt(commitIndex);
+  }
+
   /** Returns the highest index known to be committed. */
   public long commitIndex() {
     return commitIndex;
--- a/burdockbay-core/src/main/java/org/burdockbay/core/agreement/VoterSet.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/agreement/VoterSet.java
@@ -71,6 +71,11 @@
     return new VoterSet(newVoters, others.learners());
   }
 
+  /** Returns this set with a voter turned into a learner. */
+  public VoterSet withDemoted(VoterId voter) {
+    return without(voter).withLearner(voter);
+  }
+
   /**
    * Returns whether another set differs by at most one voter, which guarantees overlapping quorums.
    */
--- a/burdockbay-core/src/test/java/org/burdockbay/core/agreement/RaftFuzzTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/agreement/RaftFuzzTest.java
@@ -42,6 +42,21 @@
         .checkAssert(steps -> run(steps, true));
   }
 
+  /**
+   * An accepted change is lost, or no further one is accepted, after as many hosts as the group
+   * says it bears, or a whole failure domain, lost their disks at once. The loss comes right after
+   * the acknowledgement: of a first change, of one while lost voters are replaced, or of one while
+   * a host is down; sometimes all other hosts lose power too.
+   */
+  @Test
+  public void keepsAcknowledgedChangesWhenToleratedDisksAreLost() {
+    qt().withFixedSeed(FuzzOptions.seed())
+        .withExamples(FuzzOptions.exampleCount(400))
+        .withShrinkCycles(FuzzOptions.MAX_SHRINK_CYCLES)
+        .forAll(integers().between(0, Integer.MAX_VALUE - 1))
+        .checkAssert(seed -> new LostDisksRun(seed).run());
+  }
+
   /** Prints the statistics of the run. */
   @AfterClass
   public void printStatistics() {
--- a/burdockbay-core/src/test/java/org/burdockbay/core/agreement/RaftModel.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/agreement/RaftModel.java
@@ -1,6 +1,7 @@
 package org.burdockbay.core.agreement;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -21,17 +22,42 @@
   final List<RaftMessage> messagesInFlight = new ArrayList<>();
   final Map<Long, LogEntry> committed = new TreeMap<>();
   private final Map<Long, VoterId> leaders = new HashMap<>();
+  private final VoterPlanner planner;
+  private final boolean replacesSilentVoters;
+  private final int domains;
   private long now;
   private long nextIncarnation = 100;
   private int proposals;
 
+  /** Creates a group all of whose hosts are configured as voters. */
   RaftModel(int voters) {
+    planner = VoterPlanner.forConfiguredVoters(FaultTolerance.DEFAULT, voters);
+    replacesSilentVoters = false;
+    domains = voters;
+    addHosts(voters, voters);
+  }
+
+  /**
+   * Creates a group that starts with three voters and takes as many as the tolerance requires. The
+   * hosts are spread evenly over the domains.
+   */
+  RaftModel(int hosts, int domains, FaultTolerance tolerance) {
+    planner = VoterPlanner.forTolerance(tolerance);
+    replacesSilentVoters = true;
+    this.domains = domains;
+    addHosts(hosts, 3);
+  }
+
+  private void addHosts(int hosts, int firstVoters) {
     List<VoterId> ids = new ArrayList<>();
-    for (int i = 0; i < voters; i++) {
+    for (int i = 0; i < hosts; i++) {
       ids.add(new VoterId("host-" + i, 1));
     }
+    List<VoterId> voters = ids.subList(0, firstVoters);
     for (VoterId id : ids) {
-      members.add(new Member(id, RecoveredLog.bootstrap(ids)));
+      members.add(
+          new Member(
+              id, voters.contains(id) ? RecoveredLog.bootstrap(voters) : RecoveredLog.EMPTY));
     }
   }
 
@@ -102,22 +128,64 @@
     if (!target.isRunning() || target.node.role() != RaftRole.LEADER) {
       return;
     }
-    for (Member present : members) {
-      VoterSet set = target.node.voters();
-      Optional<VoterId> old = set.voterOn(present.id.host());
-      Optional<VoterSet> next = Optional.empty();
-      if (old.isPresent() && !old.get().equals(present.id)) {
-        next = Optional.of(set.without(old.get()));
-      } else if (old.isEmpty() && !set.learners().contains(present.id)) {
-        next = Optional.of(set.withLearner(present.id));
-      } else if (old.isEmpty() && target.node.isCaughtUp(present.id)) {
-        next = Optional.of(set.withVoter(present.id));
-      }
-      if (next.isPresent() && target.node.proposeMembers(next.get(), now)) {
-        target.handleEffects(target.node.flush());
-        return;
+    Optional<VoterSet> next = planner.nextChange(view(target));
+    if (next.isPresent() && target.node.proposeMembers(next.get(), now)) {
+      target.handleEffects(target.node.flush());
+    }
+  }
+
+  /** Returns the running leader with the highest term. */
+  Optional<Member> leader() {
+    return members.stream()
+        .filter(member -> member.isRunning() && member.node.role() == RaftRole.LEADER)
+        .max(Comparator.comparingLong(member -> member.node.term()));
+  }
+
+  /** Returns whether the leader may accept changes, as in {@code VoterKeeper}. */
+  boolean acceptsChanges(Member leader) {
+    VoterPlanner.GroupView view = view(leader);
+    return planner.bearsTolerance(view) || !planner.lacksVoters(view);
+  }
+
+  /** Returns the margin that the hosts report to operators. */
+  FaultMargin margin(Member leader) {
+    return FaultMargin.of(
+        leader.node.voters(),
+        leader.node.committedVoters(),
+        voter -> members.stream().anyMatch(member -> member.id.equals(voter) && member.isRunning()),
+        this::domainOf);
+  }
+
+  /** Returns the hosts of a failure domain. */
+  List<Member> hostsOfDomain(int domain) {
+    return members.stream().filter(member -> domainOf(member.id).equals("d" + domain)).toList();
+  }
+
+  private VoterPlanner.GroupView view(Member leader) {
+    Map<String, String> domainByHost = new HashMap<>();
+    List<MemberHost> live = new ArrayList<>();
+    for (Member member : members) {
+      domainByHost.put(member.id.host(), domainOf(member.id));
+      if (!replacesSilentVoters || member.isRunning()) {
+        live.add(new MemberHost(member.id, domainOf(member.id)));
       }
     }
+    return new VoterPlanner.GroupView(
+        leader.node.voters(),
+        leader.id,
+        live,
+        domainByHost,
+        leader.node::isCaughtUp,
+        voter -> replacesSilentVoters && !isHostRunning(voter.host()));
+  }
+
+  private boolean isHostRunning(String host) {
+    return members.stream().anyMatch(member -> member.id.host().equals(host) && member.isRunning());
+  }
+
+  private String domainOf(VoterId member) {
+    int number = Integer.parseInt(member.host().substring("host-".length()));
+    return "d" + number % domains;
   }
 
   /** Returns the state of every member, for failure messages. */
--- a/burdockbay-server/src/main/java/org/burdockbay/server/host/AgreementDriver.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/host/AgreementDriver.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.BiConsumer;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.burdockbay.core.agreement.EntryContent;
 import org.burdockbay.core.agreement.LogEntry;
@@ -40,6 +41,7 @@
   private final EventLog log;
   private final Clock clock;
   private final Map<Long, PendingProposal> pendingProposals = new HashMap<>();
+  private BooleanSupplier awaitsVoters = () -> false;
   private boolean failed;
 
   AgreementDriver(
@@ -59,6 +61,14 @@
     snapshot.ifPresent(this::restore);
   }
 
+  /**
+   * Sets the condition under which this host, as the leader, accepts no changes yet. Reads are
+   * accepted at any time.
+   */
+  public void deferChangesWhile(BooleanSupplier condition) {
+    awaitsVoters = condition;
+  }
+
   /** Starts the writer of the data folder. */
   public void start() {
     writer.start();
@@ -131,11 +141,15 @@
    * Proposes a command.
    *
    * @param callback receives the reply once the command is committed, or {@link
-   *     ControlReply.Unavailable} if this host doesn't lead, or stops leading or fails before that
+   *     ControlReply.Unavailable} if this host doesn't lead or accepts no changes yet, or stops
+   *     leading or fails before that
    */
   public void propose(ControlCommand command, Consumer<ControlReply> callback) {
+    boolean deferred = !(command instanceof ControlCommand.ReadCatalog) && awaitsVoters();
     OptionalLong index =
-        failed ? OptionalLong.empty() : node.propose(ControlCodec.toBytes(command), clock.millis());
+        failed || deferred
+            ? OptionalLong.empty()
+            : node.propose(ControlCodec.toBytes(command), clock.millis());
     if (index.isEmpty()) {
       callback.accept(new ControlReply.Unavailable());
     } else {
@@ -150,6 +164,10 @@
     }
   }
 
+  private boolean awaitsVoters() {
+    return isLeader() && awaitsVoters.getAsBoolean();
+  }
+
   private void execute(List<RaftEffect> effects) {
     for (RaftEffect effect : effects) {
       switch (effect) {
--- a/burdockbay-server/src/main/java/org/burdockbay/server/host/HostController.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/host/HostController.java
@@ -1,5 +1,6 @@
 package org.burdockbay.server.host;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -9,6 +10,7 @@
 import org.burdockbay.core.agreement.GroupId;
 import org.burdockbay.core.agreement.RaftMessage;
 import org.burdockbay.core.agreement.VoterId;
+import org.burdockbay.core.agreement.VoterPlanner;
 import org.burdockbay.core.configuration.DispatchConfiguration;
 import org.burdockbay.core.control.ControlCommand;
 import org.burdockbay.core.control.ControlImage;
@@ -60,6 +62,8 @@
   private final EntryDriver entryDriver;
   private final DispatchDriver dispatchDriver;
   private final ProposalClient proposals;
+  private final StorageHosts storageHosts = new StorageHosts();
+  private final FaultMarginMonitor faultMargin;
   private final VoterKeeper voters;
   private final Optional<AgreementDriver> agreement;
   private final long storageIncarnation;
@@ -104,7 +108,20 @@
             this::send,
             this,
             this::stepDown);
-    this.voters = new VoterKeeper(parts.settings().voterIds().size(), host -> false, parts.log());
+    this.faultMargin =
+        new FaultMarginMonitor(
+            parts.settings().faultTolerance(), storageHosts, parts.metrics(), parts.log());
+    this.voters =
+        new VoterKeeper(
+            VoterPlanner.forConfiguredVoters(
+                parts.settings().faultTolerance(), parts.settings().voterIds().size()),
+            storageHosts,
+            host -> false,
+            parts.log(),
+            now);
+    if (agreement.isPresent()) {
+      parts.metrics().registerFaultMargin();
+    }
   }
 
   /**
@@ -434,16 +451,24 @@
     }
     if (now >= nextReconciliationAt) {
       nextReconciliationAt = now + RECONCILE_INTERVAL_MILLIS;
-      agreement
-          .filter(AgreementDriver::isLeader)
-          .ifPresent(driver -> voters.reconcile(driver.node(), voterStatuses(), now));
+      agreement.ifPresent(driver -> reconcileVoters(driver, now));
+    }
+  }
+
+  private void reconcileVoters(AgreementDriver driver, long now) {
+    storageHosts.update(voterStatuses());
+    faultMargin.update(driver.node());
+    if (driver.isLeader()) {
+      voters.reconcile(driver.node(), now);
     }
   }
 
   private List<HostStatus> voterStatuses() {
-    return parts.settings().voterIds().stream()
+    List<HostStatus> statuses = new ArrayList<>(List.of(status()));
+    parts.settings().voterIds().stream()
         .flatMap(host -> membership.status(host).stream())
-        .toList();
+        .forEach(statuses::add);
+    return statuses;
   }
 
   private void flush() {
@@ -518,7 +543,7 @@
         status(),
         List.copyOf(membership.liveHosts()),
         dispatchDriver.dispatcher().snapshot(),
-        agreement.map(HostReport.AgreementReport::of),
+        agreement.map(driver -> HostReport.AgreementReport.of(driver, faultMargin)),
         entryDriver.waitingRequests(),
         parts.thread().backlog());
   }
--- a/burdockbay-server/src/main/java/org/burdockbay/server/host/HostReport.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/host/HostReport.java
@@ -2,6 +2,8 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.burdockbay.core.agreement.FaultMargin;
+import org.burdockbay.core.agreement.FaultTolerance;
 import org.burdockbay.core.agreement.RaftNode;
 import org.burdockbay.core.agreement.VoterId;
 import org.burdockbay.core.dispatch.DispatchSnapshot;
@@ -32,6 +34,8 @@
    * @param leader id of the leader, or empty if unknown
    * @param ledgerRecords number of records in the ledger
    * @param storageFailed whether the voter has stopped after a failure of its storage
+   * @param faultMargin further losses that the group bears now, as this host sees it
+   * @param faultTolerance losses that the group must bear
    */
   public record AgreementReport(
       String role,
@@ -41,9 +45,11 @@
       List<String> voters,
       List<String> learners,
       int ledgerRecords,
-      boolean storageFailed) {
+      boolean storageFailed,
+      FaultMargin faultMargin,
+      FaultTolerance faultTolerance) {
 
-    static AgreementReport of(AgreementDriver driver) {
+    static AgreementReport of(AgreementDriver driver, FaultMarginMonitor monitor) {
       RaftNode node = driver.node();
       return new AgreementReport(
           node.role().name(),
@@ -53,7 +59,9 @@
           node.voters().voters().stream().map(VoterId::toString).toList(),
           node.voters().learners().stream().map(VoterId::toString).toList(),
           driver.state().ledger().size(),
-          driver.hasFailed());
+          driver.hasFailed(),
+          monitor.margin(),
+          monitor.tolerance());
     }
   }
 }
--- a/burdockbay-server/src/main/java/org/burdockbay/server/metrics/HostMetrics.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/metrics/HostMetrics.java
@@ -6,6 +6,8 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.burdockbay.core.agreement.FaultMargin;
+import org.burdockbay.core.agreement.FaultTolerance;
 import org.burdockbay.core.submission.JobOutcome;
 
 /** Records response times and outcomes of jobs and work, and counts events. */
@@ -18,12 +20,29 @@
 
   private final MetricRegistry registry;
   private final AtomicInteger evacuatedDomains = new AtomicInteger();
+  private volatile FaultMargin faultMargin = FaultMargin.NO_QUORUM;
+  private volatile FaultTolerance faultTolerance = FaultTolerance.DEFAULT;
 
   /** Creates metrics that are registered in the given registry. */
   public HostMetrics(MetricRegistry registry) {
     this.registry = registry;
-    Gauge<Integer> gauge = evacuatedDomains::get;
-    registry.gauge("evacuated-domains", () -> gauge);
+    registerGauge("evacuated-domains", evacuatedDomains::get);
+  }
+
+  /**
+   * Registers gauges for the losses that the agreement group bears; for hosts that belong to it.
+   */
+  public void registerFaultMargin() {
+    registerGauge("fault-margin-hosts", () -> faultMargin.hosts());
+    registerGauge("fault-margin-domains", () -> faultMargin.domains());
+    registerGauge("fault-tolerance-hosts", () -> faultTolerance.hosts());
+    registerGauge("fault-tolerance-domains", () -> faultTolerance.domains());
+  }
+
+  /** Records the losses that the agreement group bears now, and those that it must bear. */
+  public void recordFaultMargin(FaultMargin margin, FaultTolerance tolerance) {
+    faultMargin = margin;
+    faultTolerance = tolerance;
   }
 
   /** Returns the registry. */
@@ -70,4 +89,8 @@
             });
     return summaries;
   }
+
+  private void registerGauge(String name, Gauge<Integer> gauge) {
+    registry.gauge(name, () -> gauge);
+  }
 }
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
@@ -16,6 +16,7 @@
 import java.util.function.Supplier;
 import org.burdockbay.core.agreement.GroupId;
 import org.burdockbay.core.agreement.VoterId;
+import org.burdockbay.core.agreement.VoterPlanner;
 import org.burdockbay.core.catalog.Catalog;
 import org.burdockbay.core.catalog.CatalogPart;
 import org.burdockbay.core.catalog.CompressedCatalog;
@@ -45,7 +46,9 @@
 import org.burdockbay.server.host.AgreementDriver;
 import org.burdockbay.server.host.AgreementStorage;
 import org.burdockbay.server.host.EvacuationKeeper;
+import org.burdockbay.server.host.FaultMarginMonitor;
 import org.burdockbay.server.host.ProposalClient;
+import org.burdockbay.server.host.StorageHosts;
 import org.burdockbay.server.host.VoterKeeper;
 import org.burdockbay.server.logging.EventLog;
 import org.burdockbay.server.settings.HostAddress;
@@ -79,14 +82,12 @@
   /** Load reported by a host that doesn't dispatch. */
   private static final DomainLoad NO_LOAD = new DomainLoad(0, 0);
 
-  private static final long RECONCILE_INTERVAL_MILLIS = 500;
+  private static final long LAYOUT_INTERVAL_MILLIS = 500;
+  private static final long VOTER_INTERVAL_MILLIS = 100;
 
   /** Silence after which another host with a disk may replace a voter, in milliseconds. */
   private static final long VOTER_SILENCE_TIMEOUT_MILLIS = 3_000;
 
-  /** Target number of voters: one may be lost, and three serve even while one is being replaced. */
-  private static final int TARGET_VOTER_COUNT = 3;
-
   private final NodeParts parts;
   private final NodeSettings settings;
   private final Clock clock;
@@ -103,6 +104,8 @@
   private final WorkHandler workHandler;
   private final SpeedGossip speedGossip;
   private final ProposalClient proposals;
+  private final StorageHosts storageHosts = new StorageHosts();
+  private final FaultMarginMonitor faultMargin;
   private final VoterKeeper voters;
   private final EpochKeeper epochs;
   private final Optional<AgreementDriver> agreement;
@@ -129,7 +132,8 @@
 
   private long nextMembershipTickAt;
   private long nextDirectoryCleanupAt;
-  private long nextReconciliationAt;
+  private long nextLayoutCheckAt;
+  private long nextVoterCheckAt;
 
   /**
    * Creates the components of the host.
@@ -192,7 +196,20 @@
     membership.restore(saved.epoch());
     membership.restore(saved.layout());
     this.proposals = new ProposalClient(clock, agreement, this::leader, this::send);
-    this.voters = new VoterKeeper(TARGET_VOTER_COUNT, this::isReplaceable, log);
+    this.faultMargin =
+        new FaultMarginMonitor(settings.faultTolerance(), storageHosts, parts.metrics(), log);
+    this.voters =
+        new VoterKeeper(
+            VoterPlanner.forTolerance(settings.faultTolerance()),
+            storageHosts,
+            this::isReplaceable,
+            log,
+            now);
+    agreement.ifPresent(
+        driver -> {
+          parts.metrics().registerFaultMargin();
+          driver.deferChangesWhile(() -> voters.awaitsVoters(driver.node(), clock.millis()));
+        });
   }
 
   /**
@@ -771,12 +788,13 @@
           .removeSilentHosts(now)
           .forEach(descriptor -> parts.transport().disconnect(descriptor.id()));
     }
-    if (now >= nextReconciliationAt) {
-      nextReconciliationAt = now + RECONCILE_INTERVAL_MILLIS;
+    if (now >= nextLayoutCheckAt) {
+      nextLayoutCheckAt = now + LAYOUT_INTERVAL_MILLIS;
       execute(membership.growLayout(upstreamGossip.suitableLayout(), now));
-      agreement
-          .filter(AgreementDriver::isLeader)
-          .ifPresent(driver -> voters.reconcile(driver.node(), voterStatuses(), now));
+    }
+    if (now >= nextVoterCheckAt) {
+      nextVoterCheckAt = now + VOTER_INTERVAL_MILLIS;
+      agreement.ifPresent(driver -> reconcileVoters(driver, now));
     }
   }
 
@@ -786,16 +804,26 @@
     agreement.ifPresent(AgreementDriver::flush);
   }
 
-  private List<HostStatus> voterStatuses() {
+  private void reconcileVoters(AgreementDriver driver, long now) {
     List<HostStatus> statuses = new ArrayList<>(membership.liveHosts());
-    statuses.removeIf(status -> status.storageIncarnation() == 0);
-    return statuses;
+    statuses.add(status());
+    storageHosts.update(statuses);
+    faultMargin.update(driver.node());
+    if (driver.isLeader() && voters.reconcile(driver.node(), now)) {
+      // The next change is due as soon as this one is committed.
+      nextVoterCheckAt = now;
+    }
   }
 
   private boolean isReplaceable(String host) {
     if (host.equals(settings.host())) {
       return false;
     }
+    boolean storageFailed =
+        membership.status(host).filter(status -> status.storageIncarnation() == 0).isPresent();
+    if (storageFailed) {
+      return true;
+    }
     return directory
         .silenceMillis(host, clock.millis())
         .map(silence -> silence > VOTER_SILENCE_TIMEOUT_MILLIS)
