--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/HostDirectory.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/HostDirectory.java
@@ -11,12 +11,13 @@
  * Holds the other hosts that this host has discovered, directly or through gossip.
  *
  * <p>A host from which this one has received no message for {@link #SILENCE_TIMEOUT_MILLIS} is
- * removed, since its address may have been assigned to another machine.
+ * removed, since its address may have been assigned to another machine. Until then connections to
+ * it are attempted, so that both ends find each other after a long partition.
  */
 final class HostDirectory {
 
-  /** Silence after which a host is removed, in milliseconds; longer than a power loss lasts. */
-  static final long SILENCE_TIMEOUT_MILLIS = 60_000;
+  /** Silence after which a host is removed, in milliseconds. */
+  static final long SILENCE_TIMEOUT_MILLIS = 3_600_000;
 
   private final HostDescriptor self;
   private final Map<String, Entry> hosts = new HashMap<>();
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
@@ -122,6 +122,7 @@
   private Map<ShardId, RouteView.ActiveDispatcher> dispatchers = Map.of();
   private volatile boolean hasDispatcher;
   private volatile boolean draining;
+  private List<HostAddress> seeds = List.of();
   private Optional<CompressedCatalog> agreedCatalog = Optional.empty();
   private Evacuations agreedEvacuations = Evacuations.NONE;
 
@@ -293,8 +294,12 @@
   }
 
   /** Connects to the seeds of changed settings; hosts already known stay connected. */
-  public void seedsChanged(List<HostAddress> seeds) {
-    executeControl(() -> seeds.forEach(seed -> connections.connectSeed(seed, clock.millis())));
+  public void seedsChanged(List<HostAddress> newSeeds) {
+    executeControl(
+        () -> {
+          seeds = List.copyOf(newSeeds);
+          connectSeeds();
+        });
   }
 
   /** Begins a planned stop; the host continues to serve the requests in flight. */
@@ -362,6 +367,10 @@
     }
   }
 
+  private void connectSeeds() {
+    seeds.forEach(seed -> connections.connectSeed(seed, clock.millis()));
+  }
+
   private void logShortRetryDelay() {
     if (settings.unregisteredWaitMillis() > 0) {
       log.warn(
@@ -778,6 +787,8 @@
       directory
           .removeSilentHosts(now)
           .forEach(descriptor -> parts.transport().disconnect(descriptor.id()));
+      // A host whose peers were all removed finds the fleet again through a seed.
+      connectSeeds();
     }
     if (now >= nextLayoutCheckAt) {
       nextLayoutCheckAt = now + LAYOUT_INTERVAL_MILLIS;
--- a/burdockbay-server/src/test/java/org/burdockbay/server/node/HostDirectoryTest.java
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/node/HostDirectoryTest.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertEquals;
 
+import java.util.List;
 import java.util.Optional;
 import org.burdockbay.core.membership.HostDescriptor;
 import org.testng.annotations.Test;
@@ -22,6 +23,16 @@
     assertEquals(directory.lastContactAgeMillis("10.0.0.2", 1_020), Optional.of(20L));
   }
 
+  /** Guards against hosts of a failure domain that are forgotten during a partition of minutes. */
+  @Test
+  public void keepsHostsThatAreSilentForMinutes() {
+    HostDirectory directory = new HostDirectory(descriptor("10.0.0.1"));
+    directory.add(descriptor("10.0.0.2"), 0);
+    assertEquals(directory.removeSilentHosts(30 * 60_000), List.of());
+    assertEquals(directory.removeSilentHosts(61 * 60_000), List.of(descriptor("10.0.0.2")));
+    assertEquals(directory.otherHosts(), List.of());
+  }
+
   private static HostDescriptor descriptor(String host) {
     return new HostDescriptor(host, "entry", "north", host + ":1");
   }
