--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/HostDirectory.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/HostDirectory.java
@@ -21,9 +21,11 @@
 
   private final HostDescriptor self;
   private final Map<String, Entry> hosts = new HashMap<>();
+  private final long createdAt;
 
-  HostDirectory(HostDescriptor self) {
+  HostDirectory(HostDescriptor self, long now) {
     this.self = self;
+    this.createdAt = now;
   }
 
   /** Adds or updates a host, and returns whether it is new or has changed. */
@@ -67,10 +69,12 @@
 
   /**
    * Returns the time since the last message from a host, or since it was added if none has arrived,
-   * in milliseconds; empty if the host is unknown.
+   * in milliseconds. An unknown host counts as silent since this directory was created: after a
+   * restart of the whole fleet, it may only be slower to start.
    */
-  Optional<Long> silenceMillis(String host, long now) {
-    return Optional.ofNullable(hosts.get(host)).map(entry -> now - entry.lastContactAt);
+  long silenceMillis(String host, long now) {
+    Entry entry = hosts.get(host);
+    return now - (entry == null ? createdAt : entry.lastContactAt);
   }
 
   /** Removes the hosts whose silence exceeds the timeout, and returns them. */
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
@@ -171,7 +171,7 @@
                 .withWeight(settings.weight())
                 .withClaimsByDomain(settings.scheduling().stagedRecovery()),
             now);
-    this.directory = new HostDirectory(settings.descriptor());
+    this.directory = new HostDirectory(settings.descriptor(), now);
     this.connections =
         new ConnectionScheduler(settings, directory, parts.transport()::connect, log);
     this.heartbeatSchedule = new HeartbeatSchedule(settings.host());
@@ -826,10 +826,7 @@
     if (storageFailed) {
       return true;
     }
-    return directory
-        .silenceMillis(host, clock.millis())
-        .map(silence -> silence > VOTER_SILENCE_TIMEOUT_MILLIS)
-        .orElse(true);
+    return directory.silenceMillis(host, clock.millis()) > VOTER_SILENCE_TIMEOUT_MILLIS;
   }
 
   private void sendHeartbeats() {
--- a/burdockbay-server/src/test/java/org/burdockbay/server/node/ConnectionSchedulerTest.java
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/node/ConnectionSchedulerTest.java
@@ -183,7 +183,7 @@
     scheduler =
         new ConnectionScheduler(
             settings,
-            new HostDirectory(SELF),
+            new HostDirectory(SELF, 0),
             peer -> connected.add(peer.id()),
             new EventLog("test"));
   }
--- a/burdockbay-server/src/test/java/org/burdockbay/server/node/HostGossipTest.java
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/node/HostGossipTest.java
@@ -25,7 +25,7 @@
   /** Creates the gossip of a host that knows one other host and has scheduled its whole list. */
   @BeforeMethod
   public void setUp() {
-    directory = new HostDirectory(SELF);
+    directory = new HostDirectory(SELF, 0);
     directory.add(OLD, 0);
     gossip = new HostGossip(directory, sentMessages::put);
     gossip.tick(0);
--- a/burdockbay-server/src/test/java/org/burdockbay/server/node/SpeedGossipTest.java
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/node/SpeedGossipTest.java
@@ -28,7 +28,7 @@
     sentMessages.clear();
     speeds.clear();
     events.clear();
-    HostDirectory directory = new HostDirectory(descriptor("10.0.0.1", "north"));
+    HostDirectory directory = new HostDirectory(descriptor("10.0.0.1", "north"), 0);
     directory.add(descriptor("10.0.0.2", "north"), 0);
     directory.add(descriptor("10.0.0.3", "north"), 0);
     directory.add(descriptor("10.0.0.4", "south"), 0);
