--- a/burdockbay-core/src/test/java/org/burdockbay/core/agreement/RaftFuzzTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/agreement/RaftFuzzTest.java
@@ -61,6 +61,7 @@
   @AfterClass
   public void printStatistics() {
     System.out.println(FuzzOptions.summary("raft"));
+    System.out.println(FuzzOptions.summary("raft-lost-disks"));
   }
 
   private static void run(List<Integer> steps, boolean loseDisks) {
