--- a/burdockbay-core/src/test/java/org/burdockbay/core/agreement/FaultMarginTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/agreement/FaultMarginTest.java
@@ -38,6 +38,16 @@
     assertTrue(margin(three, three).bears(new FaultTolerance(1, 0)));
   }
 
+  /** Guards against a margin that holds only once a change of the voters is committed. */
+  @Test
+  public void countsWhatLatestAndCommittedVotersBear() {
+    VoterSet committed = new VoterSet(List.of(A1, B1, C1, A2), List.of(B2));
+    VoterSet latest = committed.withVoter(B2);
+    FaultMargin margin =
+        FaultMargin.of(latest, committed, voter -> true, voter -> voter.host().substring(0, 1));
+    assertEquals(margin, new FaultMargin(1, 0));
+  }
+
   /** Guards against a tolerance that no number of voters can bear. */
   @Test
   public void rejectsToleranceOutOfRange() {
--- a/burdockbay-core/src/test/java/org/burdockbay/core/agreement/RaftFuzzTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/agreement/RaftFuzzTest.java
@@ -42,12 +42,7 @@
         .checkAssert(steps -> run(steps, true));
   }
 
-  /**
-   * An accepted change is lost, or no further one is accepted, after as many hosts as the group
-   * says it bears, or a whole failure domain, lost their disks at once. The loss comes right after
-   * the acknowledgement: of a first change, of one while lost voters are replaced, or of one while
-   * a host is down; sometimes all other hosts lose power too.
-   */
+  /** Guards against losing an accepted change with as many disks as the group says it bears. */
   @Test
   public void keepsAcknowledgedChangesWhenToleratedDisksAreLost() {
     qt().withFixedSeed(FuzzOptions.seed())
--- a/burdockbay-core/src/test/java/org/burdockbay/core/agreement/VoterPlannerTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/agreement/VoterPlannerTest.java
@@ -100,10 +100,7 @@
     assertEquals(pair.members.voters().size(), 2);
   }
 
-  /**
-   * Guards against plans that end below what the hosts allow, that never end, or that take the
-   * quorum of a group while they are carried out.
-   */
+  /** Guards against plans that never end, end below the tolerance or take the quorum meanwhile. */
   @Test
   public void reachesToleranceFromAnyState() {
     for (int i = 0; i < FuzzOptions.exampleCount(2_000); i++) {
