Make what a start reads back durable by writing it again

What callers would see: a host whose process was killed between a failed sync and the reopening of its log, and later lost power, finds its log corrupt. If that meets a majority, acknowledged configurations are gone.

Cause: after a failed sync the kernel keeps the bytes readable, but doesn't write them any more, and the next sync succeeds. The next process read such bytes, "synced" them and started a new segment behind them. After a power loss the older segment was torn, which counts as corruption.

Change: an opened log writes its newest segment again, to a copy that is synced and then renamed. A reopened log copies just what was synced. A newest segment that adds nothing is not copied; its number is used again, so that refused attempts leave no files behind (one per attempt before). Listing a folder reports I/O errors as such.

Evidence: the model disk refuses appends, parts of appends, creations, truncations, renames, removals and syncs of files and folders, and the new test LogStoreFuzzTest.keepsSyncedStateWhenDiskRefusesOperations draws them in writes, reopenings and starts with kills and power losses at any moment.

--- a/burdockbay-server/src/main/java/org/burdockbay/server/storage/Disk.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/storage/Disk.java
@@ -12,8 +12,9 @@
  *
  * <p>Writes and renames of a killed process stay visible whether synced or not. After a power loss
  * only synced state is certain to exist: the content of a file after a sync of the file, directory
- * entries after a sync of their folder. State that an earlier process wrote must therefore be
- * synced after it is read and before anything depends on it.
+ * entries after a sync of their folder. State that an earlier process wrote must therefore be made
+ * durable after it is read and before anything depends on it. For the content of a file that takes
+ * a copy: after a failed sync, the bytes stay readable, but later syncs don't write them.
  */
 interface Disk {
 
@@ -39,12 +40,6 @@
   /** Creates a file, or truncates an existing one, and opens it for writing. */
   Writer create(Path file) throws IOException;
 
-  /** Truncates a file to a size in bytes; durable after the next {@link #sync}. */
-  void truncate(Path file, long size) throws IOException;
-
-  /** Makes the content of a file durable, including writes of earlier processes. */
-  void sync(Path file) throws IOException;
-
   /** Renames a file atomically, replacing an existing target. */
   void move(Path from, Path to) throws IOException;
 
--- a/burdockbay-server/src/main/java/org/burdockbay/server/storage/FileDisk.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/storage/FileDisk.java
@@ -2,6 +2,7 @@
 
 import java.io.Closeable;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
 import java.nio.channels.FileLock;
@@ -32,6 +33,8 @@
   public List<Path> list(Path folder) throws IOException {
     try (Stream<Path> content = Files.list(folder)) {
       return content.sorted().toList();
+    } catch (UncheckedIOException e) {
+      throw e.getCause();
     }
   }
 
@@ -68,20 +71,6 @@
     return new ChannelWriter(channel);
   }
 
-  @Override
-  public void truncate(Path file, long size) throws IOException {
-    try (FileChannel channel = FileChannel.open(file, StandardOpenOption.WRITE)) {
-      channel.truncate(size);
-    }
-  }
-
-  @Override
-  public void sync(Path file) throws IOException {
-    try (FileChannel channel = FileChannel.open(file, StandardOpenOption.WRITE)) {
-      channel.force(true);
-    }
-  }
-
   @Override
   public void move(Path from, Path to) throws IOException {
     Files.move(from, to, StandardCopyOption.ATOMIC_MOVE);
--- a/burdockbay-server/src/main/java/org/burdockbay/server/storage/LogStore.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/storage/LogStore.java
@@ -28,6 +28,7 @@
  * earlier segments can be deleted once a snapshot covers their entries. After a failed write or
  * sync the store refuses further writes: the kernel may have dropped the dirty pages, so a later
  * successful sync would not prove that the data is durable. {@link #reopen} discards such a write.
+ * For the same reason, opening a folder writes the newest segment again instead of syncing it.
  *
  * <p>At most one write is unsynced at any time. With several, a power loss could lose an earlier
  * write and keep a later one, which is indistinguishable from corruption of synced records.
@@ -37,6 +38,9 @@
   private static final String SEGMENT_PREFIX = "segment-";
   private static final String SNAPSHOT_FILE = "snapshot";
 
+  /** Name under which a segment is written again before it replaces the original. */
+  private static final String REWRITTEN_SEGMENT_FILE = "rewritten-segment";
+
   /** Buffered records are written and synced at this size, which bounds the memory of a batch. */
   private static final int FLUSH_THRESHOLD_BYTES = 1024 * 1024;
 
@@ -59,6 +63,9 @@
   /** Size of the current segment up to which it is synced, in bytes. */
   private long syncedBytes;
 
+  /** Number of the segment to be started next. */
+  private long nextSegment;
+
   private boolean failed;
 
   /**
@@ -71,6 +78,11 @@
   }
 
   LogStore(Disk disk, Path folder, GroupId group) throws StorageException {
+    this(disk, folder, group, Optional.empty());
+  }
+
+  private LogStore(Disk disk, Path folder, GroupId group, Optional<SyncedEnd> syncedEnd)
+      throws StorageException {
     this.disk = disk;
     this.folder = folder;
     this.group = group;
@@ -79,11 +91,12 @@
       findSegments();
       // Files created or renamed by an earlier process, and the folder itself, may be unsynced.
       disk.syncFolder(segments.isEmpty() ? folder.toAbsolutePath().getParent() : folder);
-      SegmentReader reader = readSegments();
+      SegmentReader reader = readSegments(syncedEnd);
       this.recoveredLog = recover(reader);
       this.recoveryReport = createRecoveryReport(reader);
-      startFirstSegment();
+      startSegment();
     } catch (IOException e) {
+      closeQuietly();
       throw new StorageException(Fault.FAILED, folder + " can't be opened: " + e, e);
     }
   }
@@ -120,27 +133,15 @@
   }
 
   /**
-   * Opens the folder again after a failed write. What the write left is removed, so the new store
+   * Opens the folder again after a failed write. What the write left is ignored, so the new store
    * recovers exactly what was synced. May be repeated until it succeeds.
    *
    * @throws StorageException if the disk still fails, or the files are corrupt
    */
   public LogStore reopen() throws StorageException {
-    close();
-    try {
-      Path file = segments.lastEntry().getValue();
-      if (syncedBytes > 0) {
-        disk.truncate(file, syncedBytes);
-        disk.sync(file);
-      } else {
-        disk.delete(file);
-        disk.syncFolder(folder);
-      }
-    } catch (IOException e) {
-      throw new StorageException(
-          Fault.FAILED, folder + ": a failed write can't be discarded: " + e, e);
-    }
-    return new LogStore(disk, folder, group);
+    closeQuietly();
+    SyncedEnd syncedEnd = new SyncedEnd(segments.lastKey(), syncedBytes);
+    return new LogStore(disk, folder, group, Optional.of(syncedEnd));
   }
 
   @Override
@@ -152,6 +153,16 @@
     }
   }
 
+  private void closeQuietly() {
+    try {
+      if (currentSegment != null) {
+        currentSegment.close();
+      }
+    } catch (IOException e) {
+      // What isn't synced is discarded.
+    }
+  }
+
   private void writeRecords(RaftEffect.Persist persist) throws IOException {
     if (persist.hardState().isPresent()) {
       hardState = persist.hardState().get();
@@ -182,37 +193,35 @@
     }
     currentSegment.close();
     startSegment();
-    // A segment is obsolete if its successor starts at or before the last entry of the snapshot.
-    while (segments.size() > 1) {
-      long next = segments.higherKey(segments.firstKey());
-      if (segmentBaseIndexes.get(next) > snapshot.index()) {
-        break;
-      }
-      segmentBaseIndexes.remove(segments.firstKey());
-      disk.delete(segments.pollFirstEntry().getValue());
-    }
+    deleteObsoleteSegments(snapshot);
   }
 
   /**
-   * Starts the segment of this store. If that fails, the file is removed: followed by the segment
-   * of a later attempt, a torn one would look like corruption.
+   * Deletes the segments whose successor starts at or before the last entry of a snapshot.
+   *
+   * <p>If a disk refuses that, nothing is lost; the next snapshot tries again.
    */
-  private void startFirstSegment() throws IOException {
-    try {
-      startSegment();
-    } catch (IOException e) {
-      if (currentSegment != null) {
-        currentSegment.close();
-        disk.delete(segments.lastEntry().getValue());
+  private void deleteObsoleteSegments(Snapshot snapshot) {
+    while (segments.size() > 1) {
+      long oldest = segments.firstKey();
+      if (segmentBaseIndexes.get(segments.higherKey(oldest)) > snapshot.index()) {
+        return;
       }
-      throw e;
+      try {
+        disk.delete(segments.get(oldest));
+      } catch (IOException e) {
+        return;
+      }
+      segments.remove(oldest);
+      segmentBaseIndexes.remove(oldest);
     }
   }
 
   private void startSegment() throws IOException {
-    long number = segments.isEmpty() ? 1 : segments.lastKey() + 1;
+    long number = nextSegment;
     Path file = folder.resolve(String.format("%s%012d", SEGMENT_PREFIX, number));
     segments.put(number, file);
+    nextSegment++;
     segmentBaseIndexes.put(number, termIndex.lastIndex());
     syncedBytes = 0;
     currentSegment = disk.create(file);
@@ -244,23 +253,54 @@
         segments.put(Long.parseLong(name.substring(SEGMENT_PREFIX.length())), file);
       }
     }
+    nextSegment = segments.isEmpty() ? 1 : segments.lastKey() + 1;
   }
 
-  private SegmentReader readSegments() throws IOException, StorageException {
+  /**
+   * Reads all segments, and makes the newest one durable.
+   *
+   * <p>Entries returned by recovery must be durable. Older segments are, since a segment is created
+   * only after its predecessor is durable.
+   */
+  private SegmentReader readSegments(Optional<SyncedEnd> syncedEnd)
+      throws IOException, StorageException {
     SegmentReader reader = new SegmentReader(group);
+    List<byte[]> lastRecords = List.of();
+    boolean lastIsRedundant = false;
     for (Map.Entry<Long, Path> next : segments.entrySet()) {
+      final long changesBefore = reader.changeCount();
       reader.beginSegment();
-      readSegment(next.getValue(), reader);
+      lastRecords = readSegment(next.getKey(), syncedEnd, reader);
       segmentBaseIndexes.put(next.getKey(), reader.segmentBaseIndex());
+      lastIsRedundant = reader.changeCount() == changesBefore;
     }
-    if (!segments.isEmpty()) {
-      // A killed process may have left unsynced writes in the newest segment, and entries returned
-      // by recovery must be durable. Older segments were synced before their successor was created.
-      disk.sync(segments.lastEntry().getValue());
+    if (lastIsRedundant) {
+      // Left by a start without writes, or by a failed attempt to open the folder. The number is
+      // used again, so that the attempts don't accumulate files.
+      nextSegment = segments.pollLastEntry().getKey();
+      segmentBaseIndexes.remove(nextSegment);
+    } else if (!segments.isEmpty()) {
+      rewriteSegment(segments.lastEntry().getValue(), lastRecords);
     }
     return reader;
   }
 
+  /**
+   * Replaces a segment by a copy that is durable. A sync of the original wouldn't prove that: if an
+   * earlier sync failed, bytes that the kernel dropped may still be readable.
+   */
+  private void rewriteSegment(Path segment, List<byte[]> records) throws IOException {
+    Path copy = folder.resolve(REWRITTEN_SEGMENT_FILE);
+    ByteArrayOutputStream content = new ByteArrayOutputStream();
+    records.forEach(record -> content.writeBytes(RecordFile.frame(record).array()));
+    try (Disk.Writer writer = disk.create(copy)) {
+      writer.write(ByteBuffer.wrap(content.toByteArray()));
+      writer.sync();
+    }
+    disk.move(copy, segment);
+    disk.syncFolder(folder);
+  }
+
   private RecoveryReport createRecoveryReport(SegmentReader reader) {
     long first = segments.isEmpty() ? 0 : segments.firstKey();
     long last = segments.isEmpty() ? 0 : segments.lastKey();
@@ -289,16 +329,19 @@
     return new RecoveredLog(hardState, snapshot, entries);
   }
 
-  private void readSegment(Path file, SegmentReader reader) throws IOException, StorageException {
-    RecordFile.Content content = RecordFile.read(disk, file);
-    boolean last = file.equals(segments.lastEntry().getValue());
+  /** Reads the valid records of a segment, up to the end of its synced part if that is known. */
+  private List<byte[]> readSegment(long number, Optional<SyncedEnd> syncedEnd, SegmentReader reader)
+      throws StorageException {
+    Path file = segments.get(number);
+    long limit =
+        syncedEnd.filter(end -> end.segment == number).map(SyncedEnd::bytes).orElse(Long.MAX_VALUE);
+    RecordFile.Content content = RecordFile.read(disk, file, limit);
     if (content.isTorn()) {
-      if (!last) {
+      if (number != segments.lastKey()) {
         throw new StorageException(
             Fault.CORRUPT, file + " is corrupt at byte " + content.validBytes());
       }
       truncatedBytes = content.fileBytes() - content.validBytes();
-      disk.truncate(file, content.validBytes());
     }
     for (byte[] record : content.records()) {
       try {
@@ -307,6 +350,7 @@
         throw new StorageException(Fault.CORRUPT, file + ": " + e.getMessage(), e);
       }
     }
+    return content.records();
   }
 
   private Optional<Snapshot> loadSnapshot() throws StorageException {
@@ -324,4 +368,12 @@
       throw new StorageException(Fault.CORRUPT, file + ": " + e.getMessage(), e);
     }
   }
+
+  /**
+   * End of the synced part of the newest segment.
+   *
+   * @param segment number of the segment
+   * @param bytes size of its synced part
+   */
+  private record SyncedEnd(long segment, long bytes) {}
 }
--- a/burdockbay-server/src/main/java/org/burdockbay/server/storage/RecordFile.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/storage/RecordFile.java
@@ -4,6 +4,7 @@
 import java.nio.ByteBuffer;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.zip.CRC32C;
 
@@ -38,9 +39,20 @@
    * @throws StorageException if a record is corrupt or the file can't be read
    */
   static Content read(Disk disk, Path file) throws StorageException {
+    return read(disk, file, Long.MAX_VALUE);
+  }
+
+  /**
+   * Reads the complete records of the first part of a file.
+   *
+   * @param limit size of the part, in bytes; the rest is ignored
+   * @throws StorageException if a record is corrupt or the file can't be read
+   */
+  static Content read(Disk disk, Path file, long limit) throws StorageException {
     byte[] bytes;
     try {
-      bytes = disk.read(file);
+      byte[] whole = disk.read(file);
+      bytes = whole.length > limit ? Arrays.copyOf(whole, (int) limit) : whole;
     } catch (IOException e) {
       throw new StorageException(StorageException.Fault.FAILED, file + " can't be read", e);
     }
--- a/burdockbay-server/src/main/java/org/burdockbay/server/storage/SegmentReader.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/storage/SegmentReader.java
@@ -20,6 +20,7 @@
   private long baseIndex;
   private long baseTerm;
   private long segmentBaseIndex;
+  private long changeCount;
 
   SegmentReader(GroupId group) {
     this.group = group;
@@ -43,6 +44,7 @@
     segmentBaseIndex = index;
     if (index != lastIndex() || term != lastTerm()) {
       // A snapshot replaced the log here, or earlier segments were deleted.
+      changeCount++;
       gaps.add(new LogGap(lastIndex(), lastTerm(), index, term));
       entries.clear();
       baseIndex = index;
@@ -52,11 +54,15 @@
 
   @Override
   public void visitHardState(HardState state) {
+    if (!state.equals(hardState)) {
+      changeCount++;
+    }
     hardState = state;
   }
 
   @Override
   public void visitTruncation(long index) {
+    changeCount++;
     removeFrom(index);
     if (index <= baseIndex) {
       // The preceding entries were in older segments, since covered by a snapshot and deleted.
@@ -67,6 +73,7 @@
 
   @Override
   public void visitEntry(LogEntry entry) throws WireException {
+    changeCount++;
     removeFrom(entry.index());
     if (entry.index() != lastIndex() + 1) {
       throw new WireException(
@@ -87,6 +94,11 @@
     return hardState;
   }
 
+  /** Returns the number of records that changed the log or the hard state. */
+  long changeCount() {
+    return changeCount;
+  }
+
   /** Returns the index of the entry that precedes the latest segment. */
   long segmentBaseIndex() {
     return segmentBaseIndex;
--- a/burdockbay-server/src/test/java/org/burdockbay/server/storage/LogStoreFuzzTest.java
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/storage/LogStoreFuzzTest.java
@@ -5,9 +5,11 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.SplittableRandom;
 import org.burdockbay.core.agreement.Bytes;
 import org.burdockbay.core.agreement.EntryContent;
@@ -57,6 +59,17 @@
     }
   }
 
+  /**
+   * State that was synced must survive refusals of all kinds, during writes, reopenings and starts,
+   * with kills and power losses at any moment, also between a failed sync and the reopening.
+   */
+  @Test
+  public void keepsSyncedStateWhenDiskRefusesOperations() throws StorageException {
+    for (long seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed++) {
+      new Simulation(seed).withRefusals().run();
+    }
+  }
+
   /** A simulated disk and a sequence of processes that use it. */
   private static final class Simulation {
 
@@ -66,6 +79,7 @@
     private List<RecoveredLog> possibleStates = List.of(RecoveredLog.EMPTY);
     private long committed;
     private boolean failsWrites;
+    private boolean refusesOperations;
 
     Simulation(long seed) {
       this.seed = seed;
@@ -79,6 +93,11 @@
       return this;
     }
 
+    Simulation withRefusals() {
+      refusesOperations = true;
+      return this;
+    }
+
     void run() throws StorageException {
       for (int process = 0; process < PROCESS_COUNT; process++) {
         try {
@@ -100,13 +119,9 @@
       if (random.nextInt(3) > 0) {
         disk.killAfter(random.nextInt(60));
       }
+      drawRefusals();
       LogStore store = open();
-      RecoveredLog recovered = store.recoveredLog();
-      assertTrue(
-          possibleStates.contains(recovered),
-          "seed " + seed + ": found " + recovered + ", expected one of " + possibleStates);
-      possibleStates = List.of(recovered);
-      committed = Math.max(snapshotIndex(recovered), Math.min(committed, lastIndex(recovered)));
+      checkRecovered(store);
       for (int write = random.nextInt(8); write > 0; write--) {
         List<RaftEffect.Persist> batch = createBatch(possibleStates.getLast());
         possibleStates = statesDuring(batch, possibleStates.getLast());
@@ -114,7 +129,13 @@
           store = failAndReopen(store, batch);
           continue;
         }
-        store.write(batch);
+        drawRefusals();
+        try {
+          store.write(batch);
+        } catch (StorageException e) {
+          store = reopenRefused(store, e);
+          continue;
+        }
         possibleStates = List.of(possibleStates.getLast());
         committed += random.nextLong(lastIndex(possibleStates.getLast()) - committed + 1);
       }
@@ -133,13 +154,49 @@
         expectFailure(store::reopen);
       }
       LogStore reopened = reopen(store);
-      RecoveredLog recovered = reopened.recoveredLog();
+      checkRecovered(reopened);
+      return reopened;
+    }
+
+    private void checkRecovered(LogStore store) {
+      RecoveredLog recovered = store.recoveredLog();
       assertTrue(
           possibleStates.contains(recovered),
-          "seed " + seed + ": reopened with " + recovered + ", expected one of " + possibleStates);
+          "seed " + seed + ": found " + recovered + ", expected one of " + possibleStates);
       possibleStates = List.of(recovered);
       committed = Math.max(snapshotIndex(recovered), Math.min(committed, lastIndex(recovered)));
-      return reopened;
+    }
+
+    private void drawRefusals() {
+      if (refusesOperations && random.nextInt(3) == 0) {
+        Set<ModelDisk.Refusal> kinds = EnumSet.noneOf(ModelDisk.Refusal.class);
+        for (ModelDisk.Refusal kind : ModelDisk.Refusal.values()) {
+          if (random.nextInt(3) == 0) {
+            kinds.add(kind);
+          }
+        }
+        disk.refuse(kinds, 1 + random.nextInt(8));
+      }
+    }
+
+    /** Opens the log again after a refused write; the refusals end after a few attempts. */
+    private LogStore reopenRefused(LogStore failed, StorageException cause) {
+      expectRefusal(cause);
+      while (true) {
+        try {
+          LogStore reopened = failed.reopen();
+          checkRecovered(reopened);
+          return reopened;
+        } catch (StorageException e) {
+          expectRefusal(e);
+        }
+      }
+    }
+
+    private void expectRefusal(StorageException e) {
+      if (!refusesOperations || e.fault() != StorageException.Fault.FAILED) {
+        throw new AssertionError("seed " + seed + ": expected one of " + possibleStates, e);
+      }
     }
 
     private void expectFailure(StorageAction action) {
@@ -160,10 +217,12 @@
     }
 
     private LogStore open() {
-      try {
-        return new LogStore(disk, FOLDER, GroupId.CONTROL);
-      } catch (StorageException e) {
-        throw new AssertionError("seed " + seed + ": expected one of " + possibleStates, e);
+      while (true) {
+        try {
+          return new LogStore(disk, FOLDER, GroupId.CONTROL);
+        } catch (StorageException e) {
+          expectRefusal(e);
+        }
       }
     }
 
--- a/burdockbay-server/src/test/java/org/burdockbay/server/storage/ModelDisk.java
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/storage/ModelDisk.java
@@ -8,16 +8,18 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.function.IntPredicate;
 import org.burdockbay.core.agreement.Bytes;
 
-/** An in-memory disk that simulates process kills, power losses and sync failures. */
+/** An in-memory disk that simulates process kills, power losses and refused operations. */
 final class ModelDisk implements Disk {
 
   private static final Path ROOT = Path.of("/");
@@ -28,6 +30,8 @@
   private TreeMap<Path, Inode> durableNames = new TreeMap<>();
   private int operationsLeft = Integer.MAX_VALUE;
   private boolean nextSyncFails;
+  private Set<Refusal> refusals = EnumSet.noneOf(Refusal.class);
+  private int refusedOperationsLeft;
 
   ModelDisk(long seed) {
     this.random = new SplittableRandom(seed);
@@ -53,6 +57,20 @@
     nextSyncFails = true;
   }
 
+  /**
+   * Refuses operations of some kinds until the given number of operations was refused, or {@link
+   * #acceptAll} is called.
+   */
+  void refuse(Set<Refusal> kinds, int operations) {
+    refusals = kinds;
+    refusedOperationsLeft = operations;
+  }
+
+  /** Accepts all operations again. */
+  void acceptAll() {
+    refusedOperationsLeft = 0;
+  }
+
   /** Loses all unsynced writes and directory entries. */
   void losePower() {
     applyPowerLoss(change -> false);
@@ -87,6 +105,20 @@
     inode.sync();
   }
 
+  private boolean isRefused(Refusal kind) {
+    if (refusedOperationsLeft == 0 || !refusals.contains(kind)) {
+      return false;
+    }
+    refusedOperationsLeft--;
+    return true;
+  }
+
+  private void failIfRefused(Refusal kind) throws IOException {
+    if (isRefused(kind)) {
+      throw new IOException("the disk refuses " + kind);
+    }
+  }
+
   private void applyPowerLoss(IntPredicate kept) {
     restart();
     for (int change = 0; change < unsyncedNames.size(); change++) {
@@ -110,6 +142,7 @@
     if (!exists(folder)) {
       createFolders(folder.getParent());
       countOperation();
+      failIfRefused(Refusal.CREATION);
       link(folder, new Inode());
     }
   }
@@ -143,55 +176,51 @@
     countOperation();
     Inode inode = names.get(file);
     if (inode == null) {
+      failIfRefused(Refusal.CREATION);
       inode = new Inode();
       link(file, inode);
     } else {
+      failIfRefused(Refusal.TRUNCATION);
       inode.resize(0);
     }
     return new InodeWriter(inode);
   }
 
   @Override
-  public void truncate(Path file, long size) throws IOException {
+  public void move(Path from, Path to) throws IOException {
     countOperation();
-    inode(file).resize((int) size);
+    failIfRefused(Refusal.RENAME);
+    inode(from);
+    changeNames(to.getParent(), bindings -> moveTree(bindings, from, to));
   }
 
-  @Override
-  public void move(Path from, Path to) throws IOException {
-    countOperation();
-    Inode inode = inode(from);
-    changeNames(
-        to.getParent(),
-        bindings -> {
-          bindings.remove(from);
-          bindings.put(to, inode);
-        });
+  private static void moveTree(Map<Path, Inode> bindings, Path from, Path to) {
+    for (Path path : List.copyOf(bindings.keySet())) {
+      if (path.startsWith(from)) {
+        bindings.put(to.resolve(from.relativize(path)), bindings.remove(path));
+      }
+    }
   }
 
   @Override
-  public void delete(Path file) {
+  public void delete(Path file) throws IOException {
     countOperation();
+    failIfRefused(Refusal.REMOVAL);
     changeNames(file.getParent(), bindings -> bindings.remove(file));
   }
 
   @Override
-  public void syncFolder(Path folder) {
+  public void syncFolder(Path folder) throws IOException {
     countOperation();
+    failIfRefused(Refusal.FOLDER_SYNC);
     unsyncedNames.stream()
         .filter(change -> change.folder.equals(folder))
         .forEach(change -> change.effect.accept(durableNames));
     unsyncedNames.removeIf(change -> change.folder.equals(folder));
   }
 
-  @Override
-  public void sync(Path file) throws IOException {
-    countOperation();
-    sync(inode(file));
-  }
-
   private void sync(Inode inode) throws IOException {
-    if (nextSyncFails) {
+    if (nextSyncFails || isRefused(Refusal.SYNC)) {
       nextSyncFails = false;
       inode.dropUnsynced();
       throw new IOException("the disk fails");
@@ -223,6 +252,19 @@
     operationsLeft--;
   }
 
+  /** Kinds of operations that the disk can refuse. */
+  enum Refusal {
+    APPEND,
+    /** A write of which only a part is done. */
+    REST_OF_APPEND,
+    CREATION,
+    TRUNCATION,
+    RENAME,
+    REMOVAL,
+    SYNC,
+    FOLDER_SYNC
+  }
+
   /** Thrown at the operation that kills the process; earlier changes stay visible. */
   static final class ProcessKilled extends RuntimeException {
 
@@ -308,10 +350,15 @@
     }
 
     @Override
-    public void write(ByteBuffer buffer) {
+    public void write(ByteBuffer buffer) throws IOException {
       countOperation();
+      failIfRefused(Refusal.APPEND);
       byte[] bytes = new byte[buffer.remaining()];
       buffer.get(bytes);
+      if (bytes.length > 0 && isRefused(Refusal.REST_OF_APPEND)) {
+        inode.write(Arrays.copyOf(bytes, random.nextInt(bytes.length)));
+        throw new IOException("the disk refuses " + Refusal.REST_OF_APPEND);
+      }
       inode.write(bytes);
     }
 
--- a/burdockbay-server/src/test/java/org/burdockbay/server/storage/PowerLossTest.java
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/storage/PowerLossTest.java
@@ -92,7 +92,7 @@
 
   /** A log without one of its middle segments must be refused. */
   @Test
-  public void rejectsLogWithMissingSegment() throws StorageException {
+  public void rejectsLogWithMissingSegment() throws StorageException, IOException {
     open().write(List.of(persist(VOTED, entries(1, 5))));
     open().write(List.of(append(6, 7)));
     open().write(List.of(append(8, 9)));
--- /dev/null
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/storage/RefusedOperationsTest.java
@@ -0,0 +1,83 @@
+package org.burdockbay.server.storage;
+
+import static org.burdockbay.server.storage.LogRecords.VOTED;
+import static org.burdockbay.server.storage.LogRecords.append;
+import static org.burdockbay.server.storage.LogRecords.entries;
+import static org.burdockbay.server.storage.LogRecords.persist;
+import static org.burdockbay.server.storage.LogRecords.snapshot;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+
+import java.nio.file.Path;
+import java.util.EnumSet;
+import java.util.List;
+import org.burdockbay.core.agreement.GroupId;
+import org.burdockbay.server.storage.ModelDisk.Refusal;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests a data folder on a disk that refuses operations. */
+public class RefusedOperationsTest {
+
+  private static final Path FOLDER = Path.of("/data");
+
+  private ModelDisk disk;
+
+  /** Creates a disk with an empty folder for each test. */
+  @BeforeMethod
+  public void createDisk() {
+    disk = new ModelDisk(1);
+    disk.createDurableFolder(FOLDER);
+  }
+
+  /** Guards against bytes of a failed sync that the next process takes for durable. */
+  @Test
+  public void keepsEntriesReadBackAfterFailedSyncAndKill() throws StorageException {
+    LogStore killed = openLog();
+    killed.write(List.of(persist(VOTED, entries(1, 5))));
+    disk.failNextSync();
+    assertThrows(StorageException.class, () -> killed.write(List.of(append(6, 7))));
+    LogStore started = openLog();
+    assertEquals(started.recoveredLog().entries(), entries(1, 7));
+    started.write(List.of(append(8, 8)));
+    disk.losePower();
+    assertEquals(openLog().recoveredLog().entries(), entries(1, 8));
+  }
+
+  /** Guards against files that accumulate with each attempt to open the log. */
+  @Test
+  public void addsNoFilesWithRefusedAttempts() throws StorageException {
+    LogStore store = openLog();
+    store.write(List.of(persist(VOTED, entries(1, 5))));
+    for (int failure = 0; failure < 20; failure++) {
+      disk.failNextSync();
+      LogStore failed = store;
+      assertThrows(StorageException.class, () -> failed.write(List.of(append(6, 7))));
+      disk.refuse(EnumSet.of(Refusal.FOLDER_SYNC, Refusal.REMOVAL), 10);
+      for (int attempt = 0; attempt < 10; attempt++) {
+        assertThrows(StorageException.class, failed::reopen);
+      }
+      store = failed.reopen();
+      assertEquals(store.recoveredLog().entries(), entries(1, 5));
+    }
+    assertTrue(disk.list(FOLDER).size() <= 4, disk.list(FOLDER).toString());
+  }
+
+  /** Guards against a voter that is out because obsolete files can't be removed. */
+  @Test
+  public void acceptsWritesWhileRemovalsAreRefused() throws StorageException {
+    LogStore store = openLog();
+    store.write(List.of(persist(VOTED, entries(1, 5))));
+    disk.refuse(EnumSet.of(Refusal.REMOVAL), Integer.MAX_VALUE);
+    store.write(List.of(snapshot(5, 1), append(6, 7)));
+    disk.acceptAll();
+    store.write(List.of(snapshot(7, 1)));
+    assertEquals(openLog().recoveredLog().snapshot().orElseThrow().index(), 7);
+    assertTrue(disk.list(FOLDER).size() <= 3, disk.list(FOLDER).toString());
+  }
+
+  private LogStore openLog() throws StorageException {
+    return new LogStore(disk, FOLDER, GroupId.CONTROL);
+  }
+}
