Set a corrupt data folder aside inside itself

What callers would see: a host whose log is corrupt ends with exit 3 at each start on a platform where only the data folder can be written.

If the disk refused the creation of the new one, a seed that was still starting for the first time would have been created as an initial voter again, with the incarnation of the voter whose votes were lost.

Change: the content moves to a subfolder corrupt-TIME, the identity first and durably. What is left without identity is moved by the next opening. A failed opening releases the lock of the folder, so that the process can try again.

Evidence: RefusedOperationsTest.opensFolderThatWasSetAsideInPart refuses each kind of operation amid it, then loses power.

--- a/burdockbay-server/src/main/java/org/burdockbay/server/storage/DataFolder.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/storage/DataFolder.java
@@ -3,10 +3,10 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.io.Closeable;
 import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
 import java.security.SecureRandom;
+import java.util.Comparator;
+import java.util.Optional;
 import org.burdockbay.server.storage.StorageException.Fault;
 import org.burdockbay.wire.proto.Wire;
 
@@ -25,6 +25,7 @@
   private static final String IDENTITY_FILE = "identity";
   private static final String IDENTITY_TEMP_FILE = IDENTITY_FILE + RecordFile.TEMP_FILE_SUFFIX;
   private static final String LOCK_FILE = "lock";
+  private static final String CORRUPT_FOLDER_PREFIX = "corrupt-";
 
   private final Path path;
   private final Closeable lock;
@@ -66,17 +67,35 @@
   }
 
   /**
-   * Renames a corrupt folder, so that the host starts with an empty one as a learner.
+   * Moves the content of a corrupt folder into a subfolder, so that the host starts with an empty
+   * one as a learner. May be repeated until it succeeds.
    *
-   * @return the new path of the corrupt folder
-   * @throws StorageException if the folder can't be renamed
+   * @return the path of the subfolder
+   * @throws StorageException if the content can't be moved
    */
   public static Path setAside(Path path) throws StorageException {
-    Path aside = path.resolveSibling(path.getFileName() + ".corrupt-" + System.currentTimeMillis());
+    return setAside(FileDisk.INSTANCE, path);
+  }
+
+  static Path setAside(Disk disk, Path path) throws StorageException {
     try {
-      return Files.move(path, aside, StandardCopyOption.ATOMIC_MOVE);
+      Path identity = path.resolve(IDENTITY_FILE);
+      Path aside =
+          newestCorruptFolder(disk, path)
+              .filter(
+                  folder -> !disk.exists(identity) || !disk.exists(folder.resolve(IDENTITY_FILE)))
+              .orElseGet(() -> path.resolve(CORRUPT_FOLDER_PREFIX + System.currentTimeMillis()));
+      disk.createFolders(aside);
+      if (disk.exists(identity)) {
+        // Without its identity, the folder is never opened as that of the same voter again.
+        disk.move(identity, aside.resolve(IDENTITY_FILE));
+      }
+      disk.syncFolder(aside);
+      disk.syncFolder(path);
+      moveRemainingContent(disk, path, aside);
+      return aside;
     } catch (IOException e) {
-      throw new StorageException(Fault.FAILED, path + " can't be renamed to set it aside", e);
+      throw new StorageException(Fault.FAILED, path + " can't be set aside: " + e, e);
     }
   }
 
@@ -109,13 +128,18 @@
               .orElseThrow(
                   () ->
                       new StorageException(Fault.FOREIGN, path + " is in use by another process"));
-      Path file = path.resolve(IDENTITY_FILE);
-      if (!disk.exists(file)) {
-        createIdentity(disk, path, file, cluster, host, newIncarnation);
+      try {
+        Path file = path.resolve(IDENTITY_FILE);
+        if (!disk.exists(file)) {
+          createIdentity(disk, path, file, cluster, host, newIncarnation);
+        }
+        // A killed process may have created the identity file without syncing its directory entry.
+        disk.syncFolder(path);
+        return new DataFolder(path, lock, readIdentity(disk, file, cluster, host));
+      } catch (IOException | StorageException e) {
+        lock.close();
+        throw e;
       }
-      // A killed process may have created the identity file without syncing its directory entry.
-      disk.syncFolder(path);
-      return new DataFolder(path, lock, readIdentity(disk, file, cluster, host));
     } catch (IOException e) {
       throw new StorageException(Fault.FAILED, path + " can't be opened: " + e, e);
     }
@@ -124,6 +148,10 @@
   private static void createIdentity(
       Disk disk, Path path, Path file, String cluster, String host, long incarnation)
       throws IOException, StorageException {
+    Optional<Path> aside = newestCorruptFolder(disk, path);
+    if (aside.isPresent()) {
+      moveRemainingContent(disk, path, aside.get());
+    }
     if (!disk.list(path).stream()
         .map(Path::getFileName)
         .allMatch(DataFolder::isLeftoverOfCreation)) {
@@ -142,7 +170,30 @@
 
   /** Returns whether an interrupted creation may leave a file of this name. */
   private static boolean isLeftoverOfCreation(Path name) {
-    return name.equals(Path.of(LOCK_FILE)) || name.equals(Path.of(IDENTITY_TEMP_FILE));
+    return name.equals(Path.of(LOCK_FILE))
+        || name.equals(Path.of(IDENTITY_TEMP_FILE))
+        || isCorruptFolder(name);
+  }
+
+  private static boolean isCorruptFolder(Path name) {
+    return name.toString().startsWith(CORRUPT_FOLDER_PREFIX);
+  }
+
+  private static Optional<Path> newestCorruptFolder(Disk disk, Path path) throws IOException {
+    return disk.list(path).stream()
+        .filter(entry -> isCorruptFolder(entry.getFileName()))
+        .max(Comparator.naturalOrder());
+  }
+
+  /** Moves what is left in a folder without identity after its content was set aside. */
+  private static void moveRemainingContent(Disk disk, Path path, Path aside) throws IOException {
+    for (Path entry : disk.list(path)) {
+      if (!isLeftoverOfCreation(entry.getFileName())) {
+        disk.move(entry, aside.resolve(entry.getFileName()));
+      }
+    }
+    disk.syncFolder(aside);
+    disk.syncFolder(path);
   }
 
   private static Wire.FolderIdentity readIdentity(Disk disk, Path file, String cluster, String host)
--- a/burdockbay-server/src/test/java/org/burdockbay/server/storage/RefusedOperationsTest.java
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/storage/RefusedOperationsTest.java
@@ -13,6 +13,7 @@
 import java.util.EnumSet;
 import java.util.List;
 import org.burdockbay.core.agreement.GroupId;
+import org.burdockbay.core.agreement.RecoveredLog;
 import org.burdockbay.server.storage.ModelDisk.Refusal;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -77,6 +78,39 @@
     assertTrue(disk.list(FOLDER).size() <= 3, disk.list(FOLDER).toString());
   }
 
+  /** Guards against a folder that can't be opened after it was set aside in part. */
+  @Test
+  public void opensFolderThatWasSetAsideInPart() throws StorageException {
+    for (Refusal refusal : Refusal.values()) {
+      for (int attempts = 1; attempts < 4; attempts++) {
+        createDisk();
+        try (DataFolder folder = DataFolder.open(disk, FOLDER, "cluster", "a")) {
+          new LogStore(disk, folder.groupFolder(0), GroupId.CONTROL)
+              .write(List.of(persist(VOTED, entries(1, 5))));
+        }
+        disk.refuse(EnumSet.of(refusal), attempts);
+        for (int attempt = 0; attempt < attempts; attempt++) {
+          trySetAside();
+        }
+        disk.acceptAll();
+        DataFolder.setAside(disk, FOLDER);
+        disk.losePower();
+        try (DataFolder folder = DataFolder.open(disk, FOLDER, "cluster", "a")) {
+          LogStore store = new LogStore(disk, folder.groupFolder(0), GroupId.CONTROL);
+          assertEquals(store.recoveredLog(), RecoveredLog.EMPTY);
+        }
+      }
+    }
+  }
+
+  private void trySetAside() {
+    try {
+      DataFolder.setAside(disk, FOLDER);
+    } catch (StorageException e) {
+      assertEquals(e.fault(), StorageException.Fault.FAILED);
+    }
+  }
+
   private LogStore openLog() throws StorageException {
     return new LogStore(disk, FOLDER, GroupId.CONTROL);
   }
