Complete the creation of initial voters that a disk interrupted

What callers see: if the disks of all seeds refuse the first log at the very first start, no configuration is ever acknowledged, though all disks are sound again and the processes are started again.

Cause: the identity of a data folder is written before the initial log. A start that found an identity took the folder for complete and ran with an empty log, without any voters; one seed that got through saved the others.

Change: VoterBootstrap writes the initial log as long as the folder of an initial voter has none, or only the first record of it: such a member has neither voted nor acknowledged anything. A folder that was ever set aside isn't created again as that of an initial voter. `burdockbay init` uses the same.

RefusedOperationsTest refuses each kind of operation at each point of it.

--- a/burdockbay-app/src/main/java/org/burdockbay/app/command/InitCommand.java
+++ b/burdockbay-app/src/main/java/org/burdockbay/app/command/InitCommand.java
@@ -2,19 +2,16 @@
 
 import java.nio.file.Path;
 import java.util.List;
-import java.util.Optional;
-import java.util.OptionalLong;
 import org.burdockbay.app.Command;
 import org.burdockbay.app.ExitCode;
-import org.burdockbay.core.agreement.GroupId;
-import org.burdockbay.core.agreement.RaftEffect;
-import org.burdockbay.core.agreement.RecoveredLog;
 import org.burdockbay.core.agreement.VoterId;
 import org.burdockbay.core.error.BurdockbayException;
 import org.burdockbay.core.error.ErrorKind;
 import org.burdockbay.server.settings.HostSettings;
 import org.burdockbay.server.storage.DataFolder;
-import org.burdockbay.server.storage.LogStore;
+import org.burdockbay.server.storage.StorageException;
+import org.burdockbay.server.storage.StorageException.Fault;
+import org.burdockbay.server.storage.VoterBootstrap;
 import org.kohsuke.args4j.Option;
 
 /**
@@ -48,18 +45,10 @@
         hostSettings.voterIds().stream()
             .map(id -> new VoterId(id, DataFolder.BOOTSTRAP_INCARNATION))
             .toList();
-    RecoveredLog initialLog = RecoveredLog.bootstrap(voters);
-    try (DataFolder folder = DataFolder.bootstrap(path, hostSettings.cluster(), hostSettings.id());
-        LogStore store =
-            new LogStore(folder.groupFolder(GroupId.CONTROL.number()), GroupId.CONTROL)) {
-      store.write(
-          List.of(
-              new RaftEffect.Persist(
-                  1,
-                  Optional.of(initialLog.hardState()),
-                  Optional.empty(),
-                  OptionalLong.empty(),
-                  initialLog.entries())));
+    boolean created =
+        VoterBootstrap.createDataFolder(path, hostSettings.cluster(), hostSettings.id(), voters);
+    if (!created) {
+      throw new StorageException(Fault.FOREIGN, path + " is already initialised");
     }
     System.out.println("initialised " + path + " with voters " + voters);
     return ExitCode.OK;
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/ClusterBootstrap.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/ClusterBootstrap.java
@@ -1,18 +1,11 @@
 package org.burdockbay.server.node;
 
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.List;
-import java.util.Optional;
-import java.util.OptionalLong;
-import org.burdockbay.core.agreement.GroupId;
-import org.burdockbay.core.agreement.RaftEffect;
-import org.burdockbay.core.agreement.RecoveredLog;
 import org.burdockbay.core.agreement.VoterId;
 import org.burdockbay.server.settings.HostAddress;
 import org.burdockbay.server.storage.DataFolder;
-import org.burdockbay.server.storage.LogStore;
 import org.burdockbay.server.storage.StorageException;
+import org.burdockbay.server.storage.VoterBootstrap;
 
 /**
  * Creates the data folders of the initial voters of a new cluster.
@@ -27,13 +20,12 @@
 
   /**
    * Creates the data folder of this host if it is a seed, the cluster starts for the first time and
-   * the folder doesn't exist yet.
+   * the folder doesn't exist yet. A creation that was interrupted is completed.
    */
   static void createDataFolderIfNeeded(NodeSettings settings) throws StorageException {
-    Path path = settings.dataFolder().orElseThrow();
     boolean isSeed =
         settings.seeds().stream().map(HostAddress::ip).anyMatch(settings.host()::equals);
-    if (!settings.firstStart() || !isSeed || Files.exists(path.resolve("identity"))) {
+    if (!settings.firstStart() || !isSeed) {
       return;
     }
     List<VoterId> voters =
@@ -42,18 +34,7 @@
             .sorted()
             .map(ip -> new VoterId(ip, DataFolder.BOOTSTRAP_INCARNATION))
             .toList();
-    RecoveredLog bootstrapLog = RecoveredLog.bootstrap(voters);
-    try (DataFolder folder = DataFolder.bootstrap(path, settings.cluster(), settings.host());
-        LogStore store =
-            new LogStore(folder.groupFolder(GroupId.CONTROL.number()), GroupId.CONTROL)) {
-      store.write(
-          List.of(
-              new RaftEffect.Persist(
-                  1,
-                  Optional.of(bootstrapLog.hardState()),
-                  Optional.empty(),
-                  OptionalLong.empty(),
-                  bootstrapLog.entries())));
-    }
+    VoterBootstrap.createDataFolder(
+        settings.dataFolder().orElseThrow(), settings.cluster(), settings.host(), voters);
   }
 }
--- a/burdockbay-server/src/main/java/org/burdockbay/server/storage/DataFolder.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/storage/DataFolder.java
@@ -38,16 +38,14 @@
   }
 
   /**
-   * Creates the data folder of an initial voter of a new cluster.
+   * Opens the folder, or creates it as that of an initial voter of a new cluster if it has no
+   * identity.
    *
-   * @throws StorageException if the folder is already initialised or can't be created
+   * @throws StorageException as for {@link #open}
    */
-  public static DataFolder bootstrap(Path path, String cluster, String host)
+  static DataFolder openOrBootstrap(Disk disk, Path path, String cluster, String host)
       throws StorageException {
-    if (FileDisk.INSTANCE.exists(path.resolve(IDENTITY_FILE))) {
-      throw new StorageException(Fault.FOREIGN, path + " is already initialised");
-    }
-    return openOrCreate(FileDisk.INSTANCE, path, cluster, host, BOOTSTRAP_INCARNATION);
+    return openOrCreate(disk, path, cluster, host, BOOTSTRAP_INCARNATION);
   }
 
   /**
@@ -99,6 +97,15 @@
     }
   }
 
+  /** Returns whether the content of a folder was set aside at any time. */
+  static boolean wasSetAside(Disk disk, Path path) throws StorageException {
+    try {
+      return disk.exists(path) && newestCorruptFolder(disk, path).isPresent();
+    } catch (IOException e) {
+      throw new StorageException(Fault.FAILED, path + " can't be read: " + e, e);
+    }
+  }
+
   /** Returns the incarnation of the folder. */
   public long incarnation() {
     return identity.getIncarnation();
--- a/burdockbay-server/src/test/java/org/burdockbay/server/host/AgreementDriverTest.java
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/host/AgreementDriverTest.java
@@ -8,15 +8,11 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.burdockbay.core.agreement.GroupId;
-import org.burdockbay.core.agreement.RaftEffect;
-import org.burdockbay.core.agreement.RecoveredLog;
 import org.burdockbay.core.agreement.VoterId;
 import org.burdockbay.core.control.ControlCommand;
 import org.burdockbay.core.control.ControlReply;
@@ -26,6 +22,7 @@
 import org.burdockbay.server.storage.LogStore;
 import org.burdockbay.server.storage.LogWriter;
 import org.burdockbay.server.storage.StorageException;
+import org.burdockbay.server.storage.VoterBootstrap;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -133,18 +130,6 @@
 
   private void bootstrap() throws ServerException {
     VoterId self = new VoterId(HOST, DataFolder.BOOTSTRAP_INCARNATION);
-    RecoveredLog initial = RecoveredLog.bootstrap(List.of(self));
-    try (DataFolder created = DataFolder.bootstrap(folder, "test", HOST);
-        LogStore store =
-            new LogStore(created.groupFolder(GroupId.CONTROL.number()), GroupId.CONTROL)) {
-      store.write(
-          List.of(
-              new RaftEffect.Persist(
-                  1,
-                  Optional.of(initial.hardState()),
-                  Optional.empty(),
-                  OptionalLong.empty(),
-                  initial.entries())));
-    }
+    assertTrue(VoterBootstrap.createDataFolder(folder, "test", HOST, List.of(self)));
   }
 }
--- a/burdockbay-server/src/test/java/org/burdockbay/server/storage/RefusedOperationsTest.java
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/storage/RefusedOperationsTest.java
@@ -6,14 +6,17 @@
 import static org.burdockbay.server.storage.LogRecords.persist;
 import static org.burdockbay.server.storage.LogRecords.snapshot;
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertThrows;
 import static org.testng.Assert.assertTrue;
 
 import java.nio.file.Path;
 import java.util.EnumSet;
 import java.util.List;
+import java.util.Set;
 import org.burdockbay.core.agreement.GroupId;
 import org.burdockbay.core.agreement.RecoveredLog;
+import org.burdockbay.core.agreement.VoterId;
 import org.burdockbay.server.storage.ModelDisk.Refusal;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -23,6 +26,10 @@
 
   private static final Path FOLDER = Path.of("/data");
 
+  private static final Path LOG_FOLDER = FOLDER.resolve("group-0");
+  private static final List<VoterId> VOTERS =
+      List.of(new VoterId("a", 1), new VoterId("b", 1), new VoterId("c", 1));
+
   private ModelDisk disk;
 
   /** Creates a disk with an empty folder for each test. */
@@ -111,6 +118,57 @@
     }
   }
 
+  /** Guards against an initial voter whose log is missing for good after a refusal. */
+  @Test
+  public void completesInterruptedCreationOfInitialVoter() throws StorageException {
+    for (Refusal refusal : Refusal.values()) {
+      for (int operations = 0; operations < 30; operations++) {
+        createDisk();
+        for (int accepted = operations; accepted > 0; accepted--) {
+          // Draws the number of refusals, so that they begin at different operations.
+          disk.refuse(EnumSet.of(refusal), accepted);
+          tryBootstrap();
+        }
+        disk.acceptAll();
+        tryBootstrap();
+        assertFalse(bootstrap());
+        RecoveredLog log = new LogStore(disk, LOG_FOLDER, GroupId.CONTROL).recoveredLog();
+        assertEquals(log, RecoveredLog.bootstrap(VOTERS));
+      }
+    }
+  }
+
+  /** Guards against an initial voter that is created again after its folder was set aside. */
+  @Test
+  public void createsNoInitialVoterInPlaceOfCorruptOne() throws StorageException {
+    for (Refusal refusal : Set.of(Refusal.RENAME, Refusal.FOLDER_SYNC, Refusal.CREATION)) {
+      createDisk();
+      assertTrue(bootstrap());
+      disk.refuse(EnumSet.of(refusal), 1);
+      assertThrows(StorageException.class, () -> DataFolder.setAside(disk, FOLDER));
+      disk.acceptAll();
+      DataFolder.setAside(disk, FOLDER);
+      assertFalse(bootstrap());
+      try (DataFolder folder = DataFolder.open(disk, FOLDER, "cluster", "a")) {
+        assertTrue(folder.incarnation() != DataFolder.BOOTSTRAP_INCARNATION);
+      }
+      assertEquals(
+          new LogStore(disk, LOG_FOLDER, GroupId.CONTROL).recoveredLog(), RecoveredLog.EMPTY);
+    }
+  }
+
+  private void tryBootstrap() {
+    try {
+      bootstrap();
+    } catch (StorageException e) {
+      assertEquals(e.fault(), StorageException.Fault.FAILED);
+    }
+  }
+
+  private boolean bootstrap() throws StorageException {
+    return VoterBootstrap.createDataFolder(disk, FOLDER, "cluster", "a", VOTERS);
+  }
+
   private LogStore openLog() throws StorageException {
     return new LogStore(disk, FOLDER, GroupId.CONTROL);
   }
