Write an epoch again that the disk refused

What callers would see: after a refused write of the epoch and a restart of all hosts, upstreams refuse the first dispatcher until it has superseded an epoch that it doesn't know (read, not seen).

Cause: EpochKeeper counted a content as saved before it was written.

--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
@@ -192,7 +192,8 @@
     Optional<AgreementStorage> storage = openStorage();
     this.storageIncarnation = storage.map(AgreementStorage::incarnation).orElse(0L);
     this.agreement = storage.map(this::createDriver);
-    this.epochs = new EpochKeeper(settings.dataFolder().map(EpochFile::new), log);
+    this.epochs =
+        new EpochKeeper(settings.dataFolder().map(EpochFile::new), this::executeControl, log);
     EpochFile.Content saved = epochs.load();
     membership.restore(saved.epoch());
     membership.restore(saved.layout());
@@ -771,7 +772,7 @@
     if (now >= nextMembershipTickAt) {
       nextMembershipTickAt = now + MEMBERSHIP_INTERVAL_MILLIS;
       execute(membership.tick(now));
-      epochs.save(membership.highestEpoch(), membership.layout());
+      epochs.save(membership.highestEpoch(), membership.layout(), now);
     }
     workHandler.tick();
     upstreamGossip.tick(now);
