Replace no voter whose disk refuses writes for a moment

What callers see: nothing at once; but with four or more hosts with a disk, a refusal of half a second changed the voters twice, once out and once in, and spent the spare that the next loss needs.

Cause: a voter that reported a failed storage was replaceable at once, a silent one only after 3 s.

Change: the same 3 s for both. Failures with less than 3 s of sound storage between them count as one, so that a disk which accepts small writes and refuses large ones is replaced as well. Seen on real processes with a file size limit of 3,000 bytes: storage-failed and storage-reopened alternate every 0.6 s.

--- a/burdockbay-server/src/main/java/org/burdockbay/server/host/HostController.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/host/HostController.java
@@ -447,7 +447,7 @@
   }
 
   private void reconcileVoters(AgreementDriver driver, long now) {
-    storageHosts.update(voterStatuses());
+    storageHosts.update(voterStatuses(), now);
     faultMargin.update(driver.node());
     if (driver.isLeader()) {
       voters.reconcile(driver.node(), now);
--- a/burdockbay-server/src/main/java/org/burdockbay/server/host/StorageHosts.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/host/StorageHosts.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import org.burdockbay.core.agreement.MemberHost;
 import org.burdockbay.core.agreement.VoterId;
 import org.burdockbay.core.membership.HostStatus;
@@ -16,16 +17,21 @@
  */
 public final class StorageHosts {
 
+  /** Time without a failure after which the storage of a host counts as recovered. */
+  static final long RECOVERY_MILLIS = 3_000;
+
   private final List<MemberHost> live = new ArrayList<>();
   private final Map<String, String> domains = new HashMap<>();
+  private final Map<String, StorageFailure> failures = new HashMap<>();
 
   /**
    * Replaces the live hosts.
    *
+   * @param now current time, in milliseconds
    * @param statuses statuses of this host and of the other live hosts; those without a data folder,
    *     or whose storage has failed, are left out
    */
-  public void update(Collection<HostStatus> statuses) {
+  public void update(Collection<HostStatus> statuses, long now) {
     live.clear();
     for (HostStatus status : statuses) {
       if (status.storageIncarnation() != 0) {
@@ -33,6 +39,33 @@
         live.add(new MemberHost(id, domainOf(status)));
         domains.put(status.host(), domainOf(status));
       }
+      updateFailure(status, now);
+    }
+  }
+
+  /**
+   * Returns for how long the storage of a host has failed, in milliseconds; 0 if it works.
+   *
+   * <p>A disk that accepts some writes and refuses others fails again and again. Failures with less
+   * than {@link #RECOVERY_MILLIS} between them count as one.
+   */
+  public long failureMillis(String host, long now) {
+    StorageFailure failure = failures.get(host);
+    return failure == null || failure.endedAt.isPresent() ? 0 : now - failure.beganAt;
+  }
+
+  private void updateFailure(HostStatus status, long now) {
+    StorageFailure before = failures.get(status.host());
+    if (status.storageIncarnation() == 0) {
+      long beganAt = before == null ? now : before.beganAt;
+      failures.put(status.host(), new StorageFailure(beganAt, OptionalLong.empty()));
+    } else if (before != null) {
+      long endedAt = before.endedAt.orElse(now);
+      if (now - endedAt >= RECOVERY_MILLIS) {
+        failures.remove(status.host());
+      } else {
+        failures.put(status.host(), new StorageFailure(before.beganAt, OptionalLong.of(endedAt)));
+      }
     }
   }
 
@@ -59,4 +92,12 @@
   private static String domainOf(HostStatus status) {
     return status.failureDomain().isEmpty() ? status.domain() : status.failureDomain();
   }
+
+  /**
+   * A failure of the storage of a host.
+   *
+   * @param beganAt when it was first reported, in milliseconds
+   * @param endedAt when the storage worked again, if it does
+   */
+  private record StorageFailure(long beganAt, OptionalLong endedAt) {}
 }
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
@@ -85,8 +85,11 @@
   private static final long LAYOUT_INTERVAL_MILLIS = 500;
   private static final long VOTER_INTERVAL_MILLIS = 100;
 
-  /** Silence after which another host with a disk may replace a voter, in milliseconds. */
-  private static final long VOTER_SILENCE_TIMEOUT_MILLIS = 3_000;
+  /**
+   * Silence of a host, or failure of its storage, after which another host with a disk may replace
+   * its voter, in milliseconds.
+   */
+  private static final long VOTER_OUTAGE_TIMEOUT_MILLIS = 3_000;
 
   private final NodeParts parts;
   private final NodeSettings settings;
@@ -810,7 +813,7 @@
   private void reconcileVoters(AgreementDriver driver, long now) {
     List<HostStatus> statuses = new ArrayList<>(membership.liveHosts());
     statuses.add(status());
-    storageHosts.update(statuses);
+    storageHosts.update(statuses, now);
     faultMargin.update(driver.node());
     if (driver.isLeader() && voters.reconcile(driver.node(), now)) {
       // The next change is due as soon as this one is committed.
@@ -822,12 +825,9 @@
     if (host.equals(settings.host())) {
       return false;
     }
-    boolean storageFailed =
-        membership.status(host).filter(status -> status.storageIncarnation() == 0).isPresent();
-    if (storageFailed) {
-      return true;
-    }
-    return directory.silenceMillis(host, clock.millis()) > VOTER_SILENCE_TIMEOUT_MILLIS;
+    long now = clock.millis();
+    return storageHosts.failureMillis(host, now) > VOTER_OUTAGE_TIMEOUT_MILLIS
+        || directory.silenceMillis(host, now) > VOTER_OUTAGE_TIMEOUT_MILLIS;
   }
 
   private void sendHeartbeats() {
--- a/burdockbay-server/src/test/java/org/burdockbay/server/host/VoterKeeperTest.java
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/host/VoterKeeperTest.java
@@ -51,7 +51,7 @@
   /** Guards against changes that few hosts store because the others start a little later. */
   @Test
   public void awaitsVotersAfterStartAndNoLonger() {
-    hosts.update(List.of(status("a", 1)));
+    hosts.update(List.of(status("a", 1)), 0);
     assertTrue(keeper.awaitsVoters(node, ELECTED_AT));
     assertFalse(keeper.awaitsVoters(node, VoterKeeper.COMPLETION_TIMEOUT_MILLIS));
   }
@@ -59,7 +59,7 @@
   /** Guards against a leader that waits for a learner which never catches up. */
   @Test
   public void awaitsLearnersForBoundedTime() {
-    hosts.update(List.of(status("a", 1), status("b", 1), status("c", 1)));
+    hosts.update(List.of(status("a", 1), status("b", 1), status("c", 1)), 0);
     assertTrue(keeper.awaitsVoters(node, LATE));
     assertTrue(keeper.awaitsVoters(node, LATE + VoterKeeper.COMPLETION_TIMEOUT_MILLIS - 1));
     assertFalse(keeper.awaitsVoters(node, LATE + VoterKeeper.COMPLETION_TIMEOUT_MILLIS));
@@ -68,7 +68,7 @@
   /** Guards against hosts whose storage failed and that are taken for members. */
   @Test
   public void addsOnlyHostsWithSoundStorage() {
-    hosts.update(List.of(status("a", 1), status("b", 7), status("c", 0)));
+    hosts.update(List.of(status("a", 1), status("b", 7), status("c", 0)), 0);
     assertTrue(keeper.reconcile(node, LATE));
     assertEquals(node.voters().learners(), List.of(new VoterId("b", 7)));
   }
