Draw different election timeouts, and ask hosts that lead for the leader

- A member seeded its election timeouts with the time of its start or of the reopening of its log.
Members of one machine clock that start or reopen in the same millisecond draw the same timeouts, and split the votes each time.
The seed now depends on the member as well.
- A host whose own storage is out took the leader from the first host that reports any.
Hosts without a voter repeat what they hear, so two of them can keep an old leader alive for each other.
A host that reports itself comes first now, as in HostController.

--- a/burdockbay-server/src/main/java/org/burdockbay/server/host/AgreementDriver.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/host/AgreementDriver.java
@@ -151,7 +151,9 @@
    */
   private void resume(RecoveredLog recovered, LogWriter reopenedWriter) {
     long now = clock.millis();
-    node = new RaftNode(node.self(), recovered, RaftTiming.DEFAULT, now, now);
+    VoterId self = node.self();
+    // Members whose disks recover together must not use the same election timeouts.
+    node = new RaftNode(self, recovered, RaftTiming.DEFAULT, now ^ self.hashCode(), now);
     state = new ControlState();
     writer = reopenedWriter;
     failed = false;
--- a/burdockbay-server/src/main/java/org/burdockbay/server/host/AgreementStorage.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/host/AgreementStorage.java
@@ -106,7 +106,9 @@
       Clock clock) {
     VoterId self = new VoterId(host, folder.incarnation());
     RecoveredLog recovered = store.recoveredLog();
-    RaftNode node = new RaftNode(self, recovered, RaftTiming.DEFAULT, seed, clock.millis());
+    RaftNode node =
+        new RaftNode(
+            self, recovered, RaftTiming.DEFAULT, seed ^ self.hashCode(), clock.millis());
     return new AgreementDriver(
         node, recovered.snapshot(), createWriter(store), sender, stateListener, log, clock);
   }
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
@@ -875,10 +875,13 @@
     if (own.isPresent()) {
       return own;
     }
-    return membership.liveHosts().stream()
-        .map(HostStatus::leader)
-        .filter(leader -> !leader.isEmpty())
-        .findFirst();
+    // A host that leads knows it; what others report may be outdated.
+    Collection<HostStatus> live = membership.liveHosts();
+    return live.stream()
+        .filter(status -> status.leader().equals(status.host()))
+        .findFirst()
+        .or(() -> live.stream().filter(status -> !status.leader().isEmpty()).findFirst())
+        .map(HostStatus::leader);
   }
 
   private void broadcast(PeerMessage message) {
