Run without a voter while the disk refuses to open the data folder

What callers see: a host that is started on a refusing disk ends with exit 3 at once, again and again, and serves nobody, where a running one stays up without its voter. A voter whose log is found corrupt when it is opened again stays out until its process ends, which nobody ends.

Cause: the data folder was opened once, before the start, and a failure ended the process; a corruption at the reopening ended the attempts. So did a runtime exception.

Change: AgreementMember holds the Raft node once the data folder is open. StorageOpener makes further attempts every 500 ms while the disk fails; then the host joins with what the folder holds. A log that is corrupt at the reopening closes the folder and goes the same way as at a start: it is set aside and the host joins as another member. A folder of another host, or in use by another process, still ends a start. Ruled out: ending the process for a corrupt log, as the platform's restart does no more than this.

--- a/burdockbay-server/src/main/java/org/burdockbay/server/host/AgreementDriver.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/host/AgreementDriver.java
@@ -132,6 +132,9 @@
       case AgreementStorage.Event.Failed failure -> storageFailed(failure.cause());
       case AgreementStorage.Event.Reopened reopened ->
           resume(reopened.recovered(), reopened.writer());
+      case AgreementStorage.Event.Corrupt corrupt -> {
+        // This voter has been out since the write failed.
+      }
     }
   }
 
--- a/burdockbay-server/src/main/java/org/burdockbay/server/host/AgreementStorage.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/host/AgreementStorage.java
@@ -1,7 +1,6 @@
 package org.burdockbay.server.host;
 
 import java.nio.file.Path;
-import java.util.Optional;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.burdockbay.core.agreement.GroupId;
@@ -22,7 +21,12 @@
 import org.burdockbay.server.storage.RecoveryReport;
 import org.burdockbay.server.storage.StorageException;
 
-/** Opens the data folder of a host, and creates its Raft node from the stored log. */
+/**
+ * The open data folder of a host, from which its Raft node is created.
+ *
+ * <p>After a failed write the log is opened again until the disk accepts writes. A log that is
+ * found corrupt then ends the use of this object; {@link AgreementMember} opens the folder anew.
+ */
 public final class AgreementStorage {
 
   /** Time between two attempts to open the log again after a failed write, in milliseconds. */
@@ -41,17 +45,6 @@
     this.listener = listener;
   }
 
-  /** Opens the data folder, if one is configured. */
-  static Optional<AgreementStorage> open(HostParts parts, Consumer<Event> listener)
-      throws StorageException {
-    Optional<Path> path = parts.settings().dataFolder();
-    if (path.isEmpty()) {
-      return Optional.empty();
-    }
-    String cluster = parts.settings().cluster();
-    return Optional.of(open(path.get(), cluster, parts.settings().id(), parts.log(), listener));
-  }
-
   /**
    * Opens a data folder.
    *
@@ -78,19 +71,6 @@
     return folder.incarnation();
   }
 
-  AgreementDriver createDriver(
-      HostParts parts,
-      BiConsumer<String, RaftMessage> sender,
-      Consumer<ControlState> stateListener) {
-    return createDriver(
-        parts.settings().id(),
-        parts.incarnation(),
-        sender,
-        stateListener,
-        parts.log(),
-        parts.clock());
-  }
-
   /**
    * Creates the driver of the Raft node whose log the folder holds.
    *
@@ -107,8 +87,7 @@
     VoterId self = new VoterId(host, folder.incarnation());
     RecoveredLog recovered = store.recoveredLog();
     RaftNode node =
-        new RaftNode(
-            self, recovered, RaftTiming.DEFAULT, seed ^ self.hashCode(), clock.millis());
+        new RaftNode(self, recovered, RaftTiming.DEFAULT, seed ^ self.hashCode(), clock.millis());
     return new AgreementDriver(
         node, recovered.snapshot(), createWriter(store), sender, stateListener, log, clock);
   }
@@ -165,11 +144,25 @@
     } catch (StorageException e) {
       boolean corrupt = e.fault() == StorageException.Fault.CORRUPT;
       if (corrupt) {
-        log.error("storage-corrupt", "effect=" + EventLog.quote("no voter until restart"), e);
+        log.error("storage-corrupt", "incarnation=" + folder.incarnation(), e);
+        closeFolder();
+        listener.accept(new Event.Corrupt());
       } else if (attempt == 1) {
         log.warn("storage-reopen-failed", "cause=" + EventLog.quote(e.getMessage()));
       }
       return corrupt;
+    } catch (RuntimeException e) {
+      // Ending the thread would take the voter out for good.
+      log.error("storage-reopen-defect", "attempts=" + attempt, e);
+      return false;
+    }
+  }
+
+  private void closeFolder() {
+    try {
+      folder.close();
+    } catch (StorageException e) {
+      log.warn("data-folder-unclosed", "cause=" + EventLog.quote(e.getMessage()));
     }
   }
 
@@ -219,5 +212,8 @@
 
     /** The log is open again, with what was synced before the failure. */
     record Reopened(RecoveredLog recovered, LogWriter writer) implements Event {}
+
+    /** The log was found corrupt when it was opened again, and the data folder was closed. */
+    record Corrupt() implements Event {}
   }
 }
--- a/burdockbay-server/src/main/java/org/burdockbay/server/host/HostController.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/host/HostController.java
@@ -1,11 +1,13 @@
 package org.burdockbay.server.host;
 
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.burdockbay.core.agreement.GroupId;
 import org.burdockbay.core.agreement.RaftMessage;
@@ -40,6 +42,7 @@
 import org.burdockbay.server.ServerException;
 import org.burdockbay.server.runner.RunnerListener;
 import org.burdockbay.server.settings.PeerSettings;
+import org.burdockbay.server.storage.StorageException;
 import org.burdockbay.server.transport.PeerListener;
 
 /**
@@ -65,8 +68,7 @@
   private final StorageHosts storageHosts = new StorageHosts();
   private final FaultMarginMonitor faultMargin;
   private final VoterKeeper voters;
-  private final Optional<AgreementDriver> agreement;
-  private final long storageIncarnation;
+  private final AgreementMember member;
   private volatile DispatcherView dispatcherView = new DispatcherView(0, false);
   private long nextMembershipTickAt;
   private long nextHeartbeatAt;
@@ -93,11 +95,15 @@
             parts.clock());
     long now = parts.clock().millis();
     this.membership = new Membership(self, parts.settings().domainByHost(), now);
-    Optional<AgreementStorage> storage = AgreementStorage.open(parts, this::onStorageEvent);
-    this.storageIncarnation = storage.map(AgreementStorage::incarnation).orElse(0L);
-    this.agreement =
-        storage.map(opened -> opened.createDriver(parts, this::sendRaft, this::stateAgreed));
-    this.proposals = new ProposalClient(parts.clock(), agreement, this::leader, this::send);
+    this.member =
+        new AgreementMember(
+            parts.settings().dataFolder().map(folder -> listener -> openStorage(folder, listener)),
+            this::createDriver,
+            this::sendHeartbeats,
+            this::executeControl,
+            parts.log());
+    member.open();
+    this.proposals = new ProposalClient(parts.clock(), member::driver, this::leader, this::send);
     this.entryDriver =
         new EntryDriver(parts, new EntryGateway(parts.settings().domain()), this::send);
     this.dispatchDriver =
@@ -119,7 +125,7 @@
             host -> false,
             parts.log(),
             now);
-    if (agreement.isPresent()) {
+    if (parts.settings().dataFolder().isPresent()) {
       parts.metrics().registerFaultMargin();
     }
   }
@@ -132,7 +138,7 @@
   public void start() throws ServerException {
     parts.transport().start(this);
     parts.settings().peers().forEach(parts.transport()::connect);
-    agreement.ifPresent(AgreementDriver::start);
+    member.start();
     parts.thread().start(this::tick, this::flush);
   }
 
@@ -187,7 +193,7 @@
 
   /** Returns the configuration versions retained on this host; empty without a data folder. */
   public CompletableFuture<List<ControlImage.ConfigurationVersion>> configurationHistory() {
-    return query(() -> agreement.map(driver -> driver.state().history()).orElse(List.of()));
+    return query(() -> member.driver().map(driver -> driver.state().history()).orElse(List.of()));
   }
 
   /** Begins a planned stop; the host continues to serve the requests in flight. */
@@ -196,7 +202,7 @@
         () -> {
           parts.log().info("drain-begun", "");
           execute(membership.drain(parts.clock().millis()));
-          agreement.ifPresent(AgreementDriver::transferLeadership);
+          member.driver().ifPresent(AgreementDriver::transferLeadership);
           sendHeartbeats();
         });
   }
@@ -210,7 +216,7 @@
   public CompletableFuture<Integer> inFlightCount() {
     return query(
         () -> {
-          agreement.ifPresent(AgreementDriver::transferLeadership);
+          member.driver().ifPresent(AgreementDriver::transferLeadership);
           return entryDriver.waitingRequests()
               + dispatchDriver.dispatcher().snapshot().unfinishedJobs();
         });
@@ -261,6 +267,7 @@
 
   @Override
   public void close() {
+    member.close();
     parts.thread().close();
     parts.runners().close();
     parts.transport().close();
@@ -286,15 +293,22 @@
     parts.thread().execute(task);
   }
 
-  private void onStorageEvent(AgreementStorage.Event event) {
-    executeControl(() -> agreement.ifPresent(driver -> driver.handleStorageEvent(event)));
+  private AgreementStorage openStorage(Path folder, Consumer<AgreementStorage.Event> listener)
+      throws StorageException {
+    return AgreementStorage.open(folder, parts.settings().cluster(), self, parts.log(), listener);
+  }
+
+  private AgreementDriver createDriver(AgreementStorage storage) {
+    return storage.createDriver(
+        self, parts.incarnation(), this::sendRaft, this::stateAgreed, parts.log(), parts.clock());
   }
 
   private void handle(String host, PeerMessage message) {
     switch (message) {
       case PeerMessage.Heartbeat heartbeat -> handleHeartbeat(heartbeat.status());
       case PeerMessage.Agreement received ->
-          agreement
+          member
+              .driver()
               .filter(driver -> received.group().equals(GroupId.CONTROL))
               .ifPresent(driver -> driver.receive(received.message()));
       case PeerMessage.Propose propose -> handleProposal(host, propose);
@@ -355,8 +369,9 @@
   }
 
   private void handleProposal(String host, PeerMessage.Propose propose) {
-    if (agreement.isPresent() && agreement.get().isLeader()) {
-      agreement
+    Optional<AgreementDriver> leading = member.driver().filter(AgreementDriver::isLeader);
+    if (leading.isPresent()) {
+      leading
           .get()
           .propose(
               propose.command(),
@@ -429,7 +444,7 @@
 
   private void tick() {
     long now = parts.clock().millis();
-    agreement.ifPresent(AgreementDriver::tick);
+    member.driver().ifPresent(AgreementDriver::tick);
     if (now >= nextMembershipTickAt) {
       nextMembershipTickAt = now + MEMBERSHIP_INTERVAL_MILLIS;
       execute(membership.tick(now));
@@ -442,7 +457,7 @@
     }
     if (now >= nextReconciliationAt) {
       nextReconciliationAt = now + RECONCILE_INTERVAL_MILLIS;
-      agreement.ifPresent(driver -> reconcileVoters(driver, now));
+      member.driver().ifPresent(driver -> reconcileVoters(driver, now));
     }
   }
 
@@ -464,7 +479,7 @@
 
   private void flush() {
     evacuations.offer(agreedEvacuations, "log");
-    agreement.ifPresent(AgreementDriver::flush);
+    member.driver().ifPresent(AgreementDriver::flush);
   }
 
   private void sendHeartbeats() {
@@ -492,7 +507,7 @@
             self,
             parts.settings().domain(),
             parts.incarnation(),
-            agreement.filter(AgreementDriver::hasFailed).isPresent() ? 0 : storageIncarnation,
+            member.incarnation(),
             configuration.current().version(),
             membership.claimedEpoch(),
             membership.highestEpoch(),
@@ -504,7 +519,8 @@
 
   private Optional<String> leader() {
     Optional<String> own =
-        agreement
+        member
+            .driver()
             .filter(driver -> !driver.hasFailed())
             .flatMap(driver -> driver.node().leader())
             .map(VoterId::host);
@@ -534,7 +550,7 @@
         status(),
         List.copyOf(membership.liveHosts()),
         dispatchDriver.dispatcher().snapshot(),
-        agreement.map(driver -> HostReport.AgreementReport.of(driver, faultMargin)),
+        member.driver().map(driver -> HostReport.AgreementReport.of(driver, faultMargin)),
         entryDriver.waitingRequests(),
         parts.thread().backlog());
   }
--- a/burdockbay-server/src/main/java/org/burdockbay/server/host/ProposalClient.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/host/ProposalClient.java
@@ -25,7 +25,7 @@
   private static final long RETRY_INTERVAL_MILLIS = 50;
 
   private final Clock clock;
-  private final Optional<AgreementDriver> agreement;
+  private final Supplier<Optional<AgreementDriver>> agreement;
   private final Supplier<Optional<String>> leader;
   private final PeerSender sender;
   private final Map<Long, Proposal> proposals = new HashMap<>();
@@ -34,12 +34,12 @@
   /**
    * Creates a client.
    *
-   * @param agreement the Raft node of this host, if it has one
+   * @param agreement returns the Raft node of this host, if it has one
    * @param leader returns the id of the leading host, if known
    */
   public ProposalClient(
       Clock clock,
-      Optional<AgreementDriver> agreement,
+      Supplier<Optional<AgreementDriver>> agreement,
       Supplier<Optional<String>> leader,
       PeerSender sender) {
     this.clock = clock;
@@ -97,8 +97,9 @@
 
   private void send(long id, Proposal proposal) {
     proposal.nextSendAt = clock.millis() + REPLY_TIMEOUT_MILLIS;
-    if (agreement.isPresent() && agreement.get().isLeader()) {
-      agreement.get().propose(proposal.command, reply -> handleReply(id, reply));
+    Optional<AgreementDriver> leading = agreement.get().filter(AgreementDriver::isLeader);
+    if (leading.isPresent()) {
+      leading.get().propose(proposal.command, reply -> handleReply(id, reply));
       return;
     }
     Optional<String> target = leader.get();
--- /dev/null
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/host/StorageOpener.java
@@ -0,0 +1,108 @@
+package org.burdockbay.server.host;
+
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.burdockbay.server.logging.EventLog;
+import org.burdockbay.server.storage.StorageException;
+import org.burdockbay.server.storage.StorageException.Fault;
+import org.jspecify.annotations.Nullable;
+
+/** Opens the data folder of a host, repeatedly if its disk refuses it. */
+final class StorageOpener implements AutoCloseable {
+
+  /** Time between two attempts, in milliseconds. */
+  private static final long RETRY_INTERVAL_MILLIS = 500;
+
+  /** Number of attempts after which a folder that belongs to another host is reported again. */
+  private static final int FOREIGN_LOG_INTERVAL = 120;
+
+  private final Opening opening;
+  private final Consumer<AgreementStorage> listener;
+  private final EventLog log;
+  private @Nullable Thread thread;
+
+  /**
+   * Creates an opener.
+   *
+   * @param listener receives the storage, on the thread of the opener, when a later attempt
+   *     succeeds
+   */
+  StorageOpener(Opening opening, Consumer<AgreementStorage> listener, EventLog log) {
+    this.opening = opening;
+    this.listener = listener;
+    this.log = log;
+  }
+
+  /**
+   * Makes the first attempt.
+   *
+   * @return the storage, or empty if the disk refuses an operation
+   * @throws StorageException if the folder can't be used for another reason
+   */
+  Optional<AgreementStorage> tryOpen() throws StorageException {
+    try {
+      return Optional.of(opening.open());
+    } catch (StorageException e) {
+      if (e.fault() != Fault.FAILED) {
+        throw e;
+      }
+      log.error("storage-open-failed", "effect=" + EventLog.quote("no voter until it succeeds"), e);
+      return Optional.empty();
+    }
+  }
+
+  /** Makes further attempts on a thread of its own until one succeeds. */
+  void start() {
+    Thread started = Thread.ofPlatform().name("storage-opener").daemon().unstarted(this::run);
+    thread = started;
+    started.start();
+  }
+
+  @Override
+  public void close() {
+    if (thread != null) {
+      thread.interrupt();
+    }
+  }
+
+  private void run() {
+    try {
+      for (int attempt = 1; true; attempt++) {
+        Thread.sleep(RETRY_INTERVAL_MILLIS);
+        Optional<AgreementStorage> opened = retry(attempt);
+        if (opened.isPresent()) {
+          log.info("storage-opened", "attempts=" + attempt);
+          listener.accept(opened.get());
+          return;
+        }
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private Optional<AgreementStorage> retry(int attempt) {
+    try {
+      return Optional.of(opening.open());
+    } catch (StorageException e) {
+      if (e.fault() != Fault.FAILED && attempt % FOREIGN_LOG_INTERVAL == 1) {
+        log.error("storage-open-failed", "attempts=" + attempt, e);
+      }
+    } catch (RuntimeException e) {
+      // Ending the thread would keep the voter out for good.
+      log.error("storage-open-defect", "attempts=" + attempt, e);
+    }
+    return Optional.empty();
+  }
+
+  /** Opens the data folder once. */
+  interface Opening {
+
+    /**
+     * Opens the data folder.
+     *
+     * @throws StorageException if it can't be opened
+     */
+    AgreementStorage open() throws StorageException;
+  }
+}
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
@@ -1,5 +1,6 @@
 package org.burdockbay.server.node;
 
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -44,6 +45,7 @@
 import org.burdockbay.core.work.WorkRequest;
 import org.burdockbay.server.ServerException;
 import org.burdockbay.server.host.AgreementDriver;
+import org.burdockbay.server.host.AgreementMember;
 import org.burdockbay.server.host.AgreementStorage;
 import org.burdockbay.server.host.EvacuationKeeper;
 import org.burdockbay.server.host.FaultMarginMonitor;
@@ -53,6 +55,7 @@
 import org.burdockbay.server.logging.EventLog;
 import org.burdockbay.server.settings.HostAddress;
 import org.burdockbay.server.storage.EpochFile;
+import org.burdockbay.server.storage.StorageException;
 import org.burdockbay.server.transport.PeerListener;
 
 /**
@@ -111,8 +114,7 @@
   private final FaultMarginMonitor faultMargin;
   private final VoterKeeper voters;
   private final EpochKeeper epochs;
-  private final Optional<AgreementDriver> agreement;
-  private final long storageIncarnation;
+  private final AgreementMember member;
   private final Map<String, Long> incarnations = new HashMap<>();
 
   /** Latest status received from each host; accessed by the transport's threads. */
@@ -192,15 +194,18 @@
     this.speedGossip =
         new SpeedGossip(
             directory, this::send, workHandler::upstreamSpeeds, workHandler::handleLeaseEvent);
-    Optional<AgreementStorage> storage = openStorage();
-    this.storageIncarnation = storage.map(AgreementStorage::incarnation).orElse(0L);
-    this.agreement = storage.map(this::createDriver);
     this.epochs =
         new EpochKeeper(settings.dataFolder().map(EpochFile::new), this::executeControl, log);
-    EpochFile.Content saved = epochs.load();
-    membership.restore(saved.epoch());
-    membership.restore(saved.layout());
-    this.proposals = new ProposalClient(clock, agreement, this::leader, this::send);
+    this.member =
+        new AgreementMember(
+            settings.dataFolder().map(folder -> listener -> openStorage(folder, listener)),
+            this::createDriver,
+            this::storageOpenedLater,
+            this::executeControl,
+            log);
+    member.open();
+    restoreEpochs();
+    this.proposals = new ProposalClient(clock, member::driver, this::leader, this::send);
     this.faultMargin =
         new FaultMarginMonitor(settings.faultTolerance(), storageHosts, parts.metrics(), log);
     this.voters =
@@ -210,11 +215,9 @@
             this::isReplaceable,
             log,
             now);
-    agreement.ifPresent(
-        driver -> {
-          parts.metrics().registerFaultMargin();
-          driver.deferChangesWhile(() -> voters.awaitsVoters(driver.node(), clock.millis()));
-        });
+    if (settings.dataFolder().isPresent()) {
+      parts.metrics().registerFaultMargin();
+    }
   }
 
   /**
@@ -225,7 +228,7 @@
   public void start() throws ServerException {
     logShortRetryDelay();
     parts.transport().start(this);
-    agreement.ifPresent(AgreementDriver::start);
+    member.start();
     parts.thread().start(this::tick, this::flush);
     seedsChanged(settings.seeds());
   }
@@ -313,7 +316,7 @@
           draining = true;
           log.info("drain-begun", "waiting=" + workHandler.waitingCallers());
           execute(membership.drain(clock.millis()));
-          agreement.ifPresent(AgreementDriver::transferLeadership);
+          member.driver().ifPresent(AgreementDriver::transferLeadership);
           sendHeartbeats();
         });
   }
@@ -351,6 +354,7 @@
 
   @Override
   public void close() {
+    member.close();
     parts.thread().close();
     parts.upstreams().close();
     parts.transport().close();
@@ -407,32 +411,37 @@
     return membership.liveHosts().stream().map(HostStatus::host).toList();
   }
 
-  private Optional<AgreementStorage> openStorage() throws ServerException {
-    if (settings.dataFolder().isEmpty()) {
-      return Optional.empty();
-    }
+  private AgreementStorage openStorage(Path folder, Consumer<AgreementStorage.Event> listener)
+      throws StorageException {
     ClusterBootstrap.createDataFolderIfNeeded(settings);
-    return Optional.of(
-        AgreementStorage.open(
-            settings.dataFolder().get(),
-            settings.cluster(),
+    return AgreementStorage.open(folder, settings.cluster(), settings.host(), log, listener);
+  }
+
+  private AgreementDriver createDriver(AgreementStorage storage) {
+    AgreementDriver driver =
+        storage.createDriver(
             settings.host(),
+            parts.incarnation(),
+            (host, message) -> send(host, new PeerMessage.Agreement(GroupId.CONTROL, message)),
+            this::recordAgreedState,
             log,
-            this::onStorageEvent));
+            clock);
+    driver.deferChangesWhile(() -> voters.awaitsVoters(driver.node(), clock.millis()));
+    return driver;
   }
 
-  private AgreementDriver createDriver(AgreementStorage storage) {
-    return storage.createDriver(
-        settings.host(),
-        parts.incarnation(),
-        (host, message) -> send(host, new PeerMessage.Agreement(GroupId.CONTROL, message)),
-        this::recordAgreedState,
-        log,
-        clock);
+  private void storageOpenedLater() {
+    restoreEpochs();
+    sendHeartbeats();
   }
 
-  private void onStorageEvent(AgreementStorage.Event event) {
-    executeControl(() -> agreement.ifPresent(driver -> driver.handleStorageEvent(event)));
+  /** Restores the epoch and the layout that earlier incarnations of this host have saved. */
+  private void restoreEpochs() {
+    if (member.driver().isPresent()) {
+      EpochFile.Content saved = epochs.load();
+      membership.restore(saved.epoch());
+      membership.restore(saved.layout());
+    }
   }
 
   private void recordAgreedState(ControlState state) {
@@ -540,7 +549,8 @@
       case PeerMessage.DeregisterWork deregister ->
           workHandler.handleLeaseEvent(RegistrationMessages.toEvent(host, deregister), arrivedAt);
       case PeerMessage.Agreement received ->
-          agreement
+          member
+              .driver()
               .filter(driver -> received.group().equals(GroupId.CONTROL))
               .ifPresent(driver -> driver.receive(received.message()));
       case PeerMessage.Propose propose -> handleProposal(host, propose);
@@ -611,8 +621,9 @@
   }
 
   private void handleProposal(String host, PeerMessage.Propose propose) {
-    if (agreement.isPresent() && agreement.get().isLeader()) {
-      agreement
+    Optional<AgreementDriver> leading = member.driver().filter(AgreementDriver::isLeader);
+    if (leading.isPresent()) {
+      leading
           .get()
           .propose(
               propose.command(),
@@ -771,7 +782,7 @@
   private void tick() {
     long now = clock.millis();
     detectPause(now);
-    agreement.ifPresent(AgreementDriver::tick);
+    member.driver().ifPresent(AgreementDriver::tick);
     if (now >= nextMembershipTickAt) {
       nextMembershipTickAt = now + MEMBERSHIP_INTERVAL_MILLIS;
       execute(membership.tick(now));
@@ -800,14 +811,14 @@
     }
     if (now >= nextVoterCheckAt) {
       nextVoterCheckAt = now + VOTER_INTERVAL_MILLIS;
-      agreement.ifPresent(driver -> reconcileVoters(driver, now));
+      member.driver().ifPresent(driver -> reconcileVoters(driver, now));
     }
   }
 
   private void flush() {
     offerAgreedState();
     workHandler.placeTasks();
-    agreement.ifPresent(AgreementDriver::flush);
+    member.driver().ifPresent(AgreementDriver::flush);
   }
 
   private void reconcileVoters(AgreementDriver driver, long now) {
@@ -852,7 +863,7 @@
         settings.host(),
         settings.descriptor().group(),
         parts.incarnation(),
-        agreement.filter(AgreementDriver::hasFailed).isPresent() ? 0 : storageIncarnation,
+        member.incarnation(),
         catalog.current().version(),
         membership.claimedEpoch(),
         membership.highestEpoch(),
@@ -868,7 +879,8 @@
 
   private Optional<String> leader() {
     Optional<String> own =
-        agreement
+        member
+            .driver()
             .filter(driver -> !driver.hasFailed())
             .flatMap(driver -> driver.node().leader())
             .map(VoterId::host);
