Bound the waits of EpochKeeperTest

With both parts of the change taken out (a content counts as saved before it is written, nothing waits for the data folder) one method waited without end and the other one passed. Both fail so now.

--- a/burdockbay-server/src/test/java/org/burdockbay/server/node/EpochKeeperTest.java
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/node/EpochKeeperTest.java
@@ -1,12 +1,15 @@
 package org.burdockbay.server.node;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertNull;
 
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 import org.burdockbay.core.shard.ShardLayout;
 import org.burdockbay.server.logging.EventLog;
 import org.burdockbay.server.storage.EpochFile;
@@ -18,6 +21,9 @@
 
   private static final EpochFile.Content CONTENT = new EpochFile.Content(7, ShardLayout.UNDIVIDED);
 
+  private static final int MAX_WAIT_SECONDS = 10;
+  private static final int MIN_WAIT_MILLIS = 300;
+
   private final BlockingQueue<Runnable> control = new LinkedBlockingQueue<>();
   private Path folder;
   private EpochKeeper keeper;
@@ -44,6 +50,7 @@
   public void writesNothingBeforeDataFolderIsOpen() throws Exception {
     Files.createDirectories(folder);
     keeper.save(CONTENT.epoch(), CONTENT.layout(), 0);
+    assertNull(control.poll(MIN_WAIT_MILLIS, TimeUnit.MILLISECONDS));
     keeper.load();
     assertEquals(new EpochFile(folder).read(), EpochFile.Content.NONE);
     save(0);
@@ -53,6 +60,8 @@
   /** Saves the content and waits for the outcome of the write. */
   private void save(long now) throws InterruptedException {
     keeper.save(CONTENT.epoch(), CONTENT.layout(), now);
-    control.take().run();
+    Runnable outcome = control.poll(MAX_WAIT_SECONDS, TimeUnit.SECONDS);
+    assertNotNull(outcome, "nothing was written");
+    outcome.run();
   }
 }
