Refuse requests before a planned stop closes the port

What callers could see: a request on an open connection, sent in the moment between the closing of the port and the refusals, was still served.

Cause: Jetty closes its listeners first and tells the handlers to refuse only after that.

Change: the handler is shut down first, so whoever sees the port closed is refused. The test is unchanged and passes; the moment wasn't provoked on purpose.

--- a/burdockbay-server/src/main/java/org/burdockbay/server/http/HttpServer.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/http/HttpServer.java
@@ -30,6 +30,7 @@
 
   private final HostSettings settings;
   private final EventLog log;
+  private final GracefulStopHandler gracefulStop;
   private final Javalin javalin;
 
   /**
@@ -42,6 +43,7 @@
       throws ServerException {
     this.settings = settings;
     this.log = log;
+    this.gracefulStop = new GracefulStopHandler(responder);
     Optional<SslContextFactory.Server> tls = sslContextFactory(settings);
     this.javalin =
         Javalin.create(
@@ -50,8 +52,7 @@
               config.http.maxRequestSize = settings.limits().maxBodyBytes();
               config.http.asyncTimeout = NO_TIMEOUT_MILLIS;
               config.jetty.threadPool = new QueuedThreadPool(MAX_THREADS, MIN_THREADS);
-              config.jetty.modifyServer(
-                  server -> server.setHandler(new GracefulStopHandler(responder)));
+              config.jetty.modifyServer(server -> server.setHandler(gracefulStop));
               tls.ifPresent(
                   factory ->
                       config.jetty.addConnector(
@@ -114,13 +115,14 @@
   /**
    * Stops the server gracefully.
    *
-   * <p>The server stops listening, rejects requests that arrive on open connections, and closes
-   * these once all responses in flight are written.
+   * <p>The server rejects requests that arrive on open connections, stops listening, and closes the
+   * connections once all responses in flight are written.
    *
    * @param timeoutMillis time after which unfinished responses are aborted, in milliseconds
    */
   public void stop(long timeoutMillis) {
     javalin.jettyServer().server().setStopTimeout(timeoutMillis);
+    gracefulStop.shutdown();
     try {
       javalin.stop();
     } catch (JavalinException e) {
