Treat a lack of memory in writing as a failed write

What callers would see: a voter that goes on as a member and never syncs again, until its process ends (read, not seen on real processes).

Writing a large entry reserves direct memory of its size, of which a process has 24 MB for network and disk together.

--- a/burdockbay-server/src/main/java/org/burdockbay/server/host/AgreementStorage.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/host/AgreementStorage.java
@@ -151,7 +151,7 @@
         log.warn("storage-reopen-failed", "cause=" + EventLog.quote(e.getMessage()));
       }
       return corrupt;
-    } catch (RuntimeException e) {
+    } catch (RuntimeException | OutOfMemoryError e) {
       // Ending the thread would take the voter out for good.
       log.error("storage-reopen-defect", "attempts=" + attempt, e);
       return false;
--- a/burdockbay-server/src/main/java/org/burdockbay/server/host/StorageOpener.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/host/StorageOpener.java
@@ -88,7 +88,7 @@
       if (e.fault() != Fault.FAILED && attempt % FOREIGN_LOG_INTERVAL == 1) {
         log.error("storage-open-failed", "attempts=" + attempt, e);
       }
-    } catch (RuntimeException e) {
+    } catch (RuntimeException | OutOfMemoryError e) {
       // Ending the thread would keep the voter out for good.
       log.error("storage-open-defect", "attempts=" + attempt, e);
     }
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/EpochKeeper.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/EpochKeeper.java
@@ -79,6 +79,9 @@
       control.execute(() -> written(content));
     } catch (StorageException e) {
       control.execute(() -> writeFailed(content, e));
+    } catch (RuntimeException | OutOfMemoryError e) {
+      // Without a report of the outcome, nothing would be written any more.
+      control.execute(() -> writeFailed(content, e));
     }
   }
 
@@ -89,7 +92,7 @@
     saved = content;
   }
 
-  private void writeFailed(EpochFile.Content content, StorageException cause) {
+  private void writeFailed(EpochFile.Content content, Throwable cause) {
     writing = false;
     if (!failing) {
       failing = true;
--- a/burdockbay-server/src/test/java/org/burdockbay/server/storage/ModelDisk.java
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/storage/ModelDisk.java
@@ -30,6 +30,7 @@
   private TreeMap<Path, Inode> durableNames = new TreeMap<>();
   private int operationsLeft = Integer.MAX_VALUE;
   private boolean nextSyncFails;
+  private boolean memoryIsExhausted;
   private Set<Refusal> refusals = EnumSet.noneOf(Refusal.class);
   private int refusedOperationsLeft;
 
@@ -44,6 +45,11 @@
     operationsLeft = operations;
   }
 
+  /** Lets all further operations fail for lack of memory, or no longer do so. */
+  void exhaustMemory(boolean exhausted) {
+    memoryIsExhausted = exhausted;
+  }
+
   /** Allows a new process to use the disk. */
   void restart() {
     operationsLeft = Integer.MAX_VALUE;
@@ -250,6 +256,9 @@
       throw new ProcessKilled();
     }
     operationsLeft--;
+    if (memoryIsExhausted) {
+      throw new OutOfMemoryError("Cannot reserve direct buffer memory");
+    }
   }
 
   /** Kinds of operations that the disk can refuse. */
