Set a data folder aside durably, and report refused openings once a minute

Found in a read of the whole change:

The subfolder is synced first now. - The opener reported refusals of the disk on the first attempt only, and none after a corrupt log was set aside. All are reported once a minute now. - StorageHosts created a record for each host without a disk ten times a second.

--- a/burdockbay-server/src/main/java/org/burdockbay/server/host/StorageHosts.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/host/StorageHosts.java
@@ -55,16 +55,18 @@
   }
 
   private void updateFailure(HostStatus status, long now) {
-    StorageFailure before = failures.get(status.host());
+    StorageFailure failure = failures.get(status.host());
     if (status.storageIncarnation() == 0) {
-      long beganAt = before == null ? now : before.beganAt;
-      failures.put(status.host(), new StorageFailure(beganAt, OptionalLong.empty()));
-    } else if (before != null) {
-      long endedAt = before.endedAt.orElse(now);
-      if (now - endedAt >= RECOVERY_MILLIS) {
+      if (failure == null) {
+        failures.put(status.host(), new StorageFailure(now, OptionalLong.empty()));
+      } else if (failure.endedAt.isPresent()) {
+        failures.put(status.host(), new StorageFailure(failure.beganAt, OptionalLong.empty()));
+      }
+    } else if (failure != null) {
+      if (failure.endedAt.isEmpty()) {
+        failures.put(status.host(), new StorageFailure(failure.beganAt, OptionalLong.of(now)));
+      } else if (now - failure.endedAt.getAsLong() >= RECOVERY_MILLIS) {
         failures.remove(status.host());
-      } else {
-        failures.put(status.host(), new StorageFailure(before.beganAt, OptionalLong.of(endedAt)));
       }
     }
   }
--- a/burdockbay-server/src/main/java/org/burdockbay/server/host/StorageOpener.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/host/StorageOpener.java
@@ -13,8 +13,8 @@
   /** Time between two attempts, in milliseconds. */
   private static final long RETRY_INTERVAL_MILLIS = 500;
 
-  /** Number of attempts after which a folder that belongs to another host is reported again. */
-  private static final int FOREIGN_LOG_INTERVAL = 120;
+  /** Number of attempts after which a lasting failure is reported again. */
+  private static final int REPORT_INTERVAL_ATTEMPTS = 120;
 
   private final Opening opening;
   private final Consumer<AgreementStorage> listener;
@@ -85,7 +85,7 @@
     try {
       return Optional.of(opening.open());
     } catch (StorageException e) {
-      if (e.fault() != Fault.FAILED && attempt % FOREIGN_LOG_INTERVAL == 1) {
+      if (attempt % REPORT_INTERVAL_ATTEMPTS == 1) {
         log.error("storage-open-failed", "attempts=" + attempt, e);
       }
     } catch (RuntimeException | OutOfMemoryError e) {
--- a/burdockbay-server/src/main/java/org/burdockbay/server/storage/DataFolder.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/storage/DataFolder.java
@@ -84,6 +84,7 @@
                   folder -> !disk.exists(identity) || !disk.exists(folder.resolve(IDENTITY_FILE)))
               .orElseGet(() -> path.resolve(CORRUPT_FOLDER_PREFIX + System.currentTimeMillis()));
       disk.createFolders(aside);
+      disk.syncFolder(path);
       if (disk.exists(identity)) {
         // Without its identity, the folder is never opened as that of the same voter again.
         disk.move(identity, aside.resolve(IDENTITY_FILE));
--- a/burdockbay-server/src/test/java/org/burdockbay/server/storage/RefusedOperationsTest.java
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/storage/RefusedOperationsTest.java
@@ -110,6 +110,36 @@
     }
   }
 
+  /** Guards against a folder that can't be opened after a power loss while it was set aside. */
+  @Test
+  public void opensFolderAfterPowerLossDuringSetAside() throws StorageException {
+    for (int run = 0; run < 200; run++) {
+      disk = new ModelDisk(run);
+      disk.createDurableFolder(FOLDER);
+      try (DataFolder folder = DataFolder.open(disk, FOLDER, "cluster", "a")) {
+        new LogStore(disk, folder.groupFolder(0), GroupId.CONTROL)
+            .write(List.of(persist(VOTED, entries(1, 5))));
+      }
+      long incarnation = openAndReadIncarnation();
+      disk.killAfter(run % 12);
+      try {
+        DataFolder.setAside(disk, FOLDER);
+      } catch (ModelDisk.ProcessKilled e) {
+        // The next process continues with the remaining files.
+      }
+      disk.losePowerAtRandom();
+      boolean sameMember = openAndReadIncarnation() == incarnation;
+      LogStore store = new LogStore(disk, LOG_FOLDER, GroupId.CONTROL);
+      assertEquals(store.recoveredLog().entries(), sameMember ? entries(1, 5) : List.of());
+    }
+  }
+
+  private long openAndReadIncarnation() throws StorageException {
+    try (DataFolder folder = DataFolder.open(disk, FOLDER, "cluster", "a")) {
+      return folder.incarnation();
+    }
+  }
+
   private void trySetAside() {
     try {
       DataFolder.setAside(disk, FOLDER);
