--- a/burdockbay-server/src/test/java/org/burdockbay/server/storage/RefusedOperationsTest.java
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/storage/RefusedOperationsTest.java
@@ -120,7 +120,7 @@
         new LogStore(disk, folder.groupFolder(0), GroupId.CONTROL)
             .write(List.of(persist(VOTED, entries(1, 5))));
       }
-      long incarnation = openAndReadIncarnation();
+      final long incarnation = openAndReadIncarnation();
       disk.killAfter(run % 12);
       try {
         DataFolder.setAside(disk, FOLDER);
