Refuse operations at each point of a sequence in the tests, and clearer names

Behaviour is unchanged.

ModelDisk can now accept a number of operations first, and both tests refuse each one in turn.

Names: one interface Opening in place of two; AgreementMember.storageIncarnation, as in HostStatus, beside the incarnation of the process.

--- a/burdockbay-server/src/main/java/org/burdockbay/server/host/AgreementMember.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/host/AgreementMember.java
@@ -22,7 +22,7 @@
   private final Runnable onOpened;
   private final Consumer<Runnable> control;
   private Optional<AgreementDriver> driver = Optional.empty();
-  private long incarnation;
+  private long storageIncarnation;
 
   /**
    * Creates the membership of a host.
@@ -46,7 +46,8 @@
         opening.map(
             open ->
                 new StorageOpener(
-                    () -> open.open(this::onEvent),
+                    open,
+                    this::onEvent,
                     storage -> control.accept(() -> openedLater(storage)),
                     log));
   }
@@ -73,8 +74,8 @@
   }
 
   /** Returns the incarnation of the data folder; 0 while it isn't open or its storage fails. */
-  public long incarnation() {
-    return driver.filter(current -> !current.hasFailed()).isPresent() ? incarnation : 0;
+  public long storageIncarnation() {
+    return driver.filter(current -> !current.hasFailed()).isPresent() ? storageIncarnation : 0;
   }
 
   /** Ends the attempts to open the data folder. */
@@ -85,7 +86,7 @@
 
   private void join(AgreementStorage storage) {
     driver = Optional.of(driverFactory.apply(storage));
-    incarnation = storage.incarnation();
+    storageIncarnation = storage.incarnation();
   }
 
   private void openedLater(AgreementStorage storage) {
--- a/burdockbay-server/src/main/java/org/burdockbay/server/host/HostController.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/host/HostController.java
@@ -507,7 +507,7 @@
             self,
             parts.settings().domain(),
             parts.incarnation(),
-            member.incarnation(),
+            member.storageIncarnation(),
             configuration.current().version(),
             membership.claimedEpoch(),
             membership.highestEpoch(),
--- a/burdockbay-server/src/main/java/org/burdockbay/server/host/StorageOpener.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/host/StorageOpener.java
@@ -16,20 +16,27 @@
   /** Number of attempts after which a lasting failure is reported again. */
   private static final int REPORT_INTERVAL_ATTEMPTS = 120;
 
-  private final Opening opening;
-  private final Consumer<AgreementStorage> listener;
+  private final AgreementMember.Opening opening;
+  private final Consumer<AgreementStorage.Event> events;
+  private final Consumer<AgreementStorage> onOpened;
   private final EventLog log;
   private @Nullable Thread thread;
 
   /**
    * Creates an opener.
    *
-   * @param listener receives the storage, on the thread of the opener, when a later attempt
-   *     succeeds
+   * @param opening makes one attempt
+   * @param events notified of the events of the opened storage, on any thread
+   * @param onOpened receives the storage when a later attempt succeeds, on the thread of the opener
    */
-  StorageOpener(Opening opening, Consumer<AgreementStorage> listener, EventLog log) {
+  StorageOpener(
+      AgreementMember.Opening opening,
+      Consumer<AgreementStorage.Event> events,
+      Consumer<AgreementStorage> onOpened,
+      EventLog log) {
     this.opening = opening;
-    this.listener = listener;
+    this.events = events;
+    this.onOpened = onOpened;
     this.log = log;
   }
 
@@ -41,7 +48,7 @@
    */
   Optional<AgreementStorage> tryOpen() throws StorageException {
     try {
-      return Optional.of(opening.open());
+      return Optional.of(opening.open(events));
     } catch (StorageException e) {
       if (e.fault() != Fault.FAILED) {
         throw e;
@@ -72,7 +79,7 @@
         Optional<AgreementStorage> opened = retry(attempt);
         if (opened.isPresent()) {
           log.info("storage-opened", "attempts=" + attempt);
-          listener.accept(opened.get());
+          onOpened.accept(opened.get());
           return;
         }
       }
@@ -83,7 +90,7 @@
 
   private Optional<AgreementStorage> retry(int attempt) {
     try {
-      return Optional.of(opening.open());
+      return Optional.of(opening.open(events));
     } catch (StorageException e) {
       if (attempt % REPORT_INTERVAL_ATTEMPTS == 1) {
         log.error("storage-open-failed", "attempts=" + attempt, e);
@@ -94,15 +101,4 @@
     }
     return Optional.empty();
   }
-
-  /** Opens the data folder once. */
-  interface Opening {
-
-    /**
-     * Opens the data folder.
-     *
-     * @throws StorageException if it can't be opened
-     */
-    AgreementStorage open() throws StorageException;
-  }
 }
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
@@ -863,7 +863,7 @@
         settings.host(),
         settings.descriptor().group(),
         parts.incarnation(),
-        member.incarnation(),
+        member.storageIncarnation(),
         catalog.current().version(),
         membership.claimedEpoch(),
         membership.highestEpoch(),
--- a/burdockbay-server/src/test/java/org/burdockbay/server/storage/LogStoreFuzzTest.java
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/storage/LogStoreFuzzTest.java
@@ -143,7 +143,7 @@
 
     /**
      * Writes a batch whose first sync fails, and opens the log again, sometimes repeatedly. The
-     * process isn't killed before: the next one couldn't know that readable bytes were dropped.
+     * process isn't killed before.
      */
     private LogStore failAndReopen(LogStore store, List<RaftEffect.Persist> batch) {
       disk.restart();
--- a/burdockbay-server/src/test/java/org/burdockbay/server/storage/LogWriterTest.java
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/storage/LogWriterTest.java
@@ -42,10 +42,10 @@
     CompletableFuture<StorageException> failure = new CompletableFuture<>();
     LogWriter writer = new LogWriter(store, ticket -> {}, failure::complete);
     writer.start();
-    disk.exhaustMemory(true);
+    disk.setMemoryExhausted(true);
     writer.submit(HARD_STATE);
     assertEquals(failure.get(10, TimeUnit.SECONDS).fault(), StorageException.Fault.FAILED);
-    disk.exhaustMemory(false);
+    disk.setMemoryExhausted(false);
     store.reopen().write(List.of(HARD_STATE));
   }
 }
--- a/burdockbay-server/src/test/java/org/burdockbay/server/storage/ModelDisk.java
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/storage/ModelDisk.java
@@ -32,6 +32,7 @@
   private boolean nextSyncFails;
   private boolean memoryIsExhausted;
   private Set<Refusal> refusals = EnumSet.noneOf(Refusal.class);
+  private int acceptedOperationsLeft;
   private int refusedOperationsLeft;
 
   ModelDisk(long seed) {
@@ -45,8 +46,8 @@
     operationsLeft = operations;
   }
 
-  /** Lets all further operations fail for lack of memory, or no longer do so. */
-  void exhaustMemory(boolean exhausted) {
+  /** Sets whether operations fail for lack of memory. */
+  void setMemoryExhausted(boolean exhausted) {
     memoryIsExhausted = exhausted;
   }
 
@@ -68,7 +69,13 @@
    * #acceptAll} is called.
    */
   void refuse(Set<Refusal> kinds, int operations) {
+    refuseAfter(0, kinds, operations);
+  }
+
+  /** Does the same after a number of operations of these kinds, which are accepted. */
+  void refuseAfter(int accepted, Set<Refusal> kinds, int operations) {
     refusals = kinds;
+    acceptedOperationsLeft = accepted;
     refusedOperationsLeft = operations;
   }
 
@@ -115,6 +122,10 @@
     if (refusedOperationsLeft == 0 || !refusals.contains(kind)) {
       return false;
     }
+    if (acceptedOperationsLeft > 0) {
+      acceptedOperationsLeft--;
+      return false;
+    }
     refusedOperationsLeft--;
     return true;
   }
--- a/burdockbay-server/src/test/java/org/burdockbay/server/storage/RefusedOperationsTest.java
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/storage/RefusedOperationsTest.java
@@ -25,7 +25,6 @@
 public class RefusedOperationsTest {
 
   private static final Path FOLDER = Path.of("/data");
-
   private static final Path LOG_FOLDER = FOLDER.resolve("group-0");
   private static final List<VoterId> VOTERS =
       List.of(new VoterId("a", 1), new VoterId("b", 1), new VoterId("c", 1));
@@ -89,17 +88,19 @@
   @Test
   public void opensFolderThatWasSetAsideInPart() throws StorageException {
     for (Refusal refusal : Refusal.values()) {
-      for (int attempts = 1; attempts < 4; attempts++) {
+      for (int accepted = 0; accepted < 8; accepted++) {
         createDisk();
         try (DataFolder folder = DataFolder.open(disk, FOLDER, "cluster", "a")) {
           new LogStore(disk, folder.groupFolder(0), GroupId.CONTROL)
               .write(List.of(persist(VOTED, entries(1, 5))));
         }
-        disk.refuse(EnumSet.of(refusal), attempts);
-        for (int attempt = 0; attempt < attempts; attempt++) {
-          trySetAside();
-        }
+        disk.refuseAfter(accepted, EnumSet.of(refusal), 1);
+        trySetAside();
         disk.acceptAll();
+        if (accepted % 2 == 0) {
+          DataFolder.setAside(disk, FOLDER);
+        }
+        openAndReadIncarnation();
         DataFolder.setAside(disk, FOLDER);
         disk.losePower();
         try (DataFolder folder = DataFolder.open(disk, FOLDER, "cluster", "a")) {
@@ -152,13 +153,10 @@
   @Test
   public void completesInterruptedCreationOfInitialVoter() throws StorageException {
     for (Refusal refusal : Refusal.values()) {
-      for (int operations = 0; operations < 30; operations++) {
+      for (int accepted = 0; accepted < 12; accepted++) {
         createDisk();
-        for (int accepted = operations; accepted > 0; accepted--) {
-          // Draws the number of refusals, so that they begin at different operations.
-          disk.refuse(EnumSet.of(refusal), accepted);
-          tryBootstrap();
-        }
+        disk.refuseAfter(accepted, EnumSet.of(refusal), 1);
+        tryBootstrap();
         disk.acceptAll();
         tryBootstrap();
         assertFalse(bootstrap());
