--- a/review/src-2/Main.java
+++ b/review/src-2/Main.java
@@ -11,6 +11,7 @@
       result =
           switch (arguments[0]) {
             case "wide" -> WideJobCase.run(record, trouble);
+            case "cancel" -> CancelCase.run(record, trouble);
             case "other-writer" -> OtherWriterCase.run(record, trouble);
             default -> 2;
           };
