Review case 7: after the dispatching host was killed, starts overfill runners that don't guard themselves

Shows: the next dispatcher starts a task on a runner as soon as it has acknowledged a stop, although the task that is being stopped still runs; 24 of 16 cores are in use (rule LIMIT). How: three core and three entry processes by the commands of the deploy file, sound stand-ins, a service with enforces_capacity false; up to 13 times the entry host that dispatches gets SIGKILL, with tasks of its own clients at work on all 12 runners, until a start overfills one. With TROUBLE=0 nothing is killed. The stand-in for runners, which all cases share, takes 45 ms for a stop since, in place of 40 ms.

--- a/review/src-2/Harness.java
+++ b/review/src-2/Harness.java
@@ -401,7 +401,7 @@
    * processor share that it needs.
    */
   final class Runner {
-    static final long STOP_MILLIS = 40;
+    static final long STOP_MILLIS = 45;
     static final long MAX_HOLD_MILLIS = 1_000;
     final String id;
     final String service;
--- a/review/src-2/Main.java
+++ b/review/src-2/Main.java
@@ -12,6 +12,7 @@
           switch (arguments[0]) {
             case "wide" -> WideJobCase.run(record, trouble);
             case "cancel" -> CancelCase.run(record, trouble);
+            case "takeover" -> TakeoverCase.run(record, trouble);
             case "other-writer" -> OtherWriterCase.run(record, trouble);
             default -> 2;
           };
