Limit the size of work and the memory of its dispatcher

Cause: WorkTable.submit made the state of each task before it looked whether the work can run, and nothing bounded the number of tasks, steps or dependencies of a job, nor of all jobs together.

Ruled out: that the job is impossible (ten steps of 100,000 tasks that each fit do the same), and the size of the body (527 bytes).

Change: WorkLimits, parts of the maximum heap: tasks, steps and dependencies of one piece of work, and the memory of all work of a dispatcher, of which one piece gets a quarter of what is free. A submission over them is refused before state is made, or given up if it may have run. Work that all upstreams together can't run before its timeout is refused at once. Unanswered starts, runs on one upstream, listed runs of other dispatchers, retained refusals and run numbers are bounded as well; run numbers were dropped by one a tick, fewer than were added at 40 jobs a second. An entry host passes work on after one lost dispatcher, not after the second.

The new tests of LeaseDispatcherTest and WorkIntakeTest need the new constructor; LeaseFuzzTest draws work of any size up to twice the limits, and an error between any two effects of an event (the process ends).

--- a/burdockbay-core/src/main/java/org/burdockbay/core/intake/PendingWork.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/intake/PendingWork.java
@@ -41,6 +41,9 @@
   /** Whether the work was moved away from a dispatcher that hadn't reported an outcome. */
   boolean mayHaveRun;
 
+  /** Number of dispatchers that fell silent while they had the work. */
+  int lostDispatchers;
+
   /** The time at which a caller was last answered or disconnected. */
   long idleSince;
 
--- a/burdockbay-core/src/main/java/org/burdockbay/core/intake/WorkIntake.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/intake/WorkIntake.java
@@ -57,6 +57,12 @@
    */
   private static final long INBOUND_SILENCE_TIMEOUT_MILLIS = 450;
 
+  /**
+   * Maximum number of dispatchers that may fall silent while they have a piece of work. The work
+   * itself may end their processes, so it isn't passed on to one host after the other.
+   */
+  private static final int MAX_LOST_DISPATCHERS = 1;
+
   private final String self;
   private final String domain;
   private final long maxOrphanedRunMillis;
@@ -371,6 +377,10 @@
   private void submitTo(
       IntakeEvent.Dispatcher target, PendingWork work, PendingWork.Caller caller) {
     if (work.submittedTo.isPresent() && !work.submittedTo.get().equals(target)) {
+      if (mayHaveEndedDispatchers(work)) {
+        // The next tick gives the work up.
+        return;
+      }
       moveTo(work, caller, target);
     }
     if (heldWork.release(work, target, now)) {
@@ -390,6 +400,23 @@
             domain));
   }
 
+  /**
+   * Returns whether the work may be the reason for which its dispatchers were lost, and counts the
+   * present one.
+   */
+  private boolean mayHaveEndedDispatchers(PendingWork work) {
+    boolean lost =
+        work.submittedTo
+            .filter(dispatcher -> !dispatcher.host().equals(self))
+            .map(dispatcher -> lastContactByHost.getOrDefault(dispatcher.host(), now))
+            .filter(contactAt -> now - contactAt >= INBOUND_SILENCE_TIMEOUT_MILLIS)
+            .isPresent();
+    if (lost && work.lostDispatchers <= MAX_LOST_DISPATCHERS) {
+      work.lostDispatchers++;
+    }
+    return work.lostDispatchers > MAX_LOST_DISPATCHERS;
+  }
+
   private void moveTo(PendingWork work, PendingWork.Caller caller, IntakeEvent.Dispatcher target) {
     work.quietPeriodEndsAt =
         Math.max(work.quietPeriodEndsAt, orphanedSince(work) + maxOrphanedRunMillis);
@@ -452,6 +479,8 @@
     long age = now - caller.arrivedAt;
     if (age >= caller.request.budgetMillis()) {
       giveUp(work, caller, "no outcome in time");
+    } else if (work.lostDispatchers > MAX_LOST_DISPATCHERS) {
+      giveUp(work, caller, "its dispatchers were lost");
     } else if (hasWaitedTooLong(work, caller)) {
       giveUp(work, caller, "no dispatcher");
     } else if (now - caller.lastSubmittedAt >= SUBMISSION_RETRY_INTERVAL_MILLIS) {
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/AdmissionRule.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/AdmissionRule.java
@@ -31,6 +31,9 @@
    */
   private static final double NEW_WORK_WAIT_FACTOR = 2.5;
 
+  /** The share of the predicted processing time that work takes at least; estimates are rough. */
+  private static final double MIN_RUN_TIME_SHARE = 0.35;
+
   /** The share of its slack that work may wait until this host handles its submission. */
   private static final double MAX_WAIT_SLACK_SHARE = 0.5;
 
@@ -95,6 +98,15 @@
     return waitedMillis > Math.clamp(limitMillis, MIN_WAIT_LIMIT_MILLIS, MAX_WAIT_MILLIS);
   }
 
+  /**
+   * Returns whether work can't complete before its caller's timeout even if it had all upstreams
+   * for itself and its tasks took a part of their estimates only.
+   */
+  boolean exceedsCapacity(WorkState work, long now, Backlog backlog) {
+    double shortestMillis = MIN_RUN_TIME_SHARE * backlog.processingMillis(work);
+    return now + shortestMillis > work.expiresAt();
+  }
+
   /** Returns whether waiting work can't complete before its caller's timeout. */
   boolean exceedsTimeout(WorkState work, long now) {
     return now + work.criticalPathMillis() > work.expiresAt();
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseDispatcher.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseDispatcher.java
@@ -5,6 +5,7 @@
 import java.util.OptionalLong;
 import org.burdockbay.core.dispatch.DomainLoad;
 import org.burdockbay.core.fleet.UpstreamAnnouncement;
+import org.burdockbay.core.limits.WorkLimits;
 import org.burdockbay.core.scheduling.SchedulingOptions;
 
 /**
@@ -49,19 +50,26 @@
     this(self, timing, SchedulingOptions.NONE);
   }
 
+  /** Creates a dispatcher without the role, and without limits on its work. */
+  public LeaseDispatcher(String self, LeaseTiming timing, SchedulingOptions options) {
+    this(self, timing, options, WorkLimits.UNLIMITED);
+  }
+
   /**
    * Creates a dispatcher without the role.
    *
    * @param self the id of this host
    * @param timing the durations of leases and orders
    * @param options the scheduling options that are on
+   * @param limits the limits on the work that is accepted
    */
-  public LeaseDispatcher(String self, LeaseTiming timing, SchedulingOptions options) {
+  public LeaseDispatcher(
+      String self, LeaseTiming timing, SchedulingOptions options, WorkLimits limits) {
     this.context = new DispatchContext(options);
     this.shares = new ShareRule(context);
-    this.runs = new RunTable(context, timing);
+    this.runs = new RunTable(context, timing, limits);
     this.registrations = new WorkRegistrations(self, context, runs, timing);
-    this.works = new WorkTable(self, context, runs, admission, registrations);
+    this.works = new WorkTable(self, context, runs, admission, registrations, limits);
     this.leases = new LeaseTable(context, timing, runs, works);
   }
 
@@ -114,6 +122,11 @@
     return works.unansweredWork().size();
   }
 
+  /** Returns the estimated memory that the unanswered work takes, in bytes; on any thread. */
+  public long workBytes() {
+    return works.usedBytes();
+  }
+
   /** Returns the free capacity of the upstreams on which tasks may start now, and the backlog. */
   public DomainLoad load() {
     List<UpstreamLease> usableUpstreams = leases.usableUpstreams();
@@ -346,7 +359,9 @@
    * it.
    */
   private boolean cannotStartInTime(WorkState work, Backlog backlog, PlacementPolicy placement) {
-    return admission.missesTarget(work, context.now(), backlog) && !placement.fitsCompletely(work);
+    return admission.exceedsCapacity(work, context.now(), backlog)
+        || (admission.missesTarget(work, context.now(), backlog)
+            && !placement.fitsCompletely(work));
   }
 
   private void placeWork(WorkState work, PlacementPolicy placement) {
@@ -364,6 +379,9 @@
   private void placeTasks(Iterable<TaskState> tasks, PlacementPolicy placement) {
     for (TaskState task : tasks) {
       if (runs.isWaiting(task)) {
+        if (!runs.mayStart(task)) {
+          return;
+        }
         var chosen = placement.choose(task);
         if (chosen.isEmpty()) {
           return;
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseTable.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseTable.java
@@ -241,6 +241,7 @@
   }
 
   void startAnswered(LeaseEvent.StartAnswered answered) {
+    runs.startReturned(answered.run());
     UpstreamLease upstream = findInstance(answered.upstream());
     if (upstream == null) {
       return;
@@ -339,7 +340,15 @@
         .clockMillis()
         .ifPresent(clock -> upstream.updateMaxClockLead(clock, context.arrivedAt()));
     upstream.recordClock(answered.clockMillis(), context.arrivedAt());
-    switch (answered.result()) {
+    OrderResult result = answered.result();
+    if (result == OrderResult.DONE && !runs.mayRetain(answered.running())) {
+      // Without the list, the lease isn't extended, and the runs end with it.
+      context.logEvent(
+          "run-list-too-long",
+          "upstream=" + upstream.announcement.id() + " runs=" + answered.running().size());
+      result = OrderResult.NO_ANSWER;
+    }
+    switch (result) {
       case DONE -> renewalSucceeded(upstream, answered);
       case FENCED -> tokenSuperseded(upstream);
       case OTHER_LIFE -> instanceGone(upstream, "other-life");
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/RunTable.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/RunTable.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Supplier;
+import org.burdockbay.core.limits.WorkLimits;
 import org.burdockbay.core.work.RunId;
 import org.burdockbay.core.work.TaskId;
 
@@ -40,6 +41,7 @@
   private final Map<String, Integer> openRunCounts = new HashMap<>();
 
   private final TakenOverRuns takenOverRuns = new TakenOverRuns();
+  private final UnansweredStarts unansweredStarts;
   private final RunForecast forecast;
 
   /** Moving average of the time until a start is answered, in milliseconds. */
@@ -48,9 +50,10 @@
   /** When the most recently sent of the answered calls was sent, in milliseconds. */
   private long newestAnsweredSentAt;
 
-  RunTable(DispatchContext context, LeaseTiming timing) {
+  RunTable(DispatchContext context, LeaseTiming timing, WorkLimits limits) {
     this.context = context;
     this.timing = timing;
+    this.unansweredStarts = new UnansweredStarts(limits.startBytes(), timing);
     this.forecast = new RunForecast(context.profiles());
   }
 
@@ -123,6 +126,16 @@
     takenOverRuns.clear();
   }
 
+  /** Returns whether a start of the task may be sent beside those that aren't answered yet. */
+  boolean mayStart(TaskState task) {
+    return unansweredStarts.hasRoom(task.work.request.payload());
+  }
+
+  /** Records that a copy of a start was answered or has failed. */
+  void startReturned(RunId run) {
+    unansweredStarts.answered(run);
+  }
+
   void start(TaskState task, UpstreamLease upstream) {
     task.lastRunNumber++;
     RunId id = new RunId(task.id, task.lastRunNumber);
@@ -147,6 +160,7 @@
   }
 
   private void sendStart(LeasedRun run, TaskState task) {
+    unansweredStarts.sent(run.id, task.work.request.payload(), context.now());
     context.emit(
         new LeaseEffect.Start(
             run.upstream.announcement,
@@ -187,6 +201,11 @@
     context.logEvent("run-adopted", "run=" + id + " upstream=" + upstream.announcement.id());
   }
 
+  /** Returns whether the runs that an upstream lists can be retained, as if all were unknown. */
+  boolean mayRetain(List<RunId> listed) {
+    return takenOverRuns.hasRoom(listed.size());
+  }
+
   /** Retains a run of an earlier dispatcher until its work is submitted. */
   void retainRun(RunId id, UpstreamLease upstream) {
     takenOverRuns.addRun(id, upstream, context.now());
@@ -393,6 +412,7 @@
   }
 
   void tick() {
+    unansweredStarts.tick(context.now());
     openRuns.values().forEach(this::resendIfLost);
     takenOverRuns.removeUnclaimed(context.now()).forEach(this::stopUnclaimed);
   }
@@ -428,7 +448,8 @@
     } else if (task != null
         && !run.upstream.evacuated
         && run.startsSent < MAX_COPIES
-        && isLost(run.lastStartSentAt)) {
+        && isLost(run.lastStartSentAt)
+        && mayStart(task)) {
       run.lastStartSentAt = context.now();
       run.startsSent++;
       run.unansweredStarts++;
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/TakenOverRuns.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/TakenOverRuns.java
@@ -28,9 +28,17 @@
    */
   private static final long RESULT_RETENTION_MILLIS = 3_000;
 
+  /** Maximum number of runs, and of results, that are retained. */
+  private static final int MAX_RETAINED = 20_000;
+
   private final Map<TaskId, FoundRun> running = new HashMap<>();
   private final Map<TaskId, Long> finished = new HashMap<>();
 
+  /** Returns whether a number of further runs can be retained. */
+  boolean hasRoom(int runs) {
+    return running.size() + runs <= MAX_RETAINED;
+  }
+
   void addRun(RunId run, UpstreamLease upstream, long now) {
     FoundRun known = running.get(run.task());
     if (known == null || known.run.number() < run.number()) {
@@ -38,8 +46,11 @@
     }
   }
 
+  /** Retains a result; without room it is dropped, and its task runs again. */
   void addResult(TaskId task, long now) {
-    finished.put(task, now);
+    if (finished.size() < MAX_RETAINED) {
+      finished.put(task, now);
+    }
   }
 
   Optional<FoundRun> claimRun(TaskId task) {
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/UpstreamLease.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/UpstreamLease.java
@@ -19,6 +19,12 @@
   /** Longest pause, in milliseconds; consecutive failures double the pause up to this. */
   static final long MAX_PAUSE_MILLIS = 3_000;
 
+  /**
+   * Maximum number of concurrent runs, also of tasks that need no resources; the upstream lists
+   * them in each answer to a renewal.
+   */
+  private static final int MAX_RUNS = 1_024;
+
   /**
    * Number of tasks that have to succeed after an evacuation before the number of concurrent runs
    * is no longer limited; two or three tasks fill an upstream.
@@ -37,8 +43,8 @@
   /** Whether the upstream's failure domain is evacuated, so that no task may start there. */
   boolean evacuated;
 
-  /** Maximum number of concurrent runs. */
-  private int maxRuns = Integer.MAX_VALUE;
+  /** Present limit on the number of concurrent runs. */
+  private int maxRuns = MAX_RUNS;
 
   /** Whether a renewal under the current token was answered. */
   boolean tokenAccepted;
@@ -222,7 +228,7 @@
 
   /** Records that a task succeeded there. */
   void recordSuccess() {
-    maxRuns = maxRuns >= RAMP_UP_TASKS ? Integer.MAX_VALUE : maxRuns + 1;
+    maxRuns = maxRuns >= RAMP_UP_TASKS ? MAX_RUNS : maxRuns + 1;
   }
 
   /**
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/WorkState.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/WorkState.java
@@ -15,6 +15,9 @@
   final WorkRequest request;
   final long arrivedAt;
 
+  /** The estimated memory that the work takes, in bytes. */
+  final long bytes;
+
   /** The failure domain whose entry host accepted the work, or that entry host if not known. */
   String origin = "";
 
@@ -51,9 +54,10 @@
   /** How long the submission waited on this host, in milliseconds. */
   long waitedMillis;
 
-  WorkState(WorkRequest request, long arrivedAt) {
+  WorkState(WorkRequest request, long arrivedAt, long bytes) {
     this.request = request;
     this.arrivedAt = arrivedAt;
+    this.bytes = bytes;
     this.unfinishedTasks = new int[request.steps().size()];
     this.totalRunMillis = new long[request.steps().size()];
     this.finishedRuns = new int[request.steps().size()];
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/WorkTable.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/WorkTable.java
@@ -2,13 +2,19 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.Collectors;
+import org.burdockbay.core.limits.WorkFootprint;
+import org.burdockbay.core.limits.WorkLimits;
 import org.burdockbay.core.work.TaskId;
 import org.burdockbay.core.work.WorkOutcome;
+import org.burdockbay.core.work.WorkRequest;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -31,6 +37,12 @@
   /** How long the contact with silent entry hosts is retained, in milliseconds. */
   private static final long CONTACT_RETENTION_MILLIS = 60_000;
 
+  /**
+   * Maximum number of refusals that are retained; further work is ignored until some expire, and
+   * its entry hosts submit it again.
+   */
+  private static final int MAX_RETAINED_REFUSALS = 20_000;
+
   private static final String EVACUATED = "failure domain evacuated";
 
   private final String self;
@@ -38,8 +50,12 @@
   private final RunTable runs;
   private final AdmissionRule admission;
   private final WorkRegistrations registrations;
+  private final WorkLimits limits;
   private final Map<String, WorkState> works = new LinkedHashMap<>();
 
+  /** The estimated memory of the unanswered work, in bytes. */
+  private final AtomicLong usedBytes = new AtomicLong();
+
   /** When each entry host last received a message of this host, as far as known. */
   private final Map<String, Long> lastContactByHost = new HashMap<>();
 
@@ -52,7 +68,9 @@
       DispatchContext context,
       RunTable runs,
       AdmissionRule admission,
-      WorkRegistrations registrations) {
+      WorkRegistrations registrations,
+      WorkLimits limits) {
+    this.limits = limits;
     this.self = self;
     this.context = context;
     this.runs = runs;
@@ -65,10 +83,16 @@
     return works.values();
   }
 
+  /** Returns the estimated memory that the unanswered work takes, in bytes; on any thread. */
+  long usedBytes() {
+    return usedBytes.get();
+  }
+
   /** Discards all state but the run numbers: answers to these runs may still arrive. */
   void clear() {
     works.values().forEach(this::retainRunNumber);
     works.clear();
+    usedBytes.set(0);
     lastContactByHost.clear();
     outcomes.clear();
     refusals.clear();
@@ -166,8 +190,14 @@
       context.logEvent("submission-late", "work=" + id + " waited=" + context.waitedMillis());
       return;
     }
+    long bytes = WorkFootprint.ofDispatch(submitted.request());
+    Optional<String> excess = excess(submitted.request(), bytes);
+    if (excess.isPresent()) {
+      refuseUnaccepted(submitted, excess.get(), mayHaveRun);
+      return;
+    }
     WorkState work =
-        new WorkState(submitted.request(), context.arrivedAt() - submitted.ageMillis());
+        new WorkState(submitted.request(), context.arrivedAt() - submitted.ageMillis(), bytes);
     work.origin = submitted.origin().isEmpty() ? submitted.entryHost() : submitted.origin();
     work.tickets.put(submitted.entryHost(), submitted.ticket());
     work.quietPeriodEndsAt = context.now() + submitted.quietPeriodMillis();
@@ -175,6 +205,7 @@
     // another dispatcher, so it can no longer be refused as "not run".
     work.mayHaveStarted = mayHaveRun;
     works.put(id, work);
+    usedBytes.addAndGet(bytes);
     long lastRun = highestRunNumbers.getOrDefault(id, 0L);
     work.steps.forEach(tasks -> tasks.forEach(task -> task.lastRunNumber = lastRun));
     runs.adoptRuns(work);
@@ -199,6 +230,44 @@
     }
   }
 
+  /** Returns why a request isn't accepted for its size; empty if it is. */
+  private Optional<String> excess(WorkRequest request, long bytes) {
+    return limits
+        .violation(request)
+        .or(
+            () ->
+                limits.hasRoom(bytes, usedBytes.get())
+                    ? Optional.empty()
+                    : Optional.of("no memory at the dispatcher"));
+  }
+
+  /**
+   * Refuses submitted work for which there is no state. Work that an earlier dispatcher may have
+   * run is given up instead, since a refusal promises that nothing has run.
+   */
+  private void refuseUnaccepted(LeaseEvent.Submitted submitted, String reason, boolean mayHaveRun) {
+    String id = submitted.request().id();
+    context.logEvent(
+        "work-over-limit",
+        "work="
+            + id
+            + " from="
+            + submitted.entryHost()
+            + " used="
+            + usedBytes.get()
+            + " reason="
+            + reason.replace(' ', '-'));
+    if (mayHaveRun) {
+      report(submitted.entryHost(), id, new WorkOutcome.GivenUp(reason));
+    } else if (refusals.size() < MAX_RETAINED_REFUSALS) {
+      refuse(
+          submitted.entryHost(),
+          submitted.ticket(),
+          id,
+          new WorkOutcome.NotRun(reason, AdmissionRule.RETRY_AFTER_MILLIS));
+    }
+  }
+
   /** Decides about the work whose registration was confirmed since it was submitted. */
   void admitConfirmed(LeaseTable leases) {
     for (WorkState work : List.copyOf(works.values())) {
@@ -314,15 +383,21 @@
             + work.criticalPathMillis()
             + " reason="
             + reason.replace(' ', '-'));
-    works.remove(work.request.id());
+    remove(work);
     registrations.workEnded(work.request.id());
     WorkOutcome outcome = new WorkOutcome.NotRun(reason, retryAfterMillis);
-    work.tickets.forEach(
-        (host, ticket) -> {
-          refusals.put(
-              new RefusedTicket(host, ticket), new RetainedOutcome(outcome, context.now()));
-          report(host, work.request.id(), outcome);
-        });
+    work.tickets.forEach((host, ticket) -> refuse(host, ticket, work.request.id(), outcome));
+  }
+
+  private void refuse(String host, long ticket, String id, WorkOutcome outcome) {
+    refusals.put(new RefusedTicket(host, ticket), new RetainedOutcome(outcome, context.now()));
+    report(host, id, outcome);
+  }
+
+  private void remove(WorkState work) {
+    if (works.remove(work.request.id(), work)) {
+      usedBytes.addAndGet(-work.bytes);
+    }
   }
 
   private void report(String host, String id, WorkOutcome outcome) {
@@ -331,7 +406,7 @@
 
   /** Removes work and stops its runs. */
   private void drop(WorkState work) {
-    works.remove(work.request.id());
+    remove(work);
     retainRunNumber(work);
     for (List<TaskState> tasks : work.steps) {
       for (TaskState task : tasks) {
@@ -367,8 +442,10 @@
     outcomes.values().removeIf(retained -> now - retained.decidedAt > OUTCOME_RETENTION_MILLIS);
     refusals.values().removeIf(retained -> now - retained.decidedAt > OUTCOME_RETENTION_MILLIS);
     lastContactByHost.values().removeIf(contactAt -> now - contactAt > CONTACT_RETENTION_MILLIS);
-    if (highestRunNumbers.size() > MAX_RETAINED_RUN_NUMBERS) {
-      highestRunNumbers.remove(highestRunNumbers.keySet().iterator().next());
+    Iterator<String> oldest = highestRunNumbers.keySet().iterator();
+    for (int i = highestRunNumbers.size(); i > MAX_RETAINED_RUN_NUMBERS; i--) {
+      oldest.next();
+      oldest.remove();
     }
     List.copyOf(works.values()).forEach(this::expireIfDue);
   }
--- a/burdockbay-core/src/test/java/org/burdockbay/core/intake/WorkIntakeTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/intake/WorkIntakeTest.java
@@ -406,6 +406,22 @@
     handle(new IntakeEvent.LoadReported(host, new DomainLoad(freeCores, 0)));
   }
 
+  /**
+   * Guards against work that ends the process of one dispatcher after the other because its entry
+   * host passes it on each time.
+   */
+  @Test
+  public void givesUpWorkAfterTwoDispatchersWereLost() {
+    changeDispatcher(FIRST);
+    handle(new IntakeEvent.RequestReceived(1, WORK));
+    now += 460;
+    assertEquals(submits(changeDispatcher(SECOND)).getFirst().to(), SECOND);
+    now += 460;
+    assertTrue(submits(changeDispatcher(new IntakeEvent.Dispatcher("c", 3))).isEmpty());
+    IntakeEffect.Answer answer = answers(handle(new IntakeEvent.Tick())).getFirst();
+    assertTrue(answer.outcome() instanceof WorkOutcome.GivenUp, answer.toString());
+  }
+
   private List<IntakeEffect> refuse(String host) {
     return handle(
         new IntakeEvent.OutcomeReported(host, "w", new WorkOutcome.NotRun("no room", 1_000)));
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseDispatcherTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseDispatcherTest.java
@@ -13,8 +13,10 @@
 import java.util.Set;
 import java.util.stream.IntStream;
 import org.burdockbay.core.fleet.UpstreamAnnouncement;
+import org.burdockbay.core.limits.WorkLimits;
 import org.burdockbay.core.registration.ShardDispatcher;
 import org.burdockbay.core.registration.WorkRegistrar;
+import org.burdockbay.core.scheduling.SchedulingOptions;
 import org.burdockbay.core.shard.ShardId;
 import org.burdockbay.core.work.RunId;
 import org.burdockbay.core.work.TaskId;
@@ -725,6 +727,101 @@
     assertEquals(stops(handle(new LeaseEvent.Tick())).size(), 1);
   }
 
+  /**
+   * Guards against one job that exhausts the memory of its dispatcher: the state of all tasks was
+   * made before the job was refused as impossible.
+   */
+  @Test
+  public void refusesWorkOverItsLimitsBeforeStateIsMade() {
+    limitWork(new WorkLimits(100, 10, 10, 1_000_000, 1_000_000));
+    addUpstream("u1");
+    WorkOutcome refusal = reports(submit("w", 101, HALF_CAPACITY)).getFirst().outcome();
+    assertEquals(((WorkOutcome.NotRun) refusal).reason(), "101 tasks, at most 100 are accepted");
+    assertEquals(dispatcher.unansweredCount(), 0);
+    assertEquals(dispatcher.workBytes(), 0);
+    LeaseEvent small = submitted(2, request("small", 2, HALF_CAPACITY), 0);
+    assertEquals(starts(handle(small)).size(), 2);
+  }
+
+  /** Guards against many jobs, each within its limits, that exhaust the dispatcher's memory. */
+  @Test
+  public void refusesWorkBeyondMemoryAndKeepsRoomForSmallWork() {
+    long limit = 1_000_000;
+    limitWork(new WorkLimits(1_000, 10, 10, limit, limit));
+    addUpstream("u1");
+    int accepted = 0;
+    for (int i = 0; i < 100; i++) {
+      handle(submitted(i, request("w" + i, 300, TaskSize.ZERO), 0));
+      accepted = dispatcher.unansweredCount();
+      assertTrue(dispatcher.workBytes() <= limit, dispatcher.workBytes() + " bytes");
+    }
+    assertTrue(accepted > 2 && accepted < 10, accepted + " pieces of work are accepted");
+    handle(submitted(200, request("small", 1, HALF_CAPACITY), 0));
+    assertEquals(dispatcher.unansweredCount(), accepted + 1);
+    handle(new LeaseEvent.EntryHostLost("entry"));
+    assertEquals(dispatcher.workBytes(), 0);
+  }
+
+  /**
+   * Guards against a refusal as "not run" of work for which there is no memory, although an earlier
+   * dispatcher may have run it.
+   */
+  @Test
+  public void givesUpWorkBeyondMemoryThatMayHaveRun() {
+    limitWork(new WorkLimits(100, 10, 10, 1_000_000, 1_000_000));
+    addUpstream("u1");
+    LeaseEvent moved =
+        new LeaseEvent.Submitted("entry", TOKEN, 1, request("w", 101, HALF_CAPACITY), 0, 500);
+    WorkOutcome outcome = reports(handle(moved)).getFirst().outcome();
+    assertTrue(outcome instanceof WorkOutcome.GivenUp, outcome.toString());
+  }
+
+  /**
+   * Guards against a job of many small tasks that opens a connection for each of them at once: the
+   * host ran out of descriptors and memory.
+   */
+  @Test
+  public void limitsUnansweredStarts() {
+    limitWork(new WorkLimits(1_000, 10, 10, 1_000_000, 100_000));
+    UpstreamAnnouncement upstream = addUpstream("u1");
+    List<LeaseEffect.Start> first = starts(submit("w", 500, TaskSize.ZERO));
+    assertEquals(first.size(), 12);
+    LeaseEvent answer =
+        new LeaseEvent.StartAnswered(
+            upstream, first.getFirst().run(), OrderResult.DONE, OptionalLong.of(upstreamClock()));
+    assertEquals(starts(handle(answer)).size(), 1);
+  }
+
+  /**
+   * Guards against work that waits for its whole timeout although all upstreams together couldn't
+   * run it in that time.
+   */
+  @Test
+  public void refusesWorkThatExceedsCapacityAtOnce() {
+    addUpstream("u1");
+    WorkOutcome refusal = reports(submit("w", 200, HALF_CAPACITY)).getFirst().outcome();
+    assertTrue(refusal instanceof WorkOutcome.NotRun, refusal.toString());
+    handle(submitted(2, request("v", 4, HALF_CAPACITY), 0));
+    assertEquals(dispatcher.unansweredCount(), 1);
+  }
+
+  /** Guards against an upstream that lists more runs of unknown work than this host can retain. */
+  @Test
+  public void extendsNoLeaseForTooLongListOfRuns() {
+    UpstreamAnnouncement upstream = addUpstream("u1");
+    List<RunId> listed =
+        IntStream.range(0, 30_000).mapToObj(i -> new RunId(new TaskId("x" + i, 0, 0), 1)).toList();
+    LeaseEffect.Renew open = openRenewals.get(upstream.id());
+    List<LeaseEffect> effects = answer(open, OrderResult.DONE, listed, List.of());
+    assertEquals(logEvents(effects, "run-list-too-long").size(), 1);
+    assertTrue(renewals(effects).isEmpty(), "renewed at once");
+  }
+
+  private void limitWork(WorkLimits limits) {
+    dispatcher = new LeaseDispatcher("self", LeaseTiming.DEFAULT, SchedulingOptions.NONE, limits);
+    handle(new LeaseEvent.RoleGained(TOKEN));
+  }
+
   private List<LeaseEffect> handle(LeaseEvent event) {
     List<LeaseEffect> effects = new ArrayList<>(dispatcher.handle(event, now));
     effects.addAll(dispatcher.place(now));
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseFuzzTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseFuzzTest.java
@@ -7,6 +7,7 @@
 import java.util.function.Consumer;
 import java.util.stream.Stream;
 import org.burdockbay.core.FuzzOptions;
+import org.burdockbay.core.limits.WorkLimits;
 import org.burdockbay.core.scheduling.SchedulingOptions;
 import org.burdockbay.core.shard.ShardLayout;
 import org.testng.annotations.AfterClass;
@@ -23,6 +24,14 @@
   /** The numbers of the faults that kill, pause or cut off hosts. */
   private static final Set<Integer> HOST_FAULTS = Set.of(0, 1, 2, 3, 4, 5, 14, 15);
 
+  /** Limits that a few pieces of work reach. */
+  private static final WorkLimits SMALL_LIMITS = new WorkLimits(24, 4, 8, 64 * 1024, 64 * 1024);
+
+  /** Largest number of pieces of work of any size in a step of a simulation. */
+  private static final int MAX_SIZED_WORK = 6;
+
+  private static final double MAX_ERROR_SHARE = 0.002;
+
   /** The number of upstreams in each failure domain. */
   private static final int UPSTREAMS = 3;
 
@@ -308,6 +317,42 @@
         });
   }
 
+  /**
+   * Guards against a dispatcher whose memory callers decide, and against a task that runs twice
+   * after an error ended a control thread with some effects of an event carried out.
+   */
+  @Test(dataProvider = "networksAndOptions")
+  public void keepsLimitsWithWorkOfAnySizeAndErrors(
+      LeaseModel.Network network, SchedulingOptions options) {
+    int runs = FuzzOptions.exampleCount(RUNS / 4);
+    for (int run = 0; run < runs; run++) {
+      long seed = FuzzOptions.seed() + run;
+      try {
+        simulateAnySize(seed, network, options);
+      } catch (AssertionError e) {
+        throw new AssertionError("seed " + seed + ": " + e.getMessage(), e);
+      }
+    }
+  }
+
+  private static void simulateAnySize(
+      long seed, LeaseModel.Network network, SchedulingOptions options) {
+    LeaseModel model = model(seed, network, dividedLayout(seed), options);
+    model.breaksConnections = true;
+    model.orderedDelivery = true;
+    model.limitWork(SMALL_LIMITS);
+    SplittableRandom sizes = new SplittableRandom(seed);
+    simulate(
+        seed,
+        model,
+        stepped -> {
+          stepped.errorShare = sizes.nextInt(4) == 0 ? MAX_ERROR_SHARE * sizes.nextDouble() : 0;
+          for (int i = sizes.nextInt(MAX_SIZED_WORK); i > 0; i--) {
+            stepped.submitOfAnySize(sizes);
+          }
+        });
+  }
+
   /** Returns all kinds of networks, without scheduling options and with all of them. */
   @DataProvider
   public Object[][] networksAndOptions() {
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseModel.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseModel.java
@@ -8,10 +8,12 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.SplittableRandom;
 import org.burdockbay.core.evacuation.Evacuations;
+import org.burdockbay.core.limits.WorkLimits;
 import org.burdockbay.core.scheduling.SchedulingOptions;
 import org.burdockbay.core.shard.ShardLayout;
 import org.burdockbay.core.work.RunId;
@@ -106,9 +108,14 @@
   /** Whether hosts are killed, paused and cut off, and connections between them break. */
   boolean hostsFail = true;
 
+  /** Share of the effects of a control thread before which an error ends its process. */
+  double errorShare;
+
   /** Whether failure domains are evacuated during the simulation. */
   boolean evacuates;
 
+  private WorkLimits workLimits = WorkLimits.UNLIMITED;
+  private final Set<String> excessiveWork = new HashSet<>();
   private final Map<String, Long> evacuatedSince = new HashMap<>();
   private final Map<RunId, Long> startSentAt = new HashMap<>();
   private Evacuations evacuations = Evacuations.NONE;
@@ -248,6 +255,34 @@
     return now;
   }
 
+  WorkLimits workLimits() {
+    return workLimits;
+  }
+
+  /** Starts all hosts again with limits on their work. */
+  void limitWork(WorkLimits limits) {
+    workLimits = limits;
+    hosts.values().forEach(this::kill);
+    hosts.values().forEach(ModelEntryHost::recover);
+    advance(1_500);
+  }
+
+  /** Returns whether an error strikes a control thread now. */
+  boolean strikesError() {
+    return errorShare > 0 && !faultsEnded && faultRandom.nextDouble() < errorShare;
+  }
+
+  long randomRestartMillis() {
+    return 200 + faultRandom.nextLong(2_000);
+  }
+
+  /** Checks that a dispatcher holds no more work than its limit. */
+  void checkWorkBytes(ModelEntryHost host, long bytes) {
+    check(
+        bytes >= 0 && bytes <= workLimits.dispatchBytes(),
+        host.name + " dispatches work of " + bytes + " bytes");
+  }
+
   SchedulingOptions options() {
     return options;
   }
@@ -424,20 +459,40 @@
 
   /** Submits new work of a caller at a random host. */
   void submit(int tasks) {
-    submittedWork++;
     WorkStep step = WorkStep.of(tasks, new TaskSize(TASK_CPU, 64, 0), 20 + random.nextLong(600));
+    submitSteps(List.of(step));
+  }
+
+  /** Submits new work of a caller at a random host, of any size up to twice the limits. */
+  void submitOfAnySize(SplittableRandom sizes) {
+    List<WorkStep> steps = new ArrayList<>();
+    long stepCount = 1 + sizes.nextLong(2 * workLimits.maxSteps());
+    for (int i = 0; i < stepCount; i++) {
+      int tasks = 1 + (int) sizes.nextLong(2 * workLimits.maxTasks() / stepCount);
+      int cpu = sizes.nextInt(4) == 0 ? 0 : 1 + sizes.nextInt(2 * TASK_CPU);
+      List<Integer> predecessors =
+          i > 0 && sizes.nextBoolean() ? List.of(sizes.nextInt(i)) : List.of();
+      steps.add(
+          new WorkStep(
+              tasks,
+              new TaskSize(cpu, 64, 0),
+              20 + sizes.nextLong(600),
+              predecessors,
+              Optional.empty(),
+              Optional.empty(),
+              0));
+    }
+    submitSteps(steps);
+  }
+
+  private void submitSteps(List<WorkStep> steps) {
+    submittedWork++;
     WorkRequest request =
         new WorkRequest(
-            "w" + submittedWork,
-            "q",
-            "desk",
-            "x",
-            List.of(step),
-            0,
-            3,
-            STRETCH,
-            60,
-            CALLER_TIMEOUT_MILLIS);
+            "w" + submittedWork, "q", "desk", "x", steps, 0, 3, STRETCH, 60, CALLER_TIMEOUT_MILLIS);
+    if (workLimits.violation(request).isPresent()) {
+      excessiveWork.add(request.id());
+    }
     callers.send(new CallerAttempt(request), anyHost());
   }
 
@@ -458,11 +513,13 @@
     switch (outcome) {
       case WorkOutcome.Completed done -> {
         completed += attempt.isDuplicate ? 0 : 1;
-        for (int index = 0; index < request.steps().getFirst().taskCount(); index++) {
-          TaskId task = new TaskId(request.id(), 0, index);
-          check(
-              finishedRuns.containsKey(task),
-              request.id() + " was reported as completed without a finished run of " + task);
+        for (int step = 0; step < request.steps().size(); step++) {
+          for (int index = 0; index < request.steps().get(step).taskCount(); index++) {
+            TaskId task = new TaskId(request.id(), step, index);
+            check(
+                finishedRuns.containsKey(task),
+                request.id() + " was reported as completed without a finished run of " + task);
+          }
         }
       }
       case WorkOutcome.NotRun refused -> {
@@ -499,6 +556,7 @@
     starts++;
     trace(upstream.id, "began " + run);
     startedWork.add(run.task().work());
+    check(!excessiveWork.contains(run.task().work()), run + " starts, but is over a limit");
     long delay = now - startSentAt.getOrDefault(run, now);
     check(
         delay <= LeaseTiming.DEFAULT.maxLeaseMillis(),
@@ -544,12 +602,15 @@
           host.waitingCallers() == 0,
           host.name + " has " + host.waitingCallers() + " unanswered callers");
     }
-    int before = completed;
+    final int before = completed;
     for (int i = 0; i < 6; i++) {
       submit(2);
       advance(300);
     }
     advance(5_000);
+    for (ModelEntryHost host : hosts.values()) {
+      check(host.workBytes() == 0, host.name + " holds " + host.workBytes() + " bytes of no work");
+    }
     check(
         completed - before == 6,
         "only " + (completed - before) + " of 6 jobs are completed after all faults have ended");
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelEntryHost.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelEntryHost.java
@@ -110,7 +110,7 @@
             model.options());
     LeaseTiming timing =
         LeaseTiming.DEFAULT.withCallerRetryDelay(model.callers().retryIntervalMillis());
-    dispatcher = new LeaseDispatcher(name, timing, model.options());
+    dispatcher = new LeaseDispatcher(name, timing, model.options(), model.workLimits());
     incarnations.clear();
     lastContacts.clear();
     evacuations = Evacuations.NONE;
@@ -304,7 +304,11 @@
     List<Runnable> batch = List.copyOf(inbox);
     inbox.clear();
     handlingBatch = true;
-    batch.forEach(Runnable::run);
+    for (Runnable action : batch) {
+      if (up) {
+        action.run();
+      }
+    }
     handlingBatch = false;
     applyEffects(dispatcher.place(clock()));
   }
@@ -451,6 +455,9 @@
   }
 
   private void send(ModelEntryHost other, Runnable action) {
+    if (!up) {
+      return;
+    }
     if (other == this) {
       deliver(0, action);
       return;
@@ -554,6 +561,9 @@
       model.trace(name, "dispatchers=" + changed.dispatchers());
     }
     for (IntakeEffect effect : intake.handle(event, clock())) {
+      if (endsByError()) {
+        return;
+      }
       switch (effect) {
         case IntakeEffect.Submit submit -> {
           ModelEntryHost target = model.hosts.get(submit.to().host());
@@ -592,6 +602,24 @@
     }
   }
 
+  /**
+   * Returns whether the process has ended, or ends now because an error struck its control thread
+   * between two effects of an event.
+   */
+  private boolean endsByError() {
+    if (up && model.strikesError()) {
+      model.trace(name, "ended by an error");
+      model.kill(this);
+      model.schedule(model.randomRestartMillis(), this::recover);
+    }
+    return !up;
+  }
+
+  /** Returns the estimated memory of the work that this host dispatches, in bytes. */
+  long workBytes() {
+    return dispatcher.workBytes();
+  }
+
   private void dispatchSubmission(LeaseEvent.Submitted event, long arrivedAt) {
     if (arrivedAt > restartSeenAt.getOrDefault(event.entryHost(), Long.MIN_VALUE)) {
       dispatch(event, arrivedAt);
@@ -610,7 +638,11 @@
   }
 
   private void applyEffects(List<LeaseEffect> effects) {
+    model.checkWorkBytes(this, dispatcher.workBytes());
     for (LeaseEffect effect : effects) {
+      if (endsByError()) {
+        return;
+      }
       switch (effect) {
         case LeaseEffect.Start start -> {
           model.recordStartSent(this, start.run(), start.upstream().domain());
