Limit the memory of arriving requests, unsent responses and connections

Cause: each connection aggregated up to 1 MB, in slices of direct buffers, whatever the other connections held; heads, pipelined requests, unread responses and the number of connections had no common bound; the limits and timeouts of the configuration weren't read.

Change: RequestAssembler takes the place of the aggregator. It copies bodies out of the network buffers, reserves their memory in WebMemory, and rejects with 413, 431, 408 or 503 as soon as a limit is exceeded. When memory runs out, the request that has been arriving for the longest time is evicted, so that requests which arrive whole go on being served. Idle connections are closed in favor of new ones, pipelined requests and unread responses are bounded. The limits are read for each request.

--- a/burdockbay-core/src/main/java/org/burdockbay/core/catalog/Catalog.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/catalog/Catalog.java
@@ -17,13 +17,15 @@
 public final class Catalog {
 
   /** The catalog without queues that is in force before the first one is published. */
-  public static final Catalog EMPTY = new Catalog(0, List.of());
+  public static final Catalog EMPTY = new Catalog(0, List.of(), RequestLimits.DEFAULT);
 
   private final long version;
+  private final RequestLimits limits;
   private final Map<String, VirtualHost> virtualHosts = new HashMap<>();
 
-  private Catalog(long version, List<QueueRule> queues) {
+  private Catalog(long version, List<QueueRule> queues, RequestLimits limits) {
     this.version = version;
+    this.limits = limits;
     for (QueueRule queue : queues) {
       virtualHosts
           .computeIfAbsent(normalizeHostName(queue.hostName()), host -> new VirtualHost())
@@ -33,14 +35,27 @@
     virtualHosts.values().forEach(VirtualHost::updatePrefixLengths);
   }
 
+  /**
+   * Validates the queues and creates a catalog with the default limits on requests.
+   *
+   * @param services names of the known services
+   * @throws CatalogException as for {@link #of(long, List, Set, RequestLimits)}
+   */
+  public static Catalog of(long version, List<QueueRule> queues, Set<String> services)
+      throws CatalogException {
+    return of(version, queues, services, RequestLimits.DEFAULT);
+  }
+
   /**
    * Validates the queues and creates a catalog.
    *
    * @param services names of the known services
+   * @param limits limits on the requests of callers
    * @throws CatalogException if the version or a timeout is not positive, a queue refers to an
    *     unknown service, or two queues have the same host name and path prefix
    */
-  public static Catalog of(long version, List<QueueRule> queues, Set<String> services)
+  public static Catalog of(
+      long version, List<QueueRule> queues, Set<String> services, RequestLimits limits)
       throws CatalogException {
     if (version < 1) {
       throw new CatalogException("version " + version + " is not positive");
@@ -49,7 +64,7 @@
     for (QueueRule queue : queues) {
       validate(queue, services, routes);
     }
-    return new Catalog(version, queues);
+    return new Catalog(version, queues, limits);
   }
 
   /** Returns the version; 0 before the first catalog. */
@@ -57,6 +72,11 @@
     return version;
   }
 
+  /** Returns the limits on the requests of callers. */
+  public RequestLimits limits() {
+    return limits;
+  }
+
   /** Returns the queue whose prefix is the longest match for the path, or empty if none matches. */
   public Optional<QueueRule> find(String hostName, String path) {
     VirtualHost host = virtualHosts.get(normalizeHostName(hostName));
--- a/burdockbay-core/src/main/java/org/burdockbay/core/catalog/CatalogDownload.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/catalog/CatalogDownload.java
@@ -52,6 +52,9 @@
       requestedAt = now - PART_TIMEOUT_MILLIS;
       return Result.NONE;
     }
+    if (part.totalSize() > CompressedCatalog.MAX_TEXT_BYTES) {
+      return Result.NONE;
+    }
     if (!inProgress || part.version() > version) {
       // The source no longer has the requested version and sent the start of a newer one.
       start(part.version(), now);
--- a/burdockbay-core/src/main/java/org/burdockbay/core/catalog/CompressedCatalog.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/catalog/CompressedCatalog.java
@@ -21,8 +21,12 @@
   /** The empty catalog that is in force before the first one is published. */
   public static final CompressedCatalog EMPTY = of(0, "");
 
+  /** The part of the heap that a decompressed text takes at most, as a divisor. */
+  private static final long TEXT_DIVISOR = 32;
+
   /** Maximum size of the decompressed text, in bytes. */
-  static final int MAX_TEXT_BYTES = 16 * 1024 * 1024;
+  static final int MAX_TEXT_BYTES =
+      Math.toIntExact(Math.min(16 * 1024 * 1024, Runtime.getRuntime().maxMemory() / TEXT_DIVISOR));
 
   private static final int BUFFER_BYTES = 16 * 1024;
 
--- a/burdockbay-server/src/main/java/org/burdockbay/server/web/WebClient.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/web/WebClient.java
@@ -40,7 +40,7 @@
  */
 public final class WebClient {
 
-  private static final int MAX_RESPONSE_BYTES = 8 * 1024 * 1024;
+  private static final int DEFAULT_MAX_RESPONSE_BYTES = 1024 * 1024;
   private static final int CONNECT_TIMEOUT_MILLIS = 300;
 
   private final EventLoop loop;
@@ -49,12 +49,19 @@
   private final Map<ConnectReason, Counter> connectionsByReason =
       new EnumMap<>(ConnectReason.class);
 
+  /** Creates a client on one of the given loops, with the default limit on responses. */
+  public WebClient(EventLoopGroup loops, MetricRegistry registry) {
+    this(loops, registry, DEFAULT_MAX_RESPONSE_BYTES);
+  }
+
   /**
    * Creates a client on one of the given loops.
    *
    * @param registry registry of the counters of new connections
+   * @param maxResponseBytes maximum size of a response's body, in bytes; a call whose response is
+   *     larger fails
    */
-  public WebClient(EventLoopGroup loops, MetricRegistry registry) {
+  public WebClient(EventLoopGroup loops, MetricRegistry registry, int maxResponseBytes) {
     for (ConnectReason reason : ConnectReason.values()) {
       String name = reason.name().toLowerCase(Locale.ROOT);
       connectionsByReason.put(reason, registry.counter("upstream.connections." + name));
@@ -74,7 +81,7 @@
                         .pipeline()
                         .addLast(new ByteCounter())
                         .addLast(new HttpResponseDecoder())
-                        .addLast(new HttpObjectAggregator(MAX_RESPONSE_BYTES))
+                        .addLast(new HttpObjectAggregator(maxResponseBytes, true))
                         .addLast(new Connection());
                   }
                 });
@@ -91,9 +98,9 @@
       WebClientRequest request, CallMeter meter, Consumer<Optional<WebClientResponse>> callback) {
     PendingCall pending = new PendingCall(request, meter, callback);
     if (loop.inEventLoop()) {
-      startCall(pending);
+      startCallSafely(pending);
     } else {
-      loop.execute(() -> startCall(pending));
+      loop.execute(() -> startCallSafely(pending));
     }
   }
 
@@ -108,6 +115,15 @@
         });
   }
 
+  /** Starts a call, or completes it as failed; an error here would leave its caller waiting. */
+  private void startCallSafely(PendingCall pending) {
+    try {
+      startCall(pending);
+    } catch (RuntimeException | OutOfMemoryError e) {
+      pending.complete(Optional.empty());
+    }
+  }
+
   private void startCall(PendingCall pending) {
     pending.meter.callStarted();
     pending.timer =
--- a/burdockbay-server/src/main/java/org/burdockbay/server/web/WebExchange.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/web/WebExchange.java
@@ -6,6 +6,12 @@
   /** Returns the request. */
   WebRequest request();
 
+  /**
+   * Releases the body and the headers of the request, once the handler has read them; without this
+   * call they are kept until the response.
+   */
+  void releaseContent();
+
   /** Sends the response; only the first call has an effect. May be called on any thread. */
   void respond(WebResponse response);
 
--- a/burdockbay-server/src/main/java/org/burdockbay/server/web/WebListener.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/web/WebListener.java
@@ -9,11 +9,16 @@
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpObjectAggregator;
-import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.util.concurrent.GlobalEventExecutor;
+import java.util.Comparator;
+import java.util.Optional;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
+import org.burdockbay.core.clock.Clock;
 import org.burdockbay.server.ServerException;
 import org.burdockbay.server.logging.EventLog;
 import org.burdockbay.server.settings.HostAddress;
@@ -23,23 +28,58 @@
 public final class WebListener implements AutoCloseable {
 
   private static final int ACCEPT_BACKLOG = 1_024;
+  private static final long TIMEOUT_CHECK_INTERVAL_MILLIS = 500;
+
+  /** Upper bound of the limit on headers that is in force, in bytes. */
+  public static final int MAX_HEADER_BYTES = 64 * 1024;
 
   private final HostAddress address;
   private final ServerBootstrap bootstrap;
   private final ChannelGroup connections =
       new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
   private final AtomicInteger openRequests = new AtomicInteger();
+  private final AtomicLong refusedConnections = new AtomicLong();
+  private final EventLoopGroup loops;
+  private final Supplier<WebLimits> limits;
+  private final WebMemory memory;
+  private final WebHandler handler;
+  private final EventLog log;
+  private final Clock clock;
   private @Nullable Channel serverChannel;
+  private @Nullable ScheduledFuture<?> timeoutChecks;
   private volatile boolean draining;
 
-  /** Creates a listener that doesn't listen until {@link #start}. */
+  /** Creates a listener with fixed limits, without a limit on its memory. */
   public WebListener(
       EventLoopGroup loops,
       HostAddress address,
       WebLimits limits,
       WebHandler handler,
       EventLog log) {
+    this(loops, address, () -> limits, WebMemory.unlimited(), handler, log, Clock.monotonic());
+  }
+
+  /**
+   * Creates a listener that doesn't listen until {@link #start}.
+   *
+   * @param limits supplies the limits in force; called on the event loops
+   * @param memory the memory of all listeners of the host
+   */
+  public WebListener(
+      EventLoopGroup loops,
+      HostAddress address,
+      Supplier<WebLimits> limits,
+      WebMemory memory,
+      WebHandler handler,
+      EventLog log,
+      Clock clock) {
     this.address = address;
+    this.loops = loops;
+    this.limits = limits;
+    this.memory = memory;
+    this.handler = handler;
+    this.log = log;
+    this.clock = clock;
     this.bootstrap =
         new ServerBootstrap()
             .group(loops)
@@ -51,16 +91,7 @@
                 new ChannelInitializer<SocketChannel>() {
                   @Override
                   protected void initChannel(SocketChannel channel) {
-                    connections.add(channel);
-                    channel
-                        .pipeline()
-                        .addLast(
-                            new HttpServerCodec(
-                                new HttpDecoderConfig()
-                                    .setMaxHeaderSize(limits.maxHeaderBytes())
-                                    .setMaxInitialLineLength(limits.maxHeaderBytes())))
-                        .addLast(new HttpObjectAggregator(limits.maxBodyBytes()))
-                        .addLast(new WebConnection(handler, () -> draining, openRequests, log));
+                    accept(channel);
                   }
                 });
   }
@@ -77,6 +108,68 @@
           "address " + address + " can't be used: " + bound.cause().getMessage(), bound.cause());
     }
     serverChannel = bound.channel();
+    timeoutChecks =
+        loops
+            .next()
+            .scheduleWithFixedDelay(
+                this::checkTimeouts,
+                TIMEOUT_CHECK_INTERVAL_MILLIS,
+                TIMEOUT_CHECK_INTERVAL_MILLIS,
+                TimeUnit.MILLISECONDS);
+  }
+
+  private void accept(SocketChannel channel) {
+    if (connections.size() >= memory.maxConnections() && !closeLongestIdle()) {
+      refusedConnections.incrementAndGet();
+      channel.close();
+      return;
+    }
+    connections.add(channel);
+    RequestDecoder decoder = new RequestDecoder(MAX_HEADER_BYTES);
+    RequestAssembler assembler = new RequestAssembler(decoder, limits, memory, clock::millis);
+    channel
+        .pipeline()
+        .addLast(decoder)
+        .addLast(new HttpResponseEncoder())
+        .addLast(assembler)
+        .addLast(
+            new WebConnection(
+                handler, () -> draining, openRequests, assembler, memory, clock::millis, log));
+  }
+
+  /**
+   * Closes the connection that has been idle for the longest time, in favor of a new one.
+   *
+   * @return whether there was an idle connection
+   */
+  private boolean closeLongestIdle() {
+    Optional<Channel> idle =
+        connections.stream()
+            .filter(channel -> channel.pipeline().get(WebConnection.class) != null)
+            .filter(channel -> channel.pipeline().get(WebConnection.class).isIdle())
+            .min(
+                Comparator.comparingLong(
+                    channel -> channel.pipeline().get(WebConnection.class).lastUsedAt()));
+    idle.ifPresent(Channel::close);
+    return idle.isPresent();
+  }
+
+  private void checkTimeouts() {
+    try {
+      WebLimits current = limits.get();
+      connections.forEach(channel -> checkTimeouts(channel, current));
+    } catch (RuntimeException | OutOfMemoryError e) {
+      // An exception would end the periodic checks.
+      log.error("timeout-check-failed", "address=" + address, e);
+    }
+  }
+
+  private static void checkTimeouts(Channel channel, WebLimits current) {
+    if (channel.eventLoop().inEventLoop()) {
+      WebConnection.checkTimeouts(channel, current);
+    } else {
+      channel.eventLoop().execute(() -> WebConnection.checkTimeouts(channel, current));
+    }
   }
 
   /**
@@ -93,6 +186,11 @@
         channel -> channel.eventLoop().execute(() -> WebConnection.closeIfIdle(channel)));
   }
 
+  /** Returns the number of connections that were refused because too many were open. */
+  public long refusedConnectionCount() {
+    return refusedConnections.get();
+  }
+
   /** Returns the number of open connections. */
   public int connectionCount() {
     return connections.size();
@@ -110,6 +208,9 @@
   }
 
   private void stopListening() {
+    if (timeoutChecks != null) {
+      timeoutChecks.cancel(false);
+    }
     Channel channel = serverChannel;
     if (channel != null) {
       channel.close().awaitUninterruptibly();
--- a/burdockbay-server/src/main/java/org/burdockbay/server/web/WebRequest.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/web/WebRequest.java
@@ -1,6 +1,7 @@
 package org.burdockbay.server.web;
 
-import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
 import java.nio.ByteBuffer;
 import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
@@ -19,21 +20,24 @@
 public record WebRequest(
     String method, String path, String host, Bytes body, HeaderLookup headers) {
 
-  static WebRequest of(FullHttpRequest request) {
+  static WebRequest of(HttpRequest request, Bytes body) {
     String target = request.uri();
     int query = target.indexOf('?');
     String path = query < 0 ? target : target.substring(0, query);
-    byte[] body = new byte[request.content().readableBytes()];
-    request.content().getBytes(request.content().readerIndex(), body);
-    var headers = request.headers().copy();
+    HttpHeaders headers = request.headers();
     return new WebRequest(
         request.method().name(),
         path,
         withoutPort(Optional.ofNullable(headers.get("Host")).orElse("")),
-        Bytes.copyOf(body),
+        body,
         name -> Optional.ofNullable(headers.get(name)));
   }
 
+  /** Returns this request without its body and headers. */
+  WebRequest withoutContent() {
+    return new WebRequest(method, path, host, Bytes.EMPTY, name -> Optional.empty());
+  }
+
   /**
    * Returns the body as text.
    *
--- a/burdockbay-server/src/test/java/org/burdockbay/server/web/WebListenerTest.java
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/web/WebListenerTest.java
@@ -2,6 +2,7 @@
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNull;
 import static org.testng.Assert.assertTrue;
 
 import io.netty.channel.EventLoopGroup;
@@ -11,8 +12,12 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.burdockbay.core.clock.Clock;
 import org.burdockbay.server.logging.EventLog;
 import org.burdockbay.server.settings.HostAddress;
 import org.testng.annotations.AfterMethod;
@@ -105,6 +110,68 @@
     awaitNoOpenRequests();
   }
 
+  /** Guards against requests that are sent without reading any response, and wait in memory. */
+  @Test
+  public void closesConnectionsWithTooManyWaitingRequests() throws Exception {
+    try (Socket caller = new Socket()) {
+      caller.connect(address.toSocketAddress());
+      for (int i = 0; i < WebConnection.MAX_WAITING_REQUESTS + 2; i++) {
+        sendRequest(caller);
+      }
+      assertEquals(caller.getInputStream().read(), -1);
+    }
+    awaitNoOpenRequests();
+  }
+
+  /** Guards against responses that are never read, and fill the memory with those that follow. */
+  @Test
+  public void handlesNoRequestWhileResponseIsUnread() throws Exception {
+    try (Socket caller = new Socket()) {
+      caller.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
+      caller.connect(address.toSocketAddress());
+      sendRequest(caller);
+      openExchanges.take().respond(WebResponse.text(200, LARGE_RESPONSE));
+      caller.getInputStream().readNBytes(RECEIVE_BUFFER_BYTES);
+      sendRequest(caller);
+      assertNull(openExchanges.poll(200, TimeUnit.MILLISECONDS));
+      caller.getInputStream().skipNBytes(LARGE_RESPONSE.length() - RECEIVE_BUFFER_BYTES);
+      openExchanges.take().respond(WebResponse.empty(200));
+    }
+  }
+
+  /** Guards against callers that are kept out by connections on which nothing is sent. */
+  @Test
+  public void closesIdleConnectionsInFavorOfNewOnes() throws Exception {
+    listener.close();
+    WebMemory memory = WebMemory.ofHeap(4 * 48 * 1024);
+    listener =
+        new WebListener(
+            loops,
+            address,
+            () -> WebLimits.CALLERS,
+            memory,
+            openExchanges::add,
+            new EventLog("test"),
+            Clock.monotonic());
+    listener.start();
+    List<Socket> idle = new ArrayList<>();
+    for (int i = 0; i < 20; i++) {
+      Socket socket = new Socket();
+      socket.connect(address.toSocketAddress());
+      idle.add(socket);
+    }
+    try (Socket caller = new Socket()) {
+      caller.connect(address.toSocketAddress());
+      sendRequest(caller);
+      openExchanges.take().respond(WebResponse.empty(200));
+      assertEquals((char) caller.getInputStream().read(), 'H');
+      assertTrue(listener.connectionCount() <= 4, listener.connectionCount() + " connections");
+    }
+    for (Socket socket : idle) {
+      socket.close();
+    }
+  }
+
   private void awaitNoOpenRequests() throws InterruptedException {
     while (listener.openRequestCount() > 0) {
       Thread.sleep(POLL_INTERVAL_MILLIS);
