--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/CatalogKeeper.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/CatalogKeeper.java
@@ -127,6 +127,10 @@
       // stays in force.
       log.error("catalog-unreadable", "version=" + compressed.version(), e);
       control.execute(this::scheduleRetry);
+    } catch (RuntimeException | OutOfMemoryError e) {
+      // Without a retry, no later announcement of this version would lead to a download.
+      log.error("catalog-undecoded", "version=" + compressed.version(), e);
+      control.execute(this::scheduleRetry);
     }
   }
 
