Limit the memory of registered upstreams and of retained news

Cause: each announcement under a new id was registered for ten minutes, and its news kept for 20 s and relayed to all hosts, without a bound.

Change: the registry and the retained news have a part of the heap each; a host that missed news which is no longer retained gets the full state. Known upstreams stay accepted when the registry is full.

--- a/burdockbay-core/src/main/java/org/burdockbay/core/fleet/UpstreamRegistry.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/fleet/UpstreamRegistry.java
@@ -2,10 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
 
 /**
  * Holds the newest announcement of each upstream, with its age.
@@ -20,8 +22,19 @@
   public static final long DEPARTURE_RETENTION_MILLIS = 30_000;
 
   private final long silenceTimeoutMillis;
-  private final Map<String, Entry> entries = new HashMap<>();
-  private final Map<String, Departure> departures = new HashMap<>();
+
+  /** Maximum number of retained departures; the oldest ones are dropped. */
+  private static final int MAX_DEPARTURES = 10_000;
+
+  /** Memory of an announcement and of the lease of its upstream, beside its texts, in bytes. */
+  private static final long ENTRY_BYTES = 1_024;
+
+  private static final long BYTES_PER_CHAR = 2;
+
+  private final long limitBytes;
+  private final Map<String, Entry> entries = new ConcurrentHashMap<>();
+  private final Map<String, Departure> departures = new LinkedHashMap<>();
+  private final AtomicLong usedBytes = new AtomicLong();
 
   /**
    * Creates an empty registry.
@@ -29,11 +42,34 @@
    * @param silenceTimeoutMillis the silence after which an upstream is removed, in milliseconds
    */
   public UpstreamRegistry(long silenceTimeoutMillis) {
+    this(silenceTimeoutMillis, Long.MAX_VALUE);
+  }
+
+  /**
+   * Creates an empty registry.
+   *
+   * @param silenceTimeoutMillis the silence after which an upstream is removed, in milliseconds
+   * @param limitBytes the memory that the announcements may take, in bytes
+   */
+  public UpstreamRegistry(long silenceTimeoutMillis, long limitBytes) {
     this.silenceTimeoutMillis = silenceTimeoutMillis;
+    this.limitBytes = limitBytes;
+  }
+
+  /** Returns whether there is memory for an announcement; may be called on any thread. */
+  public boolean hasRoomFor(UpstreamAnnouncement announcement) {
+    Entry known = entries.get(announcement.id());
+    long added = bytes(announcement) - (known == null ? 0 : bytes(known.announcement));
+    return added <= 0 || added <= limitBytes - usedBytes.get();
+  }
+
+  /** Returns the estimated memory of all announcements, in bytes; may be called on any thread. */
+  public long usedBytes() {
+    return usedBytes.get();
   }
 
   /**
-   * Records an announcement unless it is outdated.
+   * Records an announcement unless it is outdated or there is no memory for it.
    *
    * @param ageMillis the known age of the announcement, in milliseconds
    * @param now the current time in milliseconds
@@ -48,7 +84,11 @@
     if (known != null && !announcement.isNewerThan(known.announcement)) {
       return false;
     }
+    if (!hasRoomFor(announcement)) {
+      return false;
+    }
     entries.put(announcement.id(), new Entry(announcement, now - ageMillis));
+    usedBytes.addAndGet(bytes(announcement) - (known == null ? 0 : bytes(known.announcement)));
     return true;
   }
 
@@ -58,7 +98,11 @@
     if (known == null) {
       return Optional.empty();
     }
+    usedBytes.addAndGet(-bytes(known.announcement));
     departures.put(id, new Departure(known.announcement.startedAt(), now));
+    if (departures.size() > MAX_DEPARTURES) {
+      departures.remove(departures.keySet().iterator().next());
+    }
     return Optional.of(known.announcement);
   }
 
@@ -75,6 +119,7 @@
               boolean silent = now - entry.announcedAt > silenceTimeoutMillis;
               if (silent) {
                 expired.add(entry.announcement);
+                usedBytes.addAndGet(-bytes(entry.announcement));
               }
               return silent;
             });
@@ -100,6 +145,18 @@
     return known == null ? 0 : now - known.announcedAt;
   }
 
+  private static long bytes(UpstreamAnnouncement announcement) {
+    long chars =
+        (long) announcement.id().length()
+            + announcement.service().length()
+            + announcement.address().length()
+            + announcement.domain().length();
+    for (String label : announcement.labels()) {
+      chars += label.length() + ENTRY_BYTES / 16;
+    }
+    return ENTRY_BYTES + BYTES_PER_CHAR * chars;
+  }
+
   private record Entry(UpstreamAnnouncement announcement, long announcedAt) {}
 
   private record Departure(long startedAt, long departedAt) {}
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/UpstreamGossip.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/UpstreamGossip.java
@@ -5,6 +5,7 @@
 import java.util.Collection;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -12,6 +13,7 @@
 import org.burdockbay.core.fleet.UpstreamAnnouncement;
 import org.burdockbay.core.fleet.UpstreamRegistry;
 import org.burdockbay.core.lease.LeaseEvent;
+import org.burdockbay.core.limits.HostLimits;
 import org.burdockbay.core.message.PeerMessage;
 import org.burdockbay.core.shard.ShardLayout;
 
@@ -44,12 +46,22 @@
   /** Interval at which unchanged announcements are relayed, in milliseconds. */
   static final long RESEND_INTERVAL_MILLIS = SILENCE_TIMEOUT_MILLIS / 10;
 
-  private final UpstreamRegistry registry = new UpstreamRegistry(SILENCE_TIMEOUT_MILLIS);
+  /** Memory of an announcement in retained news, in bytes. */
+  private static final long ANNOUNCEMENT_BYTES = 1_024;
+
+  private final UpstreamRegistry registry;
+  private final long maxNewsBytes;
   private final Consumer<LeaseEvent> dispatcher;
   private final Consumer<PeerMessage> broadcaster;
-  private List<PeerMessage.UpstreamNews.Announced> pendingAnnouncements = new ArrayList<>();
+  private final Map<String, PeerMessage.UpstreamNews.Announced> pendingAnnouncements =
+      new LinkedHashMap<>();
   private List<UpstreamAnnouncement> pendingDepartures = new ArrayList<>();
   private final Deque<SentNews> sentNews = new ArrayDeque<>();
+  private long sentNewsBytes;
+
+  /** Since when all broadcast news is retained. */
+  private long newsRetainedSince = Long.MIN_VALUE;
+
   private long nextSendAt;
 
   /** When the next unchanged announcement of each upstream is due to be relayed. */
@@ -62,6 +74,20 @@
    * @param broadcaster sends a message to all other hosts
    */
   UpstreamGossip(Consumer<LeaseEvent> dispatcher, Consumer<PeerMessage> broadcaster) {
+    this(dispatcher, broadcaster, HostLimits.UNLIMITED);
+  }
+
+  /**
+   * Creates an instance without any upstreams.
+   *
+   * @param dispatcher receives the events of the local dispatcher
+   * @param broadcaster sends a message to all other hosts
+   * @param limits limits on the memory of upstreams and of news
+   */
+  UpstreamGossip(
+      Consumer<LeaseEvent> dispatcher, Consumer<PeerMessage> broadcaster, HostLimits limits) {
+    this.registry = new UpstreamRegistry(SILENCE_TIMEOUT_MILLIS, limits.upstreamBytes());
+    this.maxNewsBytes = limits.newsBytes();
     this.dispatcher = dispatcher;
     this.broadcaster = broadcaster;
   }
@@ -81,7 +107,8 @@
     boolean repeats = before.filter(announcement::hasSameContent).isPresent();
     if (!repeats || now >= nextResendAt.getOrDefault(announcement.id(), 0L)) {
       nextResendAt.put(announcement.id(), now + RESEND_INTERVAL_MILLIS);
-      pendingAnnouncements.add(new PeerMessage.UpstreamNews.Announced(announcement, 0));
+      pendingAnnouncements.put(
+          announcement.id(), new PeerMessage.UpstreamNews.Announced(announcement, 0));
     }
   }
 
@@ -93,6 +120,7 @@
             announcement -> {
               dispatcher.accept(new LeaseEvent.Departed(announcement));
               nextResendAt.remove(upstream);
+              pendingAnnouncements.remove(upstream);
               pendingDepartures.add(announcement);
             });
   }
@@ -128,7 +156,7 @@
    * missed it, or all registered announcements if that news is no longer retained.
    */
   Optional<PeerMessage> newsSince(long since, long now) {
-    if (now - since > NEWS_RETENTION_MILLIS) {
+    if (now - since > NEWS_RETENTION_MILLIS || since < newsRetainedSince) {
       return fullNews(now);
     }
     List<PeerMessage.UpstreamNews.Announced> missedAnnounced = new ArrayList<>();
@@ -150,6 +178,16 @@
         : Optional.of(new PeerMessage.UpstreamNews(missedAnnounced, missedDeparted));
   }
 
+  /** Returns whether there is memory for an announcement; may be called on any thread. */
+  boolean hasRoomFor(UpstreamAnnouncement announcement) {
+    return registry.hasRoomFor(announcement);
+  }
+
+  /** Returns the memory of the registered upstreams, in bytes; may be called on any thread. */
+  long upstreamBytes() {
+    return registry.usedBytes();
+  }
+
   /** Returns the number of registered upstreams. */
   int upstreamCount() {
     return registry.announcements().size();
@@ -167,18 +205,28 @@
     if (now >= nextSendAt && !(pendingAnnouncements.isEmpty() && pendingDepartures.isEmpty())) {
       nextSendAt = now + BATCH_INTERVAL_MILLIS;
       PeerMessage.UpstreamNews news =
-          new PeerMessage.UpstreamNews(pendingAnnouncements, pendingDepartures);
+          new PeerMessage.UpstreamNews(
+              List.copyOf(pendingAnnouncements.values()), pendingDepartures);
       sentNews.addLast(new SentNews(news, now));
+      sentNewsBytes += bytes(news);
       broadcaster.accept(news);
-      pendingAnnouncements = new ArrayList<>();
+      pendingAnnouncements.clear();
       pendingDepartures = new ArrayList<>();
     }
-    while (!sentNews.isEmpty() && now - sentNews.getFirst().sentAt > NEWS_RETENTION_MILLIS) {
-      sentNews.removeFirst();
+    while (!sentNews.isEmpty()
+        && (now - sentNews.getFirst().sentAt > NEWS_RETENTION_MILLIS
+            || sentNewsBytes > maxNewsBytes)) {
+      SentNews oldest = sentNews.removeFirst();
+      sentNewsBytes -= bytes(oldest.news);
+      newsRetainedSince = oldest.sentAt + 1;
     }
     registry.expireSilentUpstreams(now).forEach(this::upstreamExpired);
   }
 
+  private static long bytes(PeerMessage.UpstreamNews news) {
+    return ANNOUNCEMENT_BYTES * (news.announced().size() + news.departed().size());
+  }
+
   private void upstreamExpired(UpstreamAnnouncement lost) {
     nextResendAt.remove(lost.id());
     dispatcher.accept(new LeaseEvent.Departed(lost));
--- a/burdockbay-server/src/test/java/org/burdockbay/server/node/UpstreamGossipTest.java
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/node/UpstreamGossipTest.java
@@ -1,6 +1,7 @@
 package org.burdockbay.server.node;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import java.util.ArrayList;
@@ -8,6 +9,7 @@
 import java.util.Set;
 import org.burdockbay.core.fleet.UpstreamAnnouncement;
 import org.burdockbay.core.lease.LeaseEvent;
+import org.burdockbay.core.limits.HostLimits;
 import org.burdockbay.core.message.PeerMessage;
 import org.burdockbay.core.work.TaskSize;
 import org.testng.annotations.BeforeMethod;
@@ -44,6 +46,35 @@
     assertEquals(events, List.of(new LeaseEvent.Announced(announcement())));
   }
 
+  /** Guards against announcements under ever new ids that fill the memory. */
+  @Test
+  public void refusesUpstreamsBeyondMemory() {
+    HostLimits limits = HostLimits.ofHeap(72 * 1024 * 1024);
+    gossip = new UpstreamGossip(events::add, sentMessages::add, limits);
+    for (int i = 0; i < 20_000; i++) {
+      gossip.upstreamAnnounced(announcement("i-" + i, 1), i);
+      gossip.tick(i);
+    }
+    assertTrue(gossip.upstreamCount() > 1_300, gossip.upstreamCount() + " upstreams");
+    assertTrue(gossip.upstreamBytes() <= limits.upstreamBytes());
+    assertFalse(gossip.hasRoomFor(announcement("i-20000", 1)));
+    assertTrue(gossip.hasRoomFor(announcement("i-0", 2)));
+  }
+
+  /** Guards against news that is retained for hosts that reconnect and fills the memory. */
+  @Test
+  public void sendsFullNewsOnceTooMuchIsMissed() {
+    HostLimits limits = HostLimits.ofHeap(32 * 1024 * 1024);
+    gossip = new UpstreamGossip(events::add, sentMessages::add, limits);
+    for (int i = 0; i < 3_000; i++) {
+      gossip.upstreamAnnounced(announcement("i-" + i % 20, 1 + i), 100L * (i / 20));
+      gossip.tick(100L * (i / 20));
+    }
+    PeerMessage.UpstreamNews missed =
+        (PeerMessage.UpstreamNews) gossip.newsSince(0, 15_000).orElseThrow();
+    assertEquals(missed.announced().size(), 20);
+  }
+
   /** Guards against retaining upstreams that failed permanently without announcing it. */
   @Test
   public void expiresUpstreamsAfterTheSilenceTimeout() {
@@ -102,6 +133,12 @@
     return announcement(1, false);
   }
 
+  private static UpstreamAnnouncement announcement(String id, long sequence) {
+    boolean leaving = (sequence & 1) == 0;
+    return new UpstreamAnnouncement(
+        id, 1, sequence, "desk", "u1:1", "north", leaving, TaskSize.ZERO, Set.of());
+  }
+
   private static UpstreamAnnouncement announcement(long sequence, boolean leaving) {
     return new UpstreamAnnouncement(
         "u1",
