Limit frames of unauthenticated connections and unsent bytes between hosts

Cause: anyone who connected to the port for other hosts could announce a frame of 64 MB, and the host buffered what came; 64 MB could be unsent for each of the other hosts.

Change: 4 KB until the handshake is complete, a sixteenth of the heap afterwards; the oldest of more than 128 connections without a handshake is closed; unsent bytes are parts of the heap, for each connection and for all.

--- a/burdockbay-server/src/main/java/org/burdockbay/server/transport/InboundHandler.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/transport/InboundHandler.java
@@ -23,6 +23,7 @@
   private final long maxGapMillis;
   private final Clock clock;
   private final TransportCounters counters;
+  private final PendingHandshakes pendingHandshakes;
   private final EventLog log;
   private Wire.@Nullable Hello localHello;
   private Wire.@Nullable Hello remoteHello;
@@ -43,6 +44,34 @@
       Clock clock,
       TransportCounters counters,
       EventLog log) {
+    this(
+        handshake,
+        listener,
+        onAuthenticated,
+        maxGapMillis,
+        clock,
+        counters,
+        new PendingHandshakes(),
+        log);
+  }
+
+  /**
+   * Creates the handler of one connection.
+   *
+   * @param onAuthenticated called with the id of the other host once it is authenticated
+   * @param maxGapMillis longest accepted gap between two messages, in milliseconds
+   * @param pendingHandshakes the accepted connections that aren't authenticated yet
+   */
+  InboundHandler(
+      Handshake handshake,
+      PeerListener listener,
+      Consumer<String> onAuthenticated,
+      long maxGapMillis,
+      Clock clock,
+      TransportCounters counters,
+      PendingHandshakes pendingHandshakes,
+      EventLog log) {
+    this.pendingHandshakes = pendingHandshakes;
     this.handshake = handshake;
     this.listener = listener;
     this.onAuthenticated = onAuthenticated;
@@ -52,6 +81,18 @@
     this.log = log;
   }
 
+  @Override
+  public void channelActive(ChannelHandlerContext context) {
+    pendingHandshakes.begun(context.channel());
+    context.fireChannelActive();
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext context) {
+    pendingHandshakes.ended(context.channel());
+    context.fireChannelInactive();
+  }
+
   @Override
   protected void channelRead0(ChannelHandlerContext context, Wire.Envelope envelope) {
     if (!context.channel().isActive()) {
@@ -95,6 +136,11 @@
       return;
     }
     authenticated = true;
+    pendingHandshakes.ended(context.channel());
+    PeerFrameDecoder frames = context.pipeline().get(PeerFrameDecoder.class);
+    if (frames != null) {
+      frames.handshakeCompleted();
+    }
     lastReceivedAt = clock.millis();
     context.writeAndFlush(
         Wire.Envelope.newBuilder().setProof(handshake.proof(local, remote)).build());
--- a/burdockbay-server/src/main/java/org/burdockbay/server/transport/OutboundConnection.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/transport/OutboundConnection.java
@@ -11,6 +11,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import org.burdockbay.core.clock.Clock;
 import org.burdockbay.server.logging.EventLog;
 import org.burdockbay.server.settings.PeerSettings;
@@ -33,7 +34,14 @@
 
   private static final long MAX_RETRY_INTERVAL_MILLIS = 200;
   private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
-  private static final int MAX_UNSENT_BYTES = 64 * 1024 * 1024;
+
+  /** Maximum number of unsent bytes of a connection: a part of the heap. */
+  private static final long MAX_UNSENT_BYTES =
+      Math.min(64 * 1024 * 1024, Runtime.getRuntime().maxMemory() / 24);
+
+  /** Maximum number of unsent bytes of all connections together: a part of the heap. */
+  private static final long MAX_TOTAL_UNSENT_BYTES =
+      Math.min(256 * 1024 * 1024, Runtime.getRuntime().maxMemory() / 8);
 
   /** Unsent bytes above which the backlog is logged; a link sends as much in about a second. */
   private static final int BACKLOG_THRESHOLD_BYTES = 256 * 1024;
@@ -114,8 +122,10 @@
    *
    * <p>The message is dropped without a connection, or if too many bytes are unsent, which also
    * closes the connection. Senders of messages that must arrive resend them.
+   *
+   * @param totalUnsentBytes supplies the number of unsent bytes of all connections
    */
-  void send(Wire.Envelope envelope) {
+  void send(Wire.Envelope envelope, LongSupplier totalUnsentBytes) {
     Channel channel = establishedChannel;
     if (channel == null) {
       counters.countDropped(envelope);
@@ -125,7 +135,11 @@
     if (unsent > BACKLOG_THRESHOLD_BYTES) {
       logBacklog(unsent);
     }
-    if (unsent > MAX_UNSENT_BYTES) {
+    boolean excessive =
+        unsent > MAX_UNSENT_BYTES
+            || (unsent > BACKLOG_THRESHOLD_BYTES
+                && totalUnsentBytes.getAsLong() > MAX_TOTAL_UNSENT_BYTES);
+    if (excessive) {
       counters.countDropped(envelope);
       connectReason = TransportCounters.ConnectReason.BACKLOG;
       channel.close();
--- a/burdockbay-server/src/main/java/org/burdockbay/server/transport/PeerChannelInitializer.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/transport/PeerChannelInitializer.java
@@ -4,7 +4,6 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
 import io.netty.handler.codec.protobuf.ProtobufEncoder;
 import java.util.function.Supplier;
@@ -12,9 +11,6 @@
 /** Sets up a connection between hosts: length-prefixed frames, protobuf and the given handler. */
 final class PeerChannelInitializer extends ChannelInitializer<SocketChannel> {
 
-  private static final int MAX_FRAME_BYTES = 64 * 1024 * 1024;
-  private static final int LENGTH_FIELD_BYTES = 4;
-
   private final TransportCounters counters;
   private final Supplier<ChannelHandler> handler;
 
@@ -26,11 +22,9 @@
   @Override
   protected void initChannel(SocketChannel channel) {
     ChannelPipeline pipeline = channel.pipeline();
-    pipeline.addLast(
-        new LengthFieldBasedFrameDecoder(
-            MAX_FRAME_BYTES, 0, LENGTH_FIELD_BYTES, 0, LENGTH_FIELD_BYTES));
+    pipeline.addLast(new PeerFrameDecoder());
     pipeline.addLast(new EnvelopeDecoder(counters));
-    pipeline.addLast(new LengthFieldPrepender(LENGTH_FIELD_BYTES));
+    pipeline.addLast(new LengthFieldPrepender(PeerFrameDecoder.LENGTH_FIELD_BYTES));
     pipeline.addLast(new ProtobufEncoder());
     pipeline.addLast(handler.get());
   }
--- a/burdockbay-server/src/main/java/org/burdockbay/server/transport/PeerTransport.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/transport/PeerTransport.java
@@ -26,6 +26,7 @@
   private final EventLog log;
   private final Clock clock;
   private final EventLoopGroup eventLoops;
+  private final PendingHandshakes pendingHandshakes = new PendingHandshakes();
   private final Map<String, OutboundConnection> outbound = new ConcurrentHashMap<>();
   private @Nullable Channel serverChannel;
   private @Nullable PeerListener listener;
@@ -76,6 +77,7 @@
                             settings.maxGapMillis(),
                             clock,
                             counters,
+                            pendingHandshakes,
                             log)));
     var bound = bootstrap.bind(settings.address().toSocketAddress()).awaitUninterruptibly();
     if (!bound.isSuccess()) {
@@ -137,10 +139,14 @@
   public void send(String host, PeerMessage message) {
     OutboundConnection connection = outbound.get(host);
     if (connection != null) {
-      connection.send(PeerCodec.encode(message));
+      connection.send(PeerCodec.encode(message), this::totalUnsentBytes);
     }
   }
 
+  private long totalUnsentBytes() {
+    return outbound.values().stream().mapToLong(OutboundConnection::unsentBytes).sum();
+  }
+
   private long maxUnsentBytes() {
     return outbound.values().stream().mapToLong(OutboundConnection::unsentBytes).max().orElse(0);
   }
