Limit log lines and metrics that grow with texts of other parties

Change: lines are cut at 2,000 characters, the queue holds a million, the thread goes on. 32 histograms and 1,000 names of outcomes, the others share one.

--- a/burdockbay-server/src/main/java/org/burdockbay/server/logging/BoundedConsoleWriter.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/logging/BoundedConsoleWriter.java
@@ -16,18 +16,22 @@
 /**
  * Writes log lines to standard output on a separate thread, through a bounded queue.
  *
- * <p>Logging never blocks: when the queue is full, lines are dropped, and a line with their number
- * follows the next lines that are written. The logging library's configuration refers to this
- * writer as {@code bounded console}.
+ * <p>Logging never blocks: when the queue is full by number or length of its lines, lines are
+ * dropped, and a line with their number follows the next lines that are written. The logging
+ * library's configuration refers to this writer as {@code bounded console}.
  */
 public final class BoundedConsoleWriter extends AbstractFormatPatternWriter {
 
   /** Capacity of the queue; at 200 bytes a line the queue takes less than a megabyte. */
   private static final int MAX_QUEUED_LINES = 4_096;
 
+  /** Maximum number of characters in the queue. */
+  private static final int MAX_QUEUED_CHARS = 1024 * 1024;
+
   private static final int MAX_BATCH_LINES = 256;
 
   private final BlockingQueue<String> queue = new ArrayBlockingQueue<>(MAX_QUEUED_LINES);
+  private final AtomicLong queuedChars = new AtomicLong();
   private final AtomicLong droppedLines = new AtomicLong();
   private final PrintStream out = System.out;
   private final Thread thread;
@@ -47,7 +51,9 @@
 
   @Override
   public void write(LogEntry entry) {
-    if (!queue.offer(render(entry))) {
+    String line = render(entry);
+    if (queuedChars.addAndGet(line.length()) > MAX_QUEUED_CHARS || !queue.offer(line)) {
+      queuedChars.addAndGet(-line.length());
       droppedLines.incrementAndGet();
     }
   }
@@ -71,7 +77,7 @@
       while (true) {
         batch.add(queue.take());
         queue.drainTo(batch, MAX_BATCH_LINES - 1);
-        print(batch);
+        printSafely(batch);
         batch.clear();
       }
     } catch (InterruptedException e) {
@@ -79,7 +85,17 @@
     }
   }
 
+  /** Prints lines, or counts them as dropped; without this thread nothing would be logged. */
+  private void printSafely(List<String> lines) {
+    try {
+      print(lines);
+    } catch (RuntimeException | OutOfMemoryError e) {
+      droppedLines.addAndGet(lines.size());
+    }
+  }
+
   private synchronized void print(List<String> lines) {
+    lines.forEach(line -> queuedChars.addAndGet(-line.length()));
     long lost = droppedLines.getAndSet(0);
     StringBuilder text = new StringBuilder(String.join("", lines));
     if (lost > 0) {
--- a/burdockbay-server/src/main/java/org/burdockbay/server/logging/EventLog.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/logging/EventLog.java
@@ -9,6 +9,9 @@
  */
 public final class EventLog {
 
+  /** Maximum length of a line, in characters; the rest of longer ones is cut off. */
+  static final int MAX_LINE_CHARS = 2_000;
+
   private final String host;
 
   /** Creates a log that adds the given host id to each line. */
@@ -36,8 +39,10 @@
     return '"' + value.replace('"', '\'').replace('\n', ' ') + '"';
   }
 
-  private String formatLine(String event, String fields) {
+  String formatLine(String event, String fields) {
     String head = "host=" + host + " event=" + event;
-    return fields.isEmpty() ? head : head + " " + fields;
+    String line = fields.isEmpty() ? head : head + " " + fields;
+    int excess = line.length() - MAX_LINE_CHARS;
+    return excess <= 0 ? line : line.substring(0, MAX_LINE_CHARS) + "... cut-chars=" + excess;
   }
 }
--- a/burdockbay-server/src/main/java/org/burdockbay/server/metrics/HostMetrics.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/metrics/HostMetrics.java
@@ -5,6 +5,8 @@
 import com.codahale.metrics.Snapshot;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.burdockbay.core.agreement.FaultMargin;
 import org.burdockbay.core.agreement.FaultTolerance;
@@ -18,7 +20,21 @@
 
   private static final String OUTCOME_PREFIX = "outcome";
 
+  /**
+   * Maximum number of histograms of response times; each takes up to 100 KB. Queues and jobs beyond
+   * it share one.
+   */
+  private static final int MAX_RESPONSE_HISTOGRAMS = 32;
+
+  /** Maximum number of queues and callers whose outcomes are counted separately. */
+  private static final int MAX_OUTCOME_GROUPS = 1_000;
+
+  /** The name under which all others are recorded. */
+  private static final String OTHERS = "others";
+
   private final MetricRegistry registry;
+  private final Set<String> responseNames = ConcurrentHashMap.newKeySet();
+  private final Set<String> outcomeNames = ConcurrentHashMap.newKeySet();
   private final AtomicInteger evacuatedDomains = new AtomicInteger();
   private volatile FaultMargin faultMargin = FaultMargin.NO_QUORUM;
   private volatile FaultTolerance faultTolerance = FaultTolerance.DEFAULT;
@@ -52,14 +68,30 @@
 
   /** Records the outcome of a job and its response time in milliseconds. */
   public void recordJob(String caller, String job, JobOutcome outcome, long millis) {
-    registry.histogram(MetricRegistry.name(RESPONSE_PREFIX, caller, job)).update(millis);
-    registry.counter(MetricRegistry.name(OUTCOME_PREFIX, caller, outcome.code())).inc();
+    recordResponse(MetricRegistry.name(caller, job), millis);
+    String group = limited(caller, outcomeNames, MAX_OUTCOME_GROUPS);
+    registry.counter(MetricRegistry.name(OUTCOME_PREFIX, group, outcome.code())).inc();
   }
 
   /** Records the outcome of work of a queue and its response time in milliseconds. */
   public void recordWork(String queue, String outcome, long millis) {
-    registry.histogram(MetricRegistry.name(RESPONSE_PREFIX, "queue", queue)).update(millis);
-    registry.counter(MetricRegistry.name(OUTCOME_PREFIX, "queue", queue, outcome)).inc();
+    recordResponse(MetricRegistry.name("queue", queue), millis);
+    String group = limited(queue, outcomeNames, MAX_OUTCOME_GROUPS);
+    registry.counter(MetricRegistry.name(OUTCOME_PREFIX, "queue", group, outcome)).inc();
+  }
+
+  private void recordResponse(String name, long millis) {
+    String limitedName = limited(name, responseNames, MAX_RESPONSE_HISTOGRAMS);
+    registry.histogram(MetricRegistry.name(RESPONSE_PREFIX, limitedName)).update(millis);
+  }
+
+  /**
+   * Returns a name if it is known or there is room for it, else the common one: names come with
+   * configurations, and metrics of removed queues remain.
+   */
+  private static String limited(String name, Set<String> known, int maxNames) {
+    boolean accepted = known.contains(name) || (known.size() < maxNames && known.add(name));
+    return accepted || known.contains(name) ? name : OTHERS;
   }
 
   /** Records the number of evacuated failure domains. */
@@ -90,7 +122,8 @@
     return summaries;
   }
 
-  private void registerGauge(String name, Gauge<Integer> gauge) {
+  /** Registers a gauge. */
+  public <T extends Number> void registerGauge(String name, Gauge<T> gauge) {
     registry.gauge(name, () -> gauge);
   }
 }
--- /dev/null
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/metrics/HostMetricsTest.java
@@ -0,0 +1,40 @@
+package org.burdockbay.server.metrics;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertSame;
+import static org.testng.Assert.assertTrue;
+
+import com.codahale.metrics.MetricRegistry;
+import java.util.concurrent.atomic.AtomicLong;
+import org.testng.annotations.Test;
+
+/** Tests {@link HostMetrics}. */
+public class HostMetricsTest {
+
+  /** Guards against many scrapes that hold up the event loop, as each formats all metrics. */
+  @Test
+  public void formatsMetricsOnceForManyScrapes() {
+    AtomicLong now = new AtomicLong();
+    MetricRegistry registry = new MetricRegistry();
+    MetricsSnapshot snapshot = new MetricsSnapshot(registry, now::get);
+    String first = snapshot.text();
+    registry.counter("c").inc();
+    assertSame(snapshot.text(), first);
+    now.addAndGet(MetricsSnapshot.MAX_AGE_MILLIS + 1);
+    assertEquals(snapshot.text(), "burdockbay_c_total 1\n");
+  }
+
+  /** Guards against histograms for each queue of any configuration, of which none is removed. */
+  @Test
+  public void sharesMetricsAmongQueuesBeyondLimits() {
+    MetricRegistry registry = new MetricRegistry();
+    HostMetrics metrics = new HostMetrics(registry);
+    for (int i = 0; i < 5_000; i++) {
+      metrics.recordWork("q" + i, "completed", 7);
+    }
+    metrics.recordWork("q0", "completed", 7);
+    assertTrue(registry.getHistograms().size() <= 40, registry.getHistograms().size() + "");
+    assertTrue(registry.getCounters().size() <= 1_100, registry.getCounters().size() + "");
+    assertEquals(registry.counter("outcome.queue.q0.completed").getCount(), 2);
+  }
+}
