End the process when a thread that owns state has ended or is stuck

Callers saw: hosts whose control thread was gone accepted connections, answered nothing and said that they were ready, for good.

Cause: ControlThread.runSafely catches RuntimeException only; an Error ended the thread, nothing handled uncaught exceptions, and readiness is read from fields that only that thread changes.

Change: an Error still ends the thread, as state may be half changed; ProcessGuard then ends the process with exit code 70 and a line that names thread and cause. It probes the threads twice a second, and ends the process with 71 after 20 intervals without an answer; intervals are counted, so a pause of the process counts as one. ControlThread.isResponsive tells within a second whether the thread goes on.

--- /dev/null
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/ProcessGuard.java
@@ -0,0 +1,204 @@
+package org.burdockbay.server;
+
+import java.io.FileDescriptor;
+import java.io.FileOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.function.IntConsumer;
+import org.burdockbay.server.logging.EventLog;
+
+/**
+ * Ends the process when a thread that owns state has ended or is stuck.
+ *
+ * <p>Nothing of this host goes on soundly without such a thread, and state that an {@link Error}
+ * left half changed must not be used. A process that ends is restarted; one that stays up without
+ * the thread would accept requests and answer none of them.
+ */
+public final class ProcessGuard {
+
+  /** Exit code after an error or exception that ended a thread. */
+  public static final int EXIT_THREAD_ENDED = 70;
+
+  /** Exit code after a thread was stuck. */
+  public static final int EXIT_THREAD_STUCK = 71;
+
+  /** Time between two probes of each thread, in milliseconds. */
+  static final long PROBE_INTERVAL_MILLIS = 500;
+
+  /**
+   * Number of intervals without an answer to a probe after which a thread is stuck. Intervals are
+   * counted, not measured, so a process that was paused has none to make up for.
+   */
+  static final int STUCK_INTERVALS = 20;
+
+  private static final int MAX_CAUSE_CHARS = 2_000;
+
+  private static final byte[] FALLBACK_LINE =
+      "level=ERROR event=process-ended reason=thread-failed-without-memory-for-a-message\n"
+          .getBytes(StandardCharsets.US_ASCII);
+
+  private final EventLog log;
+  private final IntConsumer exit;
+  private final List<Watch> watches = new CopyOnWriteArrayList<>();
+  private final OutputStream output;
+  private volatile boolean stopped;
+  private volatile int exitCode;
+
+  /** Creates a guard that ends the process without running its shutdown hooks. */
+  public ProcessGuard(EventLog log) {
+    this(log, Runtime.getRuntime()::halt, new FileOutputStream(FileDescriptor.out));
+  }
+
+  /**
+   * Creates a guard.
+   *
+   * @param exit ends the process with an exit code
+   * @param output receives the line that says why the process ends
+   */
+  ProcessGuard(EventLog log, IntConsumer exit, OutputStream output) {
+    this.log = log;
+    this.exit = exit;
+    this.output = output;
+  }
+
+  /**
+   * Watches an event loop or another executor with a single thread.
+   *
+   * @param name the name of the thread, for the log
+   */
+  public void watch(String name, Executor executor) {
+    watches.add(new Watch(name, executor));
+  }
+
+  /** Ends the process on any uncaught exception from now on, and starts to probe the threads. */
+  public void start() {
+    Thread.setDefaultUncaughtExceptionHandler(this::threadEnded);
+    Thread.ofPlatform().daemon().name("process-guard").start(this::run);
+  }
+
+  /** Stops to probe the threads, which end in a planned stop. */
+  public void stop() {
+    stopped = true;
+  }
+
+  /** Handles the end of a thread by an exception that nothing has caught. */
+  void threadEnded(Thread thread, Throwable cause) {
+    if (cause instanceof Error || !thread.isVirtual()) {
+      end(EXIT_THREAD_ENDED, thread.getName(), cause);
+    } else {
+      log.error("thread-failed", "thread=" + thread.getName(), cause);
+    }
+  }
+
+  /** Sends a probe to each thread that has answered the previous one. */
+  void probe() {
+    for (Watch watch : watches) {
+      if (!stopped && !watch.probe()) {
+        end(EXIT_THREAD_ENDED, watch.name, new IllegalStateException("it accepts no tasks"));
+      } else if (!stopped && watch.unansweredIntervals >= STUCK_INTERVALS) {
+        end(EXIT_THREAD_STUCK, watch.name, stackOf(watch.name));
+      }
+    }
+  }
+
+  private void run() {
+    try {
+      while (!stopped) {
+        Thread.sleep(PROBE_INTERVAL_MILLIS);
+        if (exitCode != 0) {
+          // The thread that ends the process waits for its output.
+          exit.accept(exitCode);
+        }
+        probeSafely();
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private void probeSafely() {
+    try {
+      probe();
+    } catch (RuntimeException | OutOfMemoryError e) {
+      log.error("probe-failed", "", e);
+    }
+  }
+
+  private void end(int code, String thread, Throwable cause) {
+    exitCode = code;
+    try {
+      String text = cause.toString().replace('\n', ' ');
+      StringBuilder line =
+          new StringBuilder("level=ERROR event=process-ended exit-code=")
+              .append(code)
+              .append(" thread=")
+              .append(thread)
+              .append(" cause=")
+              .append(EventLog.quote(text));
+      for (StackTraceElement frame : cause.getStackTrace()) {
+        if (line.length() < MAX_CAUSE_CHARS) {
+          line.append(" at ").append(frame);
+        }
+      }
+      write(line.append('\n').toString().getBytes(StandardCharsets.UTF_8));
+    } catch (OutOfMemoryError e) {
+      write(FALLBACK_LINE);
+    } finally {
+      exit.accept(code);
+    }
+  }
+
+  private void write(byte[] line) {
+    try {
+      output.write(line);
+    } catch (IOException e) {
+      // The process ends without a line if nothing reads its output.
+    }
+  }
+
+  private static Throwable stackOf(String threadName) {
+    Throwable cause = new IllegalStateException("it has answered no probe");
+    Thread.getAllStackTraces().entrySet().stream()
+        .filter(entry -> entry.getKey().getName().equals(threadName))
+        .findFirst()
+        .ifPresent(entry -> cause.setStackTrace(entry.getValue()));
+    return cause;
+  }
+
+  private static final class Watch {
+
+    private final String name;
+    private final Executor executor;
+    private volatile boolean answered = true;
+    private int unansweredIntervals;
+
+    Watch(String name, Executor executor) {
+      this.name = name;
+      this.executor = executor;
+    }
+
+    /** Sends a probe if none is unanswered; returns whether the executor accepts tasks. */
+    boolean probe() {
+      if (!answered) {
+        unansweredIntervals++;
+        return true;
+      }
+      unansweredIntervals = 0;
+      try {
+        answered = false;
+        executor.execute(() -> answered = true);
+        return true;
+      } catch (RejectedExecutionException e) {
+        return false;
+      } catch (OutOfMemoryError e) {
+        answered = true;
+        throw e;
+      }
+    }
+  }
+}
--- a/burdockbay-server/src/main/java/org/burdockbay/server/host/ControlThread.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/host/ControlThread.java
@@ -29,6 +29,9 @@
   /** Maximum time before the next flush, in milliseconds; a fraction of the heartbeat interval. */
   private static final long MAX_SLICE_MILLIS = 25;
 
+  /** Time without progress after which the thread counts as stuck, in milliseconds. */
+  private static final long STUCK_TIMEOUT_MILLIS = 1_000;
+
   private final Clock clock;
   private final EventLog log;
   private final WaitMeter controlWaitMeter;
@@ -38,6 +41,10 @@
   private final Queue<Runnable> deferredTasks = new ConcurrentLinkedQueue<>();
   private final Thread thread;
   private volatile boolean stopped;
+
+  /** When the thread last began a task or a wait, in milliseconds. */
+  private volatile long progressAt;
+
   private Runnable tick = () -> {};
   private Runnable flush = () -> {};
 
@@ -59,6 +66,7 @@
   public void start(Runnable onTick, Runnable onFlush) {
     tick = onTick;
     flush = onFlush;
+    progressAt = clock.millis();
     thread.start();
   }
 
@@ -87,6 +95,11 @@
     return queue.size();
   }
 
+  /** Returns whether the thread runs and isn't stuck in a task. */
+  public boolean isResponsive() {
+    return thread.isAlive() && clock.millis() - progressAt <= STUCK_TIMEOUT_MILLIS;
+  }
+
   @Override
   public void close() {
     stopped = true;
@@ -106,6 +119,7 @@
     long nextTick = clock.millis();
     while (!stopped) {
       long now = clock.millis();
+      progressAt = now;
       if (now >= nextTick) {
         runQueuedControlTasks();
         runSafely(tick);
@@ -161,12 +175,18 @@
   private void runTask(Task task) {
     runDeferred();
     long now = clock.millis();
+    progressAt = now;
     WaitMeter waitMeter = task.lane == Lane.CONTROL ? controlWaitMeter : workWaitMeter;
     waitMeter.recordWait(now - task.queuedAt, queue.size(), now);
     runSafely(task.action);
   }
 
-  /** Runs a task, and logs its failure so that a defect in one task can't end the thread. */
+  /**
+   * Runs a task, and logs its failure so that a defect in one task can't end the thread.
+   *
+   * <p>An {@link Error} ends the thread, and with it the process: it may strike at any allocation
+   * and leave state half changed.
+   */
   private void runSafely(Runnable task) {
     try {
       task.run();
--- a/burdockbay-server/src/main/java/org/burdockbay/server/storage/LogWriter.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/storage/LogWriter.java
@@ -70,7 +70,7 @@
       Thread.currentThread().interrupt();
     } catch (StorageException e) {
       onFailure.accept(e);
-    } catch (RuntimeException | OutOfMemoryError e) {
+    } catch (RuntimeException | Error e) {
       // Without this thread nothing is synced, yet the host would continue as a voter.
       onFailure.accept(new StorageException(Fault.FAILED, "log writer failed: " + e, e));
     }
--- /dev/null
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/ProcessGuardTest.java
@@ -0,0 +1,99 @@
+package org.burdockbay.server;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.RejectedExecutionException;
+import org.burdockbay.server.logging.EventLog;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests when a {@link ProcessGuard} ends the process. */
+public class ProcessGuardTest {
+
+  private final List<Integer> exitCodes = new ArrayList<>();
+  private final List<Runnable> probes = new ArrayList<>();
+  private ByteArrayOutputStream output;
+  private ProcessGuard guard;
+
+  /** Creates a guard that records exit codes. */
+  @BeforeMethod
+  public void setUp() {
+    exitCodes.clear();
+    probes.clear();
+    output = new ByteArrayOutputStream();
+    guard = new ProcessGuard(new EventLog("test"), exitCodes::add, output);
+  }
+
+  /** Guards against a process that stays up without a thread that owns its state. */
+  @Test
+  public void endsProcessAfterUncaughtErrors() {
+    guard.threadEnded(new Thread("control"), new OutOfMemoryError("test"));
+    assertEquals(exitCodes, List.of(ProcessGuard.EXIT_THREAD_ENDED));
+    String line = output.toString(UTF_8);
+    String cause = "thread=control cause=\"java.lang.OutOfMemoryError: test\"";
+    assertTrue(line.startsWith("level=ERROR event=process-ended exit-code=70 " + cause), line);
+  }
+
+  /** Guards against ending the process for a task that owns no state. */
+  @Test
+  public void keepsProcessAfterExceptionsOfVirtualThreads() {
+    guard.threadEnded(Thread.ofVirtual().unstarted(() -> {}), new IllegalStateException("test"));
+    assertEquals(exitCodes, List.of());
+    guard.threadEnded(Thread.ofVirtual().unstarted(() -> {}), new StackOverflowError("test"));
+    assertEquals(exitCodes, List.of(ProcessGuard.EXIT_THREAD_ENDED));
+  }
+
+  /** Guards against a process that stays up with a thread that hangs. */
+  @Test
+  public void endsProcessOnceThreadIsStuck() {
+    guard.watch("control", probes::add);
+    for (int i = 0; i < ProcessGuard.STUCK_INTERVALS; i++) {
+      guard.probe();
+    }
+    assertEquals(exitCodes, List.of());
+    guard.probe();
+    assertEquals(exitCodes, List.of(ProcessGuard.EXIT_THREAD_STUCK));
+    assertEquals(probes.size(), 1);
+  }
+
+  /** Guards against ending a process whose threads are slow, but go on. */
+  @Test
+  public void keepsProcessWhoseThreadsAnswer() {
+    guard.watch("control", probes::add);
+    for (int i = 0; i < 10 * ProcessGuard.STUCK_INTERVALS; i++) {
+      guard.probe();
+      if (i % (ProcessGuard.STUCK_INTERVALS - 1) == 0) {
+        probes.forEach(Runnable::run);
+      }
+    }
+    assertEquals(exitCodes, List.of());
+  }
+
+  /** Guards against an event loop that has shut down by itself. */
+  @Test
+  public void endsProcessOnceThreadAcceptsNoTasks() {
+    guard.watch(
+        "event-loop",
+        task -> {
+          throw new RejectedExecutionException("test");
+        });
+    guard.probe();
+    assertEquals(exitCodes, List.of(ProcessGuard.EXIT_THREAD_ENDED));
+  }
+
+  /** Guards against ending a process during its planned stop. */
+  @Test
+  public void ignoresThreadsDuringPlannedStop() {
+    guard.watch("control", probes::add);
+    guard.stop();
+    for (int i = 0; i < 2 * ProcessGuard.STUCK_INTERVALS; i++) {
+      guard.probe();
+    }
+    assertEquals(exitCodes, List.of());
+  }
+}
--- a/burdockbay-server/src/test/java/org/burdockbay/server/host/ControlThreadTest.java
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/host/ControlThreadTest.java
@@ -1,6 +1,8 @@
 package org.burdockbay.server.host;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
 
 import com.codahale.metrics.MetricRegistry;
 import java.util.List;
@@ -81,6 +83,59 @@
     assertEquals(order, List.of("deferred", "work"));
   }
 
+  /**
+   * Guards against work on state that an error left half changed, and against a host that counts as
+   * ready although its control thread is gone.
+   */
+  @Test
+  public void runsNothingAfterAnError() throws Exception {
+    final List<String> order = new CopyOnWriteArrayList<>();
+    final CountDownLatch ended = new CountDownLatch(1);
+    ControlThread thread = new ControlThread(() -> 0, new EventLog("test"), new MetricRegistry());
+    Thread.UncaughtExceptionHandler previous = Thread.getDefaultUncaughtExceptionHandler();
+    Thread.setDefaultUncaughtExceptionHandler((failed, cause) -> ended.countDown());
+    try {
+      thread.start(() -> {}, () -> {});
+      assertTrue(thread.isResponsive());
+      thread.execute(
+          () -> {
+            throw new OutOfMemoryError("test");
+          });
+      thread.execute(() -> order.add("task"));
+      ended.await();
+      thread.close();
+    } finally {
+      Thread.setDefaultUncaughtExceptionHandler(previous);
+    }
+    assertFalse(thread.isResponsive());
+    assertEquals(order, List.of());
+  }
+
+  /** Guards against a host that counts as ready although its control thread is stuck. */
+  @Test
+  public void isNotResponsiveWhileStuck() throws Exception {
+    final AtomicLong now = new AtomicLong();
+    final CountDownLatch blocked = new CountDownLatch(1);
+    final CountDownLatch released = new CountDownLatch(1);
+    final CountDownLatch done = new CountDownLatch(1);
+    ControlThread thread = new ControlThread(now::get, new EventLog("test"), new MetricRegistry());
+    thread.start(() -> {}, () -> {});
+    thread.execute(
+        () -> {
+          blocked.countDown();
+          await(released);
+        });
+    blocked.await();
+    assertTrue(thread.isResponsive());
+    now.addAndGet(DELAY_MILLIS);
+    assertFalse(thread.isResponsive());
+    released.countDown();
+    thread.execute(done::countDown);
+    done.await();
+    assertTrue(thread.isResponsive());
+    thread.close();
+  }
+
   private static void await(CountDownLatch latch) {
     try {
       latch.await();
