--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
@@ -12,6 +12,7 @@
 import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -32,6 +33,8 @@
 import org.burdockbay.core.lease.LeaseEffect;
 import org.burdockbay.core.lease.LeaseEvent;
 import org.burdockbay.core.lease.LeaseTiming;
+import org.burdockbay.core.limits.MemoryBudget;
+import org.burdockbay.core.limits.WorkFootprint;
 import org.burdockbay.core.membership.HostDescriptor;
 import org.burdockbay.core.membership.HostStatus;
 import org.burdockbay.core.membership.Membership;
@@ -124,6 +127,13 @@
   private final Map<String, Long> restartDetectedAt = new HashMap<>();
 
   private final AtomicLong lastTicket;
+
+  /** Memory of the requests whose callers wait at this host. */
+  private final MemoryBudget waitingWork;
+
+  /** Memory of submissions by other hosts that aren't handled yet. */
+  private final MemoryBudget receivedWork;
+
   private Map<ShardId, RouteView.ActiveDispatcher> dispatchers = Map.of();
   private volatile boolean hasDispatcher;
   private volatile boolean draining;
@@ -154,6 +164,9 @@
     final long now = clock.millis();
     this.lastWallClockLead = System.currentTimeMillis() - now;
     this.lastTicket = new AtomicLong(parts.incarnation() << 20);
+    this.waitingWork = new MemoryBudget(parts.limits().waitingWorkBytes());
+    this.receivedWork = new MemoryBudget(parts.limits().receivedWorkBytes());
+    registerGauges();
     this.catalog =
         new CatalogKeeper(
             parts.catalogReader(),
@@ -190,7 +203,8 @@
             this::executeWork,
             this::claimSuperseded,
             this::resetMembership);
-    this.upstreamGossip = new UpstreamGossip(workHandler::handleLeaseEvent, this::broadcast);
+    this.upstreamGossip =
+        new UpstreamGossip(workHandler::handleLeaseEvent, this::broadcast, parts.limits());
     this.speedGossip =
         new SpeedGossip(
             directory, this::send, workHandler::upstreamSpeeds, workHandler::handleLeaseEvent);
@@ -234,25 +248,54 @@
   }
 
   /**
-   * Submits work.
+   * Submits work, unless this host has no memory for it or its control thread is behind.
    *
    * @param callback receives the outcome once, on the control thread
-   * @return the ticket to pass to {@link #callerDisconnected}
+   * @return a handle to withdraw the caller; empty if the work is refused
    */
-  public long submit(WorkRequest request, Consumer<WorkOutcome> callback) {
-    long ticket = lastTicket.incrementAndGet();
-    executeWork(() -> workHandler.submit(ticket, request, callback));
-    return ticket;
+  public Optional<Submission> submit(WorkRequest request, Consumer<WorkOutcome> callback) {
+    long bytes = WorkFootprint.ofRequest(request);
+    if (isOverloaded() || !waitingWork.tryReserve(bytes)) {
+      return Optional.empty();
+    }
+    Submission submission = new Submission(lastTicket.incrementAndGet(), bytes);
+    executeWork(
+        () ->
+            workHandler.submit(
+                submission.ticket,
+                request,
+                outcome -> {
+                  submission.release();
+                  callback.accept(outcome);
+                }));
+    return Optional.of(submission);
   }
 
-  /** Handles the disconnection of the caller that holds the ticket. */
-  public void callerDisconnected(long ticket) {
-    executeWork(() -> workHandler.callerDisconnected(ticket));
+  /** Returns why a request can never be accepted by a host of this size; empty if it can. */
+  public Optional<String> violation(WorkRequest request) {
+    return parts.limits().work().violation(request);
   }
 
-  /** Handles an announcement that an upstream sent to this host. */
-  public void upstreamAnnounced(UpstreamAnnouncement announcement) {
+  /**
+   * Returns whether the control thread is stuck or has more queued tasks than may be added to from
+   * outside.
+   */
+  public boolean isOverloaded() {
+    return parts.thread().backlog() >= parts.limits().queuedTasks()
+        || !parts.thread().isResponsive();
+  }
+
+  /**
+   * Handles an announcement that an upstream sent to this host.
+   *
+   * @return whether this host has the memory for it
+   */
+  public boolean upstreamAnnounced(UpstreamAnnouncement announcement) {
+    if (isOverloaded() || !upstreamGossip.hasRoomFor(announcement)) {
+      return false;
+    }
     executeControl(() -> upstreamGossip.upstreamAnnounced(announcement, clock.millis()));
+    return true;
   }
 
   /** Handles a departure that an upstream reported to this host. */
@@ -292,7 +335,10 @@
 
   /** Returns whether this host can serve callers. */
   public boolean isReady() {
-    return catalog.current().version() > 0 && hasDispatcher && !draining;
+    return catalog.current().version() > 0
+        && hasDispatcher
+        && !draining
+        && parts.thread().isResponsive();
   }
 
   /** Returns whether a planned stop has begun. */
@@ -330,8 +376,7 @@
   public void messageReceived(String host, PeerMessage message) {
     long arrivedAt = clock.millis();
     switch (message) {
-      case PeerMessage.SubmitWork submit ->
-          executeWork(() -> workSubmitted(host, submit, arrivedAt));
+      case PeerMessage.SubmitWork submit -> enqueueSubmission(host, submit, arrivedAt);
       case PeerMessage.CancelWork cancel -> workCancelled(host, cancel, arrivedAt);
       case PeerMessage.Heartbeat heartbeat -> enqueueHeartbeat(host, heartbeat, arrivedAt);
       default -> executeControl(() -> handle(host, message, arrivedAt));
@@ -360,6 +405,38 @@
     parts.transport().close();
   }
 
+  /**
+   * Queues a submission of another host. It is dropped if too many wait; that host sends it again.
+   */
+  private void enqueueSubmission(String host, PeerMessage.SubmitWork submit, long arrivedAt) {
+    long bytes = WorkFootprint.ofRequest(submit.request());
+    if (!receivedWork.tryReserve(bytes)) {
+      log.warn("submission-dropped", "work=" + submit.request().id() + " from=" + host);
+      return;
+    }
+    executeWork(
+        () -> {
+          receivedWork.release(bytes);
+          workSubmitted(host, submit, arrivedAt);
+        });
+  }
+
+  private void registerGauges() {
+    registerBudget("entry.waiting", waitingWork);
+    registerBudget("dispatcher.received", receivedWork);
+    parts.metrics().registerGauge("upstream.registry.bytes", () -> upstreamGossip.upstreamBytes());
+    parts
+        .metrics()
+        .registerGauge("upstream.registry.bytes-limit", () -> parts.limits().upstreamBytes());
+    parts.metrics().registerGauge("control.queued", () -> parts.thread().backlog());
+  }
+
+  private void registerBudget(String name, MemoryBudget budget) {
+    parts.metrics().registerGauge(name + ".bytes", budget::usedBytes);
+    parts.metrics().registerGauge(name + ".bytes-limit", budget::limitBytes);
+    parts.metrics().registerGauge(name + ".refused", budget::refusals);
+  }
+
   /**
    * Queues a heartbeat, deferred if it changes at most the load and doesn't come from the timing
    * reference; this applies to most heartbeats.
@@ -896,6 +973,31 @@
         .map(HostStatus::leader);
   }
 
+  /** The submission of a caller that waits for its outcome. */
+  public final class Submission {
+
+    private final long ticket;
+    private final long bytes;
+    private final AtomicBoolean released = new AtomicBoolean();
+
+    private Submission(long ticket, long bytes) {
+      this.ticket = ticket;
+      this.bytes = bytes;
+    }
+
+    /** Handles the disconnection of the caller. */
+    public void callerDisconnected() {
+      release();
+      executeWork(() -> workHandler.callerDisconnected(ticket));
+    }
+
+    private void release() {
+      if (released.compareAndSet(false, true)) {
+        waitingWork.release(bytes);
+      }
+    }
+  }
+
   private void broadcast(PeerMessage message) {
     directory.otherHosts().forEach(host -> parts.transport().send(host, message));
   }
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeParts.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeParts.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.Executor;
 import org.burdockbay.core.clock.Clock;
+import org.burdockbay.core.limits.HostLimits;
 import org.burdockbay.server.host.ControlThread;
 import org.burdockbay.server.logging.EventLog;
 import org.burdockbay.server.metrics.HostMetrics;
@@ -21,6 +22,7 @@
  * @param background executes tasks that would block the control thread or an event loop for too
  *     long
  * @param thread the control thread
+ * @param limits limits on the memory of the host
  */
 public record NodeParts(
     NodeSettings settings,
@@ -32,4 +34,32 @@
     UpstreamCalls upstreams,
     CatalogReader catalogReader,
     Executor background,
-    ControlThread thread) {}
+    ControlThread thread,
+    HostLimits limits) {
+
+  /** Creates the components of a host without limits on its memory. */
+  public NodeParts(
+      NodeSettings settings,
+      long incarnation,
+      Clock clock,
+      EventLog log,
+      HostMetrics metrics,
+      PeerTransport transport,
+      UpstreamCalls upstreams,
+      CatalogReader catalogReader,
+      Executor background,
+      ControlThread thread) {
+    this(
+        settings,
+        incarnation,
+        clock,
+        log,
+        metrics,
+        transport,
+        upstreams,
+        catalogReader,
+        background,
+        thread,
+        HostLimits.UNLIMITED);
+  }
+}
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/WorkHandler.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/WorkHandler.java
@@ -60,7 +60,9 @@
       Runnable onRoleReleased) {
     LeaseTiming timing = parts.settings().leaseTiming();
     this.dispatcher =
-        new LeaseDispatcher(parts.settings().host(), timing, parts.settings().scheduling());
+        new LeaseDispatcher(
+            parts.settings().host(), timing, parts.settings().scheduling(), parts.limits().work());
+    registerGauges(parts, dispatcher);
     this.intake =
         new WorkIntake(
             parts.settings().host(),
@@ -78,6 +80,13 @@
     this.onRoleReleased = onRoleReleased;
   }
 
+  private static void registerGauges(NodeParts parts, LeaseDispatcher dispatcher) {
+    parts.metrics().registerGauge("dispatcher.work-bytes", dispatcher::workBytes);
+    parts
+        .metrics()
+        .registerGauge("dispatcher.work-bytes-limit", () -> parts.limits().work().dispatchBytes());
+  }
+
   /** Submits the request of a caller; the callback receives its outcome. */
   void submit(long ticket, WorkRequest request, Consumer<WorkOutcome> callback) {
     callbacks.put(ticket, callback);
