Limit the memory and the threads of the door of burdockbay serve

Cause: 24 threads read bodies and waited for each; nothing bounded the memory of jobs that wait, of unfinished jobs at a dispatcher, of the requests of retained jobs or of a runner's response; the end of the control thread went unnoticed as on the platform.

Change: handlers run on virtual threads, the memory of a body is reserved before it is read, connections and idle times are bounded, jobs reserve memory at the entry host and at the dispatcher, and ProcessGuard watches the threads.

--- a/burdockbay-app/src/test/java/org/burdockbay/app/TestCluster.java
+++ b/burdockbay-app/src/test/java/org/burdockbay/app/TestCluster.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -175,6 +176,11 @@
         Executors.newVirtualThreadPerTaskExecutor());
   }
 
+  /** Opens a connection to a host. */
+  Socket connect(String host) throws IOException {
+    return new Socket(InetAddress.getLoopbackAddress(), httpPorts.get(host));
+  }
+
   Answer get(String host, String path, String token) {
     return execute(request(host, path, token).build());
   }
--- a/burdockbay-core/src/main/java/org/burdockbay/core/dispatch/JobEntry.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/dispatch/JobEntry.java
@@ -31,6 +31,10 @@
   boolean intentGranted;
 
   boolean cancelled;
+
+  /** Whether the job is finished, and kept for resubmissions. */
+  boolean isRetained;
+
   long nextCloseAt;
   long finishedAt;
   JobOutcome.@Nullable Failed refusal;
--- a/burdockbay-core/src/main/java/org/burdockbay/core/dispatch/JobLifecycle.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/dispatch/JobLifecycle.java
@@ -21,6 +21,7 @@
  */
 final class JobLifecycle implements TaskListener {
 
+  private static final long MEMORY_RETRY_AFTER_MILLIS = 1_000;
   private static final long CLOSE_RETRY_INTERVAL_MILLIS = 500;
   private static final long CLOSE_TIMEOUT_MILLIS = 100;
   private static final long LEDGER_RETRY_AFTER_MILLIS = 1_000;
@@ -96,6 +97,13 @@
       report(event.origin(), request, failed(ErrorKind.IMPOSSIBLE, detail, 0));
       return;
     }
+    if (!jobs.hasRoomFor(request)) {
+      boolean mayHaveRun = request.keyed() || event.arrival() == Arrival.RESENT;
+      ErrorKind kind = mayHaveRun ? ErrorKind.REFUSED : ErrorKind.OVERLOADED;
+      String detail = "no memory for further jobs at the dispatcher";
+      report(event.origin(), request, failed(kind, detail, MEMORY_RETRY_AFTER_MILLIS));
+      return;
+    }
     JobEntry job = new JobEntry(request, rule.get(), state.now, chart);
     job.waitingHosts.add(event.origin());
     if (state.isEvacuated() && mayRunElsewhere(job)) {
--- a/burdockbay-server/src/main/java/org/burdockbay/server/Host.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/Host.java
@@ -55,7 +55,11 @@
   public void serve() throws BurdockbayException {
     HostController controller = new HostController(parts, configuration);
     HttpServer http = createHttpServer(controller);
+    ProcessGuard guard = new ProcessGuard(parts.log());
+    guard.watch("control", parts.thread()::execute);
+    parts.transport().eventLoops().forEach(loop -> guard.watch("event-loop", loop));
     try {
+      guard.start();
       controller.start();
       http.start();
       parts
@@ -68,6 +72,7 @@
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     } finally {
+      guard.stop();
       http.close();
       controller.close();
       parts.log().info("host-stopped", "");
--- a/burdockbay-server/src/main/java/org/burdockbay/server/host/HostController.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/host/HostController.java
@@ -186,6 +186,11 @@
     return reply;
   }
 
+  /** Returns whether the control thread runs and isn't stuck. */
+  public boolean isResponsive() {
+    return parts.thread().isResponsive();
+  }
+
   /** Returns a report on the state of this host. */
   public CompletableFuture<HostReport> report() {
     return query(this::buildReport);
--- a/burdockbay-server/src/main/java/org/burdockbay/server/http/CallerApi.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/http/CallerApi.java
@@ -17,6 +17,7 @@
 import org.burdockbay.core.configuration.DispatchConfiguration;
 import org.burdockbay.core.configuration.JobRule;
 import org.burdockbay.core.error.ErrorKind;
+import org.burdockbay.core.limits.MemoryBudget;
 import org.burdockbay.core.submission.JobOutcome;
 import org.burdockbay.core.submission.JobRequest;
 import org.burdockbay.core.submission.SubmissionKey;
@@ -37,6 +38,14 @@
   private static final long MAX_WAIT_MILLIS = 3_600_000;
   private static final long RETRY_AFTER_MILLIS = 500;
 
+  /** The part of the heap that the waiting jobs take at most, as a divisor. */
+  private static final long JOB_DIVISOR = 8;
+
+  /** Memory of a job for each character of its body. */
+  private static final long JOB_BYTES_PER_CHAR = 8;
+
+  private static final long JOB_BYTES = 2_048;
+
   private final HostController controller;
   private final HostSettings settings;
   private final HostMetrics metrics;
@@ -44,6 +53,8 @@
   private final ObjectMapper json;
   private final Clock clock;
   private final AtomicInteger waitingRequests = new AtomicInteger();
+  private final MemoryBudget jobMemory =
+      new MemoryBudget(Runtime.getRuntime().maxMemory() / JOB_DIVISOR);
 
   /** Creates the API. */
   public CallerApi(
@@ -59,6 +70,9 @@
     this.responder = responder;
     this.json = json;
     this.clock = clock;
+    metrics.registerGauge("caller.jobs.bytes", jobMemory::usedBytes);
+    metrics.registerGauge("caller.jobs.bytes-limit", jobMemory::limitBytes);
+    metrics.registerGauge("caller.jobs.refused", jobMemory::refusals);
   }
 
   /** Adds the routes of this API. */
@@ -75,6 +89,32 @@
           ErrorKind.UNAVAILABLE, "this host has no configuration yet", RETRY_AFTER_MILLIS);
     }
     CallerRule caller = Credentials.authenticateCaller(context, configuration);
+    long bytes = reserveMemory(context.body());
+    try {
+      CompletableFuture<JobOutcome> pendingOutcome = submitJob(context, configuration, caller);
+      pendingOutcome.whenComplete((outcome, failure) -> jobMemory.release(bytes));
+    } catch (ApiException | RuntimeException | OutOfMemoryError e) {
+      jobMemory.release(bytes);
+      throw e;
+    }
+  }
+
+  /**
+   * Reserves the memory of a job, before anything is made from its body.
+   *
+   * @throws ApiException if the waiting jobs take too much memory
+   */
+  private long reserveMemory(String body) throws ApiException {
+    long bytes = JOB_BYTES + JOB_BYTES_PER_CHAR * body.length();
+    if (!jobMemory.tryReserve(bytes)) {
+      throw new ApiException(
+          ErrorKind.OVERLOADED, "no memory for further jobs at this host", RETRY_AFTER_MILLIS);
+    }
+    return bytes;
+  }
+
+  private CompletableFuture<JobOutcome> submitJob(
+      Context context, DispatchConfiguration configuration, CallerRule caller) throws ApiException {
     JsonNode body = parseBody(context.body());
     JobRule rule = jobRule(body, caller, configuration);
     List<String> tasks = taskPayloads(body, rule);
@@ -96,6 +136,7 @@
         outcome ->
             metrics.recordJob(caller.name(), rule.name(), outcome, clock.millis() - startedAt));
     respond(context, request.key(), pendingOutcome, waitMillis(context, request.remainingMillis()));
+    return pendingOutcome;
   }
 
   private void follow(Context context) throws ApiException {
--- a/burdockbay-server/src/main/java/org/burdockbay/server/http/HttpServer.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/http/HttpServer.java
@@ -6,18 +6,23 @@
 import io.javalin.util.JavalinException;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.Executors;
 import java.util.function.Consumer;
 import org.burdockbay.core.error.BurdockbayException;
 import org.burdockbay.core.error.ErrorKind;
+import org.burdockbay.core.limits.MemoryBudget;
 import org.burdockbay.server.ServerException;
 import org.burdockbay.server.logging.EventLog;
 import org.burdockbay.server.settings.HostSettings;
+import org.eclipse.jetty.server.Connector;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.NetworkConnectionLimit;
 import org.eclipse.jetty.server.SecureRequestCustomizer;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.server.SslConnectionFactory;
+import org.eclipse.jetty.util.component.LifeCycle;
 import org.eclipse.jetty.util.ssl.SslContextFactory;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 
@@ -28,8 +33,23 @@
   private static final int MIN_THREADS = 4;
   private static final long NO_TIMEOUT_MILLIS = 0;
 
+  /** Time without any byte after which a connection is closed, in milliseconds. */
+  private static final long IDLE_TIMEOUT_MILLIS = 15_000;
+
+  /**
+   * Rate below which the body of a request is given up, in bytes per second: a thread waits for it.
+   */
+  private static final long MIN_REQUEST_BYTES_PER_SECOND = 64 * 1024;
+
+  /** The part of the heap that the bodies of requests take at most, as a divisor. */
+  private static final long MEMORY_DIVISOR = 8;
+
+  /** Heap for each connection, which takes a fraction of it while it is idle. */
+  private static final long HEAP_BYTES_PER_CONNECTION = 48 * 1024;
+
   private final HostSettings settings;
   private final EventLog log;
+  private final Responder responder;
   private final GracefulStopHandler gracefulStop;
   private final Javalin javalin;
 
@@ -43,6 +63,7 @@
       throws ServerException {
     this.settings = settings;
     this.log = log;
+    this.responder = responder;
     this.gracefulStop = new GracefulStopHandler(responder);
     Optional<SslContextFactory.Server> tls = sslContextFactory(settings);
     this.javalin =
@@ -51,8 +72,10 @@
               config.startup.showJavalinBanner = false;
               config.http.maxRequestSize = settings.limits().maxBodyBytes();
               config.http.asyncTimeout = NO_TIMEOUT_MILLIS;
-              config.jetty.threadPool = new QueuedThreadPool(MAX_THREADS, MIN_THREADS);
-              config.jetty.modifyServer(server -> server.setHandler(gracefulStop));
+              config.jetty.threadPool = threadPool();
+              config.jetty.modifyServer(this::limitServer);
+              config.jetty.modifyHttpConfiguration(
+                  http -> http.setMinRequestDataRate(MIN_REQUEST_BYTES_PER_SECOND));
               tls.ifPresent(
                   factory ->
                       config.jetty.addConnector(
@@ -137,6 +160,35 @@
     javalin.stop();
   }
 
+  /** Returns a pool whose handlers run on virtual threads, since they wait for bodies. */
+  private static QueuedThreadPool threadPool() {
+    QueuedThreadPool pool = new QueuedThreadPool(MAX_THREADS, MIN_THREADS);
+    pool.setVirtualThreadsExecutor(Executors.newVirtualThreadPerTaskExecutor());
+    return pool;
+  }
+
+  private void limitServer(Server server) {
+    MemoryBudget memory = new MemoryBudget(Runtime.getRuntime().maxMemory() / MEMORY_DIVISOR);
+    gracefulStop.setHandler(
+        new RequestMemoryHandler(memory, settings.limits().maxBodyBytes(), responder));
+    server.setHandler(gracefulStop);
+    long connections = Runtime.getRuntime().maxMemory() / HEAP_BYTES_PER_CONNECTION;
+    server.addBean(
+        new NetworkConnectionLimit(
+            Math.toIntExact(Math.min(Integer.MAX_VALUE, connections)), server));
+    server.addEventListener(
+        new LifeCycle.Listener() {
+          @Override
+          public void lifeCycleStarting(LifeCycle starting) {
+            for (Connector connector : server.getConnectors()) {
+              if (connector instanceof ServerConnector network) {
+                network.setIdleTimeout(IDLE_TIMEOUT_MILLIS);
+              }
+            }
+          }
+        });
+  }
+
   private static Optional<SslContextFactory.Server> sslContextFactory(HostSettings settings)
       throws ServerException {
     if (settings.tls().isEmpty()) {
--- a/burdockbay-server/src/main/java/org/burdockbay/server/http/OperatorApi.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/http/OperatorApi.java
@@ -69,7 +69,8 @@
   private void ready(Context context) {
     boolean draining = controller.dispatcherView().draining();
     boolean configured = controller.configuration().version() > 0;
-    context.status(draining || !configured ? 503 : 200).result(draining ? "draining" : "ok");
+    boolean ready = configured && !draining && controller.isResponsive();
+    context.status(ready ? 200 : 503).result(draining ? "draining" : ready ? "ok" : "not ready");
   }
 
   private void scrape(Context context) throws ApiException {
--- a/burdockbay-server/src/main/java/org/burdockbay/server/runner/RunnerClient.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/runner/RunnerClient.java
@@ -39,6 +39,9 @@
   /** Added to the timeout of an attempt, to give the answer time to arrive. */
   private static final long START_ANSWER_SLACK_MILLIS = 1_000;
 
+  /** Maximum size of a runner's response, in bytes. */
+  private static final long MAX_RESPONSE_BYTES = 1024 * 1024;
+
   private static final long CONNECT_TIMEOUT_MILLIS = 500;
   private static final long CALL_TIMEOUT_MILLIS = 1_000;
   private static final long IDLE_TIMEOUT_SECONDS = 20;
@@ -224,7 +227,11 @@
           public void onResponse(Call answered, Response response) {
             CallResult result;
             try (response) {
-              result = new CallResult.Answered(response.body().string());
+              result =
+                  response.body().source().request(MAX_RESPONSE_BYTES + 1)
+                      ? new CallResult.NoResponse(
+                          "response of more than " + MAX_RESPONSE_BYTES + " bytes")
+                      : new CallResult.Answered(response.body().string());
             } catch (IOException e) {
               result =
                   new CallResult.NoResponse(e.getClass().getSimpleName() + ": " + e.getMessage());
--- a/burdockbay-server/src/main/java/org/burdockbay/server/wiring/HostModule.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/wiring/HostModule.java
@@ -1,6 +1,8 @@
 package org.burdockbay.server.wiring;
 
 import com.codahale.metrics.MetricRegistry;
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import dagger.Module;
 import dagger.Provides;
@@ -22,6 +24,9 @@
 @Module
 public final class HostModule {
 
+  /** Heap for each token of a JSON document, which is parsed into up to 100 bytes. */
+  private static final long HEAP_BYTES_PER_TOKEN = 1_024;
+
   private HostModule() {}
 
   @Provides
@@ -45,7 +50,13 @@
   @Provides
   @Singleton
   static ObjectMapper json() {
-    return new ObjectMapper().registerModule(new com.fasterxml.jackson.datatype.jdk8.Jdk8Module());
+    StreamReadConstraints constraints =
+        StreamReadConstraints.builder()
+            .maxTokenCount(Runtime.getRuntime().maxMemory() / HEAP_BYTES_PER_TOKEN)
+            .build();
+    JsonFactory factory = JsonFactory.builder().streamReadConstraints(constraints).build();
+    return new ObjectMapper(factory)
+        .registerModule(new com.fasterxml.jackson.datatype.jdk8.Jdk8Module());
   }
 
   @Provides
