Refuse callers' jobs for a stuck control thread only after three seconds

A process that was paused may receive requests before its control thread goes on; refusing them would cost callers a retry that isn't needed. Readiness still drops after one second.

--- a/burdockbay-server/src/main/java/org/burdockbay/server/host/ControlThread.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/host/ControlThread.java
@@ -32,6 +32,9 @@
   /** Time without progress after which the thread counts as stuck, in milliseconds. */
   private static final long STUCK_TIMEOUT_MILLIS = 1_000;
 
+  /** Time without progress after which tasks from outside are refused, in milliseconds. */
+  private static final long ACCEPT_TIMEOUT_MILLIS = 3_000;
+
   private final Clock clock;
   private final EventLog log;
   private final WaitMeter controlWaitMeter;
@@ -100,6 +103,16 @@
     return thread.isAlive() && clock.millis() - progressAt <= STUCK_TIMEOUT_MILLIS;
   }
 
+  /**
+   * Returns whether tasks from outside may be added; false once they would wait in vain.
+   *
+   * <p>The limit exceeds the time for which callers wait, since a process that was paused may
+   * receive requests before this thread goes on.
+   */
+  public boolean acceptsTasks() {
+    return thread.isAlive() && clock.millis() - progressAt <= ACCEPT_TIMEOUT_MILLIS;
+  }
+
   @Override
   public void close() {
     stopped = true;
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
@@ -282,7 +282,7 @@
    */
   public boolean isOverloaded() {
     return parts.thread().backlog() >= parts.limits().queuedTasks()
-        || !parts.thread().isResponsive();
+        || !parts.thread().acceptsTasks();
   }
 
   /**
--- a/burdockbay-server/src/test/java/org/burdockbay/server/host/ControlThreadTest.java
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/host/ControlThreadTest.java
@@ -129,6 +129,9 @@
     assertTrue(thread.isResponsive());
     now.addAndGet(DELAY_MILLIS);
     assertFalse(thread.isResponsive());
+    assertTrue(thread.acceptsTasks());
+    now.addAndGet(DELAY_MILLIS);
+    assertFalse(thread.acceptsTasks());
     released.countDown();
     thread.execute(done::countDown);
     done.await();
