Limit the memory of runners' responses that are arriving

Cause: a response of a runner could take up to 1 MB on each of the hundreds of connections that the starts of one dispatcher use, incomplete until the call's timeout.

Change: all arriving responses share a part of the heap; a connection without memory is closed, and its call counts as unanswered.

--- a/burdockbay-app/src/main/java/org/burdockbay/app/command/ReferenceCommand.java
+++ b/burdockbay-app/src/main/java/org/burdockbay/app/command/ReferenceCommand.java
@@ -10,6 +10,7 @@
 import org.burdockbay.core.limits.HostLimits;
 import org.burdockbay.core.limits.WorkLimits;
 import org.burdockbay.server.settings.HostSettingsSchema;
+import org.burdockbay.server.web.WebClient;
 import org.burdockbay.server.web.WebMemory;
 
 /** Prints the reference of all settings, which is the content of docs/CONFIGURATION.md. */
@@ -106,6 +107,12 @@
         EXAMPLE_HEAP_BYTES / WebMemory.RESPONSE_DIVISOR,
         "503",
         "`web_response_bytes`, `web_response_refused`");
+    appendLimit(
+        text,
+        "Bytes of arriving responses of runners",
+        EXAMPLE_HEAP_BYTES / WebClient.RESPONSE_DIVISOR,
+        "the call is unanswered",
+        "`upstream_response_bytes`, `upstream_response_refused`");
     appendLimit(
         text,
         "Connections of a listener",
--- a/burdockbay-server/src/main/java/org/burdockbay/server/web/WebClient.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/web/WebClient.java
@@ -1,6 +1,7 @@
 package org.burdockbay.server.web;
 
 import com.codahale.metrics.Counter;
+import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
@@ -28,6 +29,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.burdockbay.core.agreement.Bytes;
+import org.burdockbay.core.limits.MemoryBudget;
 import org.burdockbay.server.settings.HostAddress;
 import org.jspecify.annotations.Nullable;
 
@@ -43,6 +45,9 @@
   private static final int DEFAULT_MAX_RESPONSE_BYTES = 1024 * 1024;
   private static final int CONNECT_TIMEOUT_MILLIS = 300;
 
+  /** The part of the heap that arriving responses take at most, as a divisor. */
+  public static final long RESPONSE_DIVISOR = 12;
+
   private final EventLoop loop;
   private final Bootstrap bootstrap;
   private final Map<HostAddress, Endpoint> endpoints = new HashMap<>();
@@ -66,6 +71,9 @@
       String name = reason.name().toLowerCase(Locale.ROOT);
       connectionsByReason.put(reason, registry.counter("upstream.connections." + name));
     }
+    MemoryBudget responses = new MemoryBudget(Runtime.getRuntime().maxMemory() / RESPONSE_DIVISOR);
+    registry.gauge("upstream.response.bytes", () -> (Gauge<Long>) responses::usedBytes);
+    registry.gauge("upstream.response.refused", () -> (Gauge<Long>) responses::refusals);
     this.loop = loops.next();
     this.bootstrap =
         new Bootstrap()
@@ -81,6 +89,7 @@
                         .pipeline()
                         .addLast(new ByteCounter())
                         .addLast(new HttpResponseDecoder())
+                        .addLast(new ResponseMemoryHandler(responses))
                         .addLast(new HttpObjectAggregator(maxResponseBytes, true))
                         .addLast(new Connection());
                   }
