--- a/burdockbay-server/src/main/java/org/burdockbay/server/Host.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/Host.java
@@ -56,8 +56,8 @@
     HostController controller = new HostController(parts, configuration);
     HttpServer http = createHttpServer(controller);
     ProcessGuard guard = new ProcessGuard(parts.log());
-    guard.watch("control", parts.thread()::execute);
-    parts.transport().eventLoops().forEach(loop -> guard.watch("event-loop", loop));
+    guard.watchProgress("control", parts.thread()::progress);
+    parts.transport().eventLoops().forEach(loop -> guard.watchExecutor("event-loop", loop));
     try {
       guard.start();
       controller.start();
--- a/burdockbay-server/src/main/java/org/burdockbay/server/ProcessGuard.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/ProcessGuard.java
@@ -9,7 +9,9 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.IntConsumer;
+import java.util.function.LongSupplier;
 import org.burdockbay.server.logging.EventLog;
 
 /**
@@ -27,15 +29,20 @@
   /** Exit code after a thread was stuck. */
   public static final int EXIT_THREAD_STUCK = 71;
 
-  /** Time between two probes of each thread, in milliseconds. */
-  static final long PROBE_INTERVAL_MILLIS = 500;
+  /** Time between two looks at each thread, in milliseconds. */
+  static final long CHECK_INTERVAL_MILLIS = 500;
 
   /**
-   * Number of intervals without an answer to a probe after which a thread is stuck. Intervals are
-   * counted, not measured, so a process that was paused has none to make up for.
+   * Number of intervals without progress after which a thread is stuck. Intervals are counted, not
+   * measured, so a process that was paused has none to make up for.
    */
   static final int STUCK_INTERVALS = 20;
 
+  /**
+   * The same for an executor, whose probes wait behind other tasks: a backlog isn't a stuck thread.
+   */
+  static final int STUCK_EXECUTOR_INTERVALS = 60;
+
   private static final int MAX_CAUSE_CHARS = 2_000;
 
   private static final byte[] FALLBACK_LINE =
@@ -67,21 +74,31 @@
   }
 
   /**
-   * Watches an event loop or another executor with a single thread.
+   * Watches a thread.
+   *
+   * @param name the name of the thread
+   * @param progress a number that changes while the thread goes on, also when it has nothing to do
+   */
+  public void watchProgress(String name, LongSupplier progress) {
+    watches.add(new Watch(name, progress, STUCK_INTERVALS));
+  }
+
+  /**
+   * Watches an event loop by tasks that it has to run.
    *
    * @param name the name of the thread, for the log
    */
-  public void watch(String name, Executor executor) {
-    watches.add(new Watch(name, executor));
+  public void watchExecutor(String name, Executor executor) {
+    watches.add(new Watch(name, new Probe(executor)::answers, STUCK_EXECUTOR_INTERVALS));
   }
 
-  /** Ends the process on any uncaught exception from now on, and starts to probe the threads. */
+  /** Ends the process on any uncaught exception from now on, and starts to watch the threads. */
   public void start() {
     Thread.setDefaultUncaughtExceptionHandler(this::threadEnded);
     Thread.ofPlatform().daemon().name("process-guard").start(this::run);
   }
 
-  /** Stops to probe the threads, which end in a planned stop. */
+  /** Stops to watch the threads, which end in a planned stop. */
   public void stop() {
     stopped = true;
   }
@@ -95,13 +112,18 @@
     }
   }
 
-  /** Sends a probe to each thread that has answered the previous one. */
-  void probe() {
+  /** Looks at the progress of each thread. */
+  void check() {
     for (Watch watch : watches) {
-      if (!stopped && !watch.probe()) {
-        end(EXIT_THREAD_ENDED, watch.name, new IllegalStateException("it accepts no tasks"));
-      } else if (!stopped && watch.unansweredIntervals >= STUCK_INTERVALS) {
-        end(EXIT_THREAD_STUCK, watch.name, stackOf(watch.name));
+      if (stopped) {
+        return;
+      }
+      try {
+        if (watch.isStuck()) {
+          end(EXIT_THREAD_STUCK, watch.name, stackOf(watch.name));
+        }
+      } catch (RejectedExecutionException e) {
+        end(EXIT_THREAD_ENDED, watch.name, e);
       }
     }
   }
@@ -109,23 +131,23 @@
   private void run() {
     try {
       while (!stopped) {
-        Thread.sleep(PROBE_INTERVAL_MILLIS);
+        Thread.sleep(CHECK_INTERVAL_MILLIS);
         if (exitCode != 0) {
           // The thread that ends the process waits for its output.
           exit.accept(exitCode);
         }
-        probeSafely();
+        checkSafely();
       }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
   }
 
-  private void probeSafely() {
+  private void checkSafely() {
     try {
-      probe();
+      check();
     } catch (RuntimeException | OutOfMemoryError e) {
-      log.error("probe-failed", "", e);
+      log.error("thread-check-failed", "", e);
     }
   }
 
@@ -162,7 +184,7 @@
   }
 
   private static Throwable stackOf(String threadName) {
-    Throwable cause = new IllegalStateException("it has answered no probe");
+    Throwable cause = new IllegalStateException("no progress");
     Thread.getAllStackTraces().entrySet().stream()
         .filter(entry -> entry.getKey().getName().equals(threadName))
         .findFirst()
@@ -173,32 +195,45 @@
   private static final class Watch {
 
     private final String name;
-    private final Executor executor;
-    private volatile boolean answered = true;
-    private int unansweredIntervals;
+    private final LongSupplier progress;
+    private final int maxIntervals;
+    private long lastProgress = -1;
+    private int idleIntervals;
 
-    Watch(String name, Executor executor) {
+    Watch(String name, LongSupplier progress, int maxIntervals) {
       this.name = name;
+      this.progress = progress;
+      this.maxIntervals = maxIntervals;
+    }
+
+    /** Returns whether there was no progress for too many intervals, this one included. */
+    boolean isStuck() {
+      long current = progress.getAsLong();
+      idleIntervals = current == lastProgress ? idleIntervals + 1 : 0;
+      lastProgress = current;
+      return idleIntervals >= maxIntervals;
+    }
+  }
+
+  /** Tasks that an executor has to run, one at a time. */
+  private static final class Probe {
+
+    private final Executor executor;
+    private final AtomicLong answers = new AtomicLong();
+    private long sent;
+
+    Probe(Executor executor) {
       this.executor = executor;
     }
 
-    /** Sends a probe if none is unanswered; returns whether the executor accepts tasks. */
-    boolean probe() {
-      if (!answered) {
-        unansweredIntervals++;
-        return true;
-      }
-      unansweredIntervals = 0;
-      try {
-        answered = false;
-        executor.execute(() -> answered = true);
-        return true;
-      } catch (RejectedExecutionException e) {
-        return false;
-      } catch (OutOfMemoryError e) {
-        answered = true;
-        throw e;
+    /** Returns the number of tasks that were run, and adds one if none is waiting. */
+    long answers() {
+      long answered = answers.get();
+      if (answered == sent) {
+        executor.execute(answers::incrementAndGet);
+        sent++;
       }
+      return answered;
     }
   }
 }
--- a/burdockbay-server/src/main/java/org/burdockbay/server/host/ControlThread.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/host/ControlThread.java
@@ -48,6 +48,8 @@
   /** When the thread last began a task or a wait, in milliseconds. */
   private volatile long progressAt;
 
+  private final AtomicLong progress = new AtomicLong();
+
   private Runnable tick = () -> {};
   private Runnable flush = () -> {};
 
@@ -98,6 +100,11 @@
     return queue.size();
   }
 
+  /** Returns a number that rises with each task and each wait for tasks. */
+  public long progress() {
+    return progress.get();
+  }
+
   /** Returns whether the thread runs and isn't stuck in a task. */
   public boolean isResponsive() {
     return thread.isAlive() && clock.millis() - progressAt <= STUCK_TIMEOUT_MILLIS;
@@ -132,7 +139,7 @@
     long nextTick = clock.millis();
     while (!stopped) {
       long now = clock.millis();
-      progressAt = now;
+      recordProgress(now);
       if (now >= nextTick) {
         runQueuedControlTasks();
         runSafely(tick);
@@ -143,6 +150,11 @@
     }
   }
 
+  private void recordProgress(long now) {
+    progressAt = now;
+    progress.lazySet(progress.get() + 1);
+  }
+
   /**
    * Runs the queued control tasks, for at most one slice.
    *
@@ -188,7 +200,7 @@
   private void runTask(Task task) {
     runDeferred();
     long now = clock.millis();
-    progressAt = now;
+    recordProgress(now);
     WaitMeter waitMeter = task.lane == Lane.CONTROL ? controlWaitMeter : workWaitMeter;
     waitMeter.recordWait(now - task.queuedAt, queue.size(), now);
     runSafely(task.action);
