Send no body in responses to HEAD requests

The encoder that took the place of the server codec doesn't know the request's method, so a response to HEAD carried the body that belongs to GET. Found by reading; its test wasn't run without the change.

--- a/burdockbay-server/src/main/java/org/burdockbay/server/web/WebConnection.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/web/WebConnection.java
@@ -211,7 +211,7 @@
       response = response.withHeader("Retry-After", "1");
     }
     context
-        .writeAndFlush(encode(response, false))
+        .writeAndFlush(encode(response, false, true))
         .addListener((ChannelFuture written) -> closeAfterLinger(context));
   }
 
@@ -247,13 +247,13 @@
     return unsent > 0;
   }
 
-  private static FullHttpResponse encode(WebResponse source, boolean keepOpen) {
+  private static FullHttpResponse encode(WebResponse source, boolean keepOpen, boolean hasBody) {
     byte[] body = source.body().getBytes(StandardCharsets.UTF_8);
     FullHttpResponse response =
         new DefaultFullHttpResponse(
             HttpVersion.HTTP_1_1,
             HttpResponseStatus.valueOf(source.status()),
-            Unpooled.wrappedBuffer(body));
+            hasBody ? Unpooled.wrappedBuffer(body) : Unpooled.EMPTY_BUFFER);
     response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
     if (!source.contentType().isEmpty()) {
       response.headers().set(HttpHeaderNames.CONTENT_TYPE, source.contentType());
@@ -342,15 +342,17 @@
     /** Writes the response, or one without a body if too many responses are unsent. */
     private ChannelFuture writeWithinMemory(WebResponse response, boolean keepOpen) {
       int bytes = response.body().length();
+      boolean hasBody = !request.method().equals("HEAD");
       if (bytes <= SMALL_RESPONSE_BYTES) {
-        return context.writeAndFlush(encode(response, keepOpen));
+        return context.writeAndFlush(encode(response, keepOpen, hasBody));
       }
       if (!memory.responses().tryReserve(bytes)) {
         log.warn("response-refused", "path=" + request.path() + " bytes=" + bytes);
         return context.writeAndFlush(
-            encode(WebResponse.empty(UNAVAILABLE).withHeader("Retry-After", "1"), keepOpen));
+            encode(
+                WebResponse.empty(UNAVAILABLE).withHeader("Retry-After", "1"), keepOpen, hasBody));
       }
-      ChannelFuture written = context.writeAndFlush(encode(response, keepOpen));
+      ChannelFuture written = context.writeAndFlush(encode(response, keepOpen, hasBody));
       written.addListener(done -> memory.responses().release(bytes));
       return written;
     }
--- a/burdockbay-server/src/test/java/org/burdockbay/server/web/WebListenerTest.java
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/web/WebListenerTest.java
@@ -110,6 +110,24 @@
     awaitNoOpenRequests();
   }
 
+  /**
+   * Guards against bodies in responses to HEAD requests, which callers take for the next response.
+   */
+  @Test
+  public void sendsNoBodyInResponseToHead() throws Exception {
+    try (Socket caller = new Socket()) {
+      caller.connect(address.toSocketAddress());
+      caller.getOutputStream().write("HEAD / HTTP/1.1\r\nHost: test\r\n\r\n".getBytes(UTF_8));
+      openExchanges.take().respond(WebResponse.text(200, "body"));
+      sendRequest(caller);
+      openExchanges.take().respond(WebResponse.empty(404));
+      byte[] responses = caller.getInputStream().readNBytes(100);
+      String text = new String(responses, UTF_8);
+      assertTrue(text.contains("content-length: 4\r\n"), text);
+      assertTrue(text.contains("\r\n\r\nHTTP/1.1 404"), text);
+    }
+  }
+
   /** Guards against requests that are sent without reading any response, and wait in memory. */
   @Test
   public void closesConnectionsWithTooManyWaitingRequests() throws Exception {
