Accept bodies that arrive slowly at the door of burdockbay serve

Callers saw: requests whose small body arrived some milliseconds after the head failed with an internal error beside load.

Cause: the minimum data rate of 64 KB/s is compared with all bytes of the body so far, so a body of 100 bytes fails after 2 ms.

Also, a connection whose request is rejected drops the requests that wait behind it in each case.

--- a/burdockbay-app/src/test/java/org/burdockbay/app/OutsideLoadTest.java
+++ b/burdockbay-app/src/test/java/org/burdockbay/app/OutsideLoadTest.java
@@ -57,6 +57,26 @@
     }
   }
 
+  /** Guards against refusing small bodies that arrive late, as all do beside load. */
+  @Test
+  public void acceptsBodiesThatArriveSlowly() throws Exception {
+    String body = "{\"job\":\"check\",\"tasks\":[{\"key\":\"slow\",\"runMillis\":5}]}";
+    try (Socket socket = cluster.connect("a")) {
+      write(
+          socket,
+          "POST /v1/jobs HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer caller-credential\r\n"
+              + "Content-Length: "
+              + body.length()
+              + "\r\n\r\n");
+      for (int i = 0; i < body.length(); i++) {
+        write(socket, body.substring(i, i + 1));
+        Thread.sleep(20);
+      }
+      String status = new String(socket.getInputStream().readNBytes(12), StandardCharsets.US_ASCII);
+      assertEquals(status, "HTTP/1.1 200");
+    }
+  }
+
   private static void write(Socket socket, String text) throws IOException {
     socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
   }
--- a/burdockbay-server/src/main/java/org/burdockbay/server/http/HttpServer.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/http/HttpServer.java
@@ -36,11 +36,6 @@
   /** Time without any byte after which a connection is closed, in milliseconds. */
   private static final long IDLE_TIMEOUT_MILLIS = 15_000;
 
-  /**
-   * Rate below which the body of a request is given up, in bytes per second: a thread waits for it.
-   */
-  private static final long MIN_REQUEST_BYTES_PER_SECOND = 64 * 1024;
-
   /** The part of the heap that the bodies of requests take at most, as a divisor. */
   private static final long MEMORY_DIVISOR = 8;
 
@@ -74,8 +69,6 @@
               config.http.asyncTimeout = NO_TIMEOUT_MILLIS;
               config.jetty.threadPool = threadPool();
               config.jetty.modifyServer(this::limitServer);
-              config.jetty.modifyHttpConfiguration(
-                  http -> http.setMinRequestDataRate(MIN_REQUEST_BYTES_PER_SECOND));
               tls.ifPresent(
                   factory ->
                       config.jetty.addConnector(
--- a/burdockbay-server/src/main/java/org/burdockbay/server/web/WebConnection.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/web/WebConnection.java
@@ -190,11 +190,11 @@
             + " reason="
             + EventLog.quote(rejected.reason()));
     rejecting = true;
+    releaseWaiting();
     if (current == null) {
       writeRejection(context, rejected);
     } else {
       // The response to the request in progress comes first; those that wait get none.
-      releaseWaiting();
       current.afterResponse = () -> writeRejection(context, rejected);
     }
   }
