Reword comments and names of the memory limits as a newcomer would read them

Comments in figures of speech or with estimates that no run had shown are replaced, tests have one line each, and two methods that answered a question and changed state are split (WorkIntake, RequestAssembler). The gauges dispatcher.work.bytes are named like the others; their text at /metrics is the same. Behaviour is unchanged.

--- a/burdockbay-core/src/main/java/org/burdockbay/core/intake/WorkIntake.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/intake/WorkIntake.java
@@ -59,7 +59,7 @@
 
   /**
    * Maximum number of dispatchers that may fall silent while they have a piece of work. The work
-   * itself may end their processes, so it isn't passed on to one host after the other.
+   * itself may be what ends their processes, so it isn't submitted to any number of hosts.
    */
   private static final int MAX_LOST_DISPATCHERS = 1;
 
@@ -377,7 +377,8 @@
   private void submitTo(
       IntakeEvent.Dispatcher target, PendingWork work, PendingWork.Caller caller) {
     if (work.submittedTo.isPresent() && !work.submittedTo.get().equals(target)) {
-      if (mayHaveEndedDispatchers(work)) {
+      countIfLost(work);
+      if (work.lostDispatchers > MAX_LOST_DISPATCHERS) {
         // The next tick gives the work up.
         return;
       }
@@ -400,21 +401,17 @@
             domain));
   }
 
-  /**
-   * Returns whether the work may be the reason for which its dispatchers were lost, and counts the
-   * present one.
-   */
-  private boolean mayHaveEndedDispatchers(PendingWork work) {
+  /** Counts the dispatcher that has the work as lost if it has fallen silent. */
+  private void countIfLost(PendingWork work) {
     boolean lost =
         work.submittedTo
             .filter(dispatcher -> !dispatcher.host().equals(self))
             .map(dispatcher -> lastContactByHost.getOrDefault(dispatcher.host(), now))
             .filter(contactAt -> now - contactAt >= INBOUND_SILENCE_TIMEOUT_MILLIS)
             .isPresent();
-    if (lost && work.lostDispatchers <= MAX_LOST_DISPATCHERS) {
+    if (lost) {
       work.lostDispatchers++;
     }
-    return work.lostDispatchers > MAX_LOST_DISPATCHERS;
   }
 
   private void moveTo(PendingWork work, PendingWork.Caller caller, IntakeEvent.Dispatcher target) {
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/AdmissionRule.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/AdmissionRule.java
@@ -99,8 +99,8 @@
   }
 
   /**
-   * Returns whether work can't complete before its caller's timeout even if it had all upstreams
-   * for itself and its tasks took a part of their estimates only.
+   * Returns whether work can't complete before its caller's timeout, even if all usable upstreams
+   * ran nothing else and its tasks took only {@link #MIN_RUN_TIME_SHARE} of the predicted time.
    */
   boolean exceedsCapacity(WorkState work, long now, Backlog backlog) {
     double shortestMillis = MIN_RUN_TIME_SHARE * backlog.processingMillis(work);
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/RunTable.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/RunTable.java
@@ -201,7 +201,7 @@
     context.logEvent("run-adopted", "run=" + id + " upstream=" + upstream.announcement.id());
   }
 
-  /** Returns whether the runs that an upstream lists can be retained, as if all were unknown. */
+  /** Returns whether the runs that an upstream lists can be retained, even if all are unknown. */
   boolean mayRetain(List<RunId> listed) {
     return takenOverRuns.hasRoom(listed.size());
   }
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/UnansweredStarts.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/UnansweredStarts.java
@@ -21,7 +21,7 @@
 
   private final long limitBytes;
 
-  /** How long a start whose answer got lost within this host counts, in milliseconds. */
+  /** Time after which a start without any answer or failure no longer counts, in milliseconds. */
   private final long timeoutMillis;
 
   private final Map<RunId, Call> calls = new LinkedHashMap<>();
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/WorkTable.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/WorkTable.java
@@ -242,8 +242,8 @@
   }
 
   /**
-   * Refuses submitted work for which there is no state. Work that an earlier dispatcher may have
-   * run is given up instead, since a refusal promises that nothing has run.
+   * Refuses submitted work that isn't in the table. Work that an earlier dispatcher may have run is
+   * given up instead, since a refusal promises that nothing has run.
    */
   private void refuseUnaccepted(LeaseEvent.Submitted submitted, String reason, boolean mayHaveRun) {
     String id = submitted.request().id();
--- a/burdockbay-core/src/test/java/org/burdockbay/core/intake/WorkIntakeTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/intake/WorkIntakeTest.java
@@ -406,10 +406,7 @@
     handle(new IntakeEvent.LoadReported(host, new DomainLoad(freeCores, 0)));
   }
 
-  /**
-   * Guards against work that ends the process of one dispatcher after the other because its entry
-   * host passes it on each time.
-   */
+  /** Guards against work that ends the processes of one dispatcher after the other. */
   @Test
   public void givesUpWorkAfterTwoDispatchersWereLost() {
     changeDispatcher(FIRST);
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseDispatcherTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseDispatcherTest.java
@@ -727,10 +727,7 @@
     assertEquals(stops(handle(new LeaseEvent.Tick())).size(), 1);
   }
 
-  /**
-   * Guards against one job that exhausts the memory of its dispatcher: the state of all tasks was
-   * made before the job was refused as impossible.
-   */
+  /** Guards against one job that exhausts the memory of its dispatcher before it is refused. */
   @Test
   public void refusesWorkOverItsLimitsBeforeStateIsMade() {
     limitWork(new WorkLimits(100, 10, 10, 1_000_000, 1_000_000));
@@ -762,10 +759,7 @@
     assertEquals(dispatcher.workBytes(), 0);
   }
 
-  /**
-   * Guards against a refusal as "not run" of work for which there is no memory, although an earlier
-   * dispatcher may have run it.
-   */
+  /** Guards against refusing as "not run" what an earlier dispatcher may have run. */
   @Test
   public void givesUpWorkBeyondMemoryThatMayHaveRun() {
     limitWork(new WorkLimits(100, 10, 10, 1_000_000, 1_000_000));
@@ -776,10 +770,7 @@
     assertTrue(outcome instanceof WorkOutcome.GivenUp, outcome.toString());
   }
 
-  /**
-   * Guards against a job of many small tasks that opens a connection for each of them at once: the
-   * host ran out of descriptors and memory.
-   */
+  /** Guards against a job of many small tasks that opens a connection for each at once. */
   @Test
   public void limitsUnansweredStarts() {
     limitWork(new WorkLimits(1_000, 10, 10, 1_000_000, 100_000));
@@ -792,10 +783,7 @@
     assertEquals(starts(handle(answer)).size(), 1);
   }
 
-  /**
-   * Guards against work that waits for its whole timeout although all upstreams together couldn't
-   * run it in that time.
-   */
+  /** Guards against work that waits although all upstreams together can't run it in time. */
   @Test
   public void refusesWorkThatExceedsCapacityAtOnce() {
     addUpstream("u1");
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseFuzzTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseFuzzTest.java
@@ -317,10 +317,7 @@
         });
   }
 
-  /**
-   * Guards against a dispatcher whose memory callers decide, and against a task that runs twice
-   * after an error ended a control thread with some effects of an event carried out.
-   */
+  /** Guards against unbounded work, and against tasks that run twice after an error of a host. */
   @Test(dataProvider = "networksAndOptions")
   public void keepsLimitsWithWorkOfAnySizeAndErrors(
       LeaseModel.Network network, SchedulingOptions options) {
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseModel.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseModel.java
@@ -267,8 +267,8 @@
     advance(1_500);
   }
 
-  /** Returns whether an error strikes a control thread now. */
-  boolean strikesError() {
+  /** Returns whether an error occurs on a control thread now. */
+  boolean isErrorDue() {
     return errorShare > 0 && !faultsEnded && faultRandom.nextDouble() < errorShare;
   }
 
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelEntryHost.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/ModelEntryHost.java
@@ -603,11 +603,11 @@
   }
 
   /**
-   * Returns whether the process has ended, or ends now because an error struck its control thread
+   * Returns whether the process has ended, or ends now because of an error on its control thread
    * between two effects of an event.
    */
   private boolean endsByError() {
-    if (up && model.strikesError()) {
+    if (up && model.isErrorDue()) {
       model.trace(name, "ended by an error");
       model.kill(this);
       model.schedule(model.randomRestartMillis(), this::recover);
--- a/burdockbay-server/src/main/java/org/burdockbay/server/ProcessGuard.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/ProcessGuard.java
@@ -17,9 +17,9 @@
 /**
  * Ends the process when a thread that owns state has ended or is stuck.
  *
- * <p>Nothing of this host goes on soundly without such a thread, and state that an {@link Error}
- * left half changed must not be used. A process that ends is restarted; one that stays up without
- * the thread would accept requests and answer none of them.
+ * <p>An {@link Error} may leave the state of its thread inconsistent, so the state must not be used
+ * any more. A process without such a thread would accept requests and answer none of them; one that
+ * has ended can be restarted.
  */
 public final class ProcessGuard {
 
@@ -29,7 +29,7 @@
   /** Exit code after a thread was stuck. */
   public static final int EXIT_THREAD_STUCK = 71;
 
-  /** Time between two looks at each thread, in milliseconds. */
+  /** Time between two checks of each thread, in milliseconds. */
   static final long CHECK_INTERVAL_MILLIS = 500;
 
   /**
@@ -77,7 +77,7 @@
    * Watches a thread.
    *
    * @param name the name of the thread
-   * @param progress a number that changes while the thread goes on, also when it has nothing to do
+   * @param progress a number that changes as long as the thread runs, even if it has nothing to do
    */
   public void watchProgress(String name, LongSupplier progress) {
     watches.add(new Watch(name, progress, STUCK_INTERVALS));
@@ -98,7 +98,7 @@
     Thread.ofPlatform().daemon().name("process-guard").start(this::run);
   }
 
-  /** Stops to watch the threads, which end in a planned stop. */
+  /** Ends the checks; the threads end in a planned stop. */
   public void stop() {
     stopped = true;
   }
@@ -112,7 +112,7 @@
     }
   }
 
-  /** Looks at the progress of each thread. */
+  /** Checks the progress of each thread. */
   void check() {
     for (Watch watch : watches) {
       if (stopped) {
@@ -133,7 +133,7 @@
       while (!stopped) {
         Thread.sleep(CHECK_INTERVAL_MILLIS);
         if (exitCode != 0) {
-          // The thread that ends the process waits for its output.
+          // The thread that is ending the process may be blocked in writing the line.
           exit.accept(exitCode);
         }
         checkSafely();
--- a/burdockbay-server/src/main/java/org/burdockbay/server/host/ControlThread.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/host/ControlThread.java
@@ -32,7 +32,7 @@
   /** Time without progress after which the thread counts as stuck, in milliseconds. */
   private static final long STUCK_TIMEOUT_MILLIS = 1_000;
 
-  /** Time without progress after which tasks from outside are refused, in milliseconds. */
+  /** Time without progress after which no tasks of other parties are queued, in milliseconds. */
   private static final long ACCEPT_TIMEOUT_MILLIS = 3_000;
 
   private final Clock clock;
@@ -111,10 +111,11 @@
   }
 
   /**
-   * Returns whether tasks from outside may be added; false once they would wait in vain.
+   * Returns whether tasks of other parties may be queued; false once this thread is stuck for
+   * longer than callers usually wait.
    *
-   * <p>The limit exceeds the time for which callers wait, since a process that was paused may
-   * receive requests before this thread goes on.
+   * <p>The limit is higher than that of {@link #isResponsive}: a process that was paused may
+   * receive requests before this thread continues.
    */
   public boolean acceptsTasks() {
     return thread.isAlive() && clock.millis() - progressAt <= ACCEPT_TIMEOUT_MILLIS;
@@ -209,8 +210,8 @@
   /**
    * Runs a task, and logs its failure so that a defect in one task can't end the thread.
    *
-   * <p>An {@link Error} ends the thread, and with it the process: it may strike at any allocation
-   * and leave state half changed.
+   * <p>An {@link Error} ends the thread, and with it the process: it may occur at any allocation
+   * and leave the state inconsistent.
    */
   private void runSafely(Runnable task) {
     try {
--- a/burdockbay-server/src/main/java/org/burdockbay/server/http/HttpServer.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/http/HttpServer.java
@@ -39,7 +39,7 @@
   /** The part of the heap that the bodies of requests take at most, as a divisor. */
   private static final long MEMORY_DIVISOR = 8;
 
-  /** Heap for each connection, which takes a fraction of it while it is idle. */
+  /** Heap for each connection, in bytes. */
   private static final long HEAP_BYTES_PER_CONNECTION = 48 * 1024;
 
   private final HostSettings settings;
--- a/burdockbay-server/src/main/java/org/burdockbay/server/http/RequestMemoryHandler.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/http/RequestMemoryHandler.java
@@ -22,7 +22,7 @@
   /** Memory of a request beside its body, in bytes. */
   private static final long REQUEST_BYTES = 4 * 1024;
 
-  /** Copies of a body while it is read: its bytes, and its text. */
+  /** Number of copies of a body while it is read: its bytes, and twice its text. */
   private static final long BODY_COPIES = 3;
 
   private final MemoryBudget budget;
--- a/burdockbay-server/src/main/java/org/burdockbay/server/metrics/HostMetrics.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/metrics/HostMetrics.java
@@ -21,8 +21,8 @@
   private static final String OUTCOME_PREFIX = "outcome";
 
   /**
-   * Maximum number of histograms of response times; each takes up to 100 KB. Queues and jobs beyond
-   * it share one.
+   * Maximum number of histograms of response times, each of which keeps a sample of the values.
+   * Queues and jobs beyond it share one.
    */
   private static final int MAX_RESPONSE_HISTOGRAMS = 32;
 
@@ -86,8 +86,8 @@
   }
 
   /**
-   * Returns a name if it is known or there is room for it, else the common one: names come with
-   * configurations, and metrics of removed queues remain.
+   * Returns a name if it is known or there is room for it, else the shared one. Names come from
+   * configurations, and the metrics of removed queues remain.
    */
   private static String limited(String name, Set<String> known, int maxNames) {
     boolean accepted = known.contains(name) || (known.size() < maxNames && known.add(name));
--- a/burdockbay-server/src/main/java/org/burdockbay/server/metrics/MetricsSnapshot.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/metrics/MetricsSnapshot.java
@@ -4,10 +4,10 @@
 import org.burdockbay.core.clock.Clock;
 
 /**
- * The text of all metrics, which is formatted for each scrape unless there are very many.
+ * The text of all metrics, formatted for each scrape up to a rate.
  *
- * <p>Formatting sorts the samples of all histograms, so many scrapes at once would hold up the
- * thread that serves them; those beyond a limit get the last text again. Not thread-safe.
+ * <p>Formatting sorts the samples of all histograms, so many scrapes at once would block the event
+ * loop that serves them; those beyond the rate get the previous text. Not thread-safe.
  */
 public final class MetricsSnapshot {
 
@@ -28,7 +28,7 @@
     this.clock = clock;
   }
 
-  /** Returns the text of the metrics, which under many scrapes may be from a moment before. */
+  /** Returns the text of the metrics, at most {@link #PERIOD_MILLIS} old. */
   public String text() {
     long now = clock.millis();
     if (now - periodBegunAt > PERIOD_MILLIS) {
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
@@ -248,10 +248,10 @@
   }
 
   /**
-   * Submits work, unless this host has no memory for it or its control thread is behind.
+   * Submits work, unless this host has no memory for it or its control thread is overloaded.
    *
    * @param callback receives the outcome once, on the control thread
-   * @return a handle to withdraw the caller; empty if the work is refused
+   * @return the submission; empty if the work is refused
    */
   public Optional<Submission> submit(WorkRequest request, Consumer<WorkOutcome> callback) {
     long bytes = WorkFootprint.ofRequest(request);
@@ -276,10 +276,7 @@
     return parts.limits().work().violation(request);
   }
 
-  /**
-   * Returns whether the control thread is stuck or has more queued tasks than may be added to from
-   * outside.
-   */
+  /** Returns whether the control thread is stuck, or too many tasks wait for it. */
   public boolean isOverloaded() {
     return parts.thread().backlog() >= parts.limits().queuedTasks()
         || !parts.thread().acceptsTasks();
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/WorkHandler.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/WorkHandler.java
@@ -81,10 +81,10 @@
   }
 
   private static void registerGauges(NodeParts parts, LeaseDispatcher dispatcher) {
-    parts.metrics().registerGauge("dispatcher.work-bytes", dispatcher::workBytes);
+    parts.metrics().registerGauge("dispatcher.work.bytes", dispatcher::workBytes);
     parts
         .metrics()
-        .registerGauge("dispatcher.work-bytes-limit", () -> parts.limits().work().dispatchBytes());
+        .registerGauge("dispatcher.work.bytes-limit", () -> parts.limits().work().dispatchBytes());
   }
 
   /** Submits the request of a caller; the callback receives its outcome. */
--- a/burdockbay-server/src/main/java/org/burdockbay/server/transport/PendingHandshakes.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/transport/PendingHandshakes.java
@@ -8,8 +8,8 @@
 /**
  * Limits the number of accepted connections whose other end isn't authenticated yet.
  *
- * <p>A handshake takes a few round trips. When too many are under way, the oldest one is ended, so
- * that connections which never send anything can't keep other hosts out. Thread-safe.
+ * <p>When too many handshakes are under way, the connection of the oldest one is closed, so that
+ * connections which never complete theirs can't exclude other hosts. Thread-safe.
  */
 final class PendingHandshakes {
 
--- a/burdockbay-server/src/main/java/org/burdockbay/server/web/RequestAssembler.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/web/RequestAssembler.java
@@ -33,7 +33,7 @@
   /** Memory of a request whose head is incomplete, beside its bytes. */
   private static final long HEAD_BYTES = 16 * 1024;
 
-  /** Copies of a body's bytes: the buffer that grows, and the final array. */
+  /** Number of copies of a body: the growing buffer and the final array. */
   private static final long BODY_COPIES = 2;
 
   private final RequestDecoder decoder;
@@ -113,29 +113,19 @@
     context.fireChannelInactive();
   }
 
-  /**
-   * Rejects a request that has been arriving for too long.
-   *
-   * @return whether no request is arriving, so that the connection may be idle
-   */
-  boolean checkTimeouts(ChannelHandlerContext context, WebLimits current) {
+  /** Rejects the request that is arriving if its timeout has expired. */
+  void checkTimeouts(ChannelHandlerContext context, WebLimits current) {
     long now = clockMillis.getAsLong();
-    if (rejected) {
-      return false;
-    }
-    if (headBegunAt >= 0) {
-      if (now - headBegunAt > current.headerTimeoutMillis()) {
-        reject(context, HttpResponseStatus.REQUEST_TIMEOUT, "incomplete headers");
-      }
-      return false;
-    }
-    if (head != null) {
-      if (now - lastReadAt > current.idleTimeoutMillis()) {
-        reject(context, HttpResponseStatus.REQUEST_TIMEOUT, "incomplete body");
-      }
-      return false;
+    if (headBegunAt >= 0 && now - headBegunAt > current.headerTimeoutMillis()) {
+      reject(context, HttpResponseStatus.REQUEST_TIMEOUT, "incomplete headers");
+    } else if (head != null && now - lastReadAt > current.idleTimeoutMillis()) {
+      reject(context, HttpResponseStatus.REQUEST_TIMEOUT, "incomplete body");
     }
-    return true;
+  }
+
+  /** Returns whether a request is arriving, or the rest of a rejected one is discarded. */
+  boolean isReceiving() {
+    return rejected || headBegunAt >= 0 || head != null;
   }
 
   /** Returns when the last bytes arrived, in milliseconds. */
--- a/burdockbay-server/src/main/java/org/burdockbay/server/web/RequestDecoder.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/web/RequestDecoder.java
@@ -15,7 +15,7 @@
 /** Decodes requests, counts the bytes of their heads and limits the number of header fields. */
 final class RequestDecoder extends HttpRequestDecoder {
 
-  /** Maximum number of header fields; a short one takes many times its bytes in memory. */
+  /** Maximum number of header fields; short ones take many times their bytes in memory. */
   static final int MAX_HEADER_FIELDS = 100;
 
   private boolean inBody;
--- a/burdockbay-server/src/main/java/org/burdockbay/server/web/WebConnection.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/web/WebConnection.java
@@ -104,14 +104,14 @@
     if (context == null || connection == null) {
       return;
     }
-    boolean receiving = !connection.assembler.checkTimeouts(context, limits);
+    connection.assembler.checkTimeouts(context, limits);
     long now = connection.clockMillis.getAsLong();
     if (connection.hasUnsentResponse(channel, now)) {
       if (now - connection.lastSentAt > limits.idleTimeoutMillis()) {
         connection.log.warn("response-unread", "remote=" + channel.remoteAddress());
         channel.close();
       }
-    } else if (!receiving
+    } else if (!connection.assembler.isReceiving()
         && connection.isIdle()
         && now - connection.lastUsedAt() > limits.idleTimeoutMillis()) {
       channel.close();
@@ -190,11 +190,12 @@
             + " reason="
             + EventLog.quote(rejected.reason()));
     rejecting = true;
+    // Requests that wait get no response, as the connection is closed.
     releaseWaiting();
     if (current == null) {
       writeRejection(context, rejected);
     } else {
-      // The response to the request in progress comes first; those that wait get none.
+      // The response to the request in progress comes first.
       current.afterResponse = () -> writeRejection(context, rejected);
     }
   }
--- a/burdockbay-server/src/main/java/org/burdockbay/server/web/WebMemory.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/web/WebMemory.java
@@ -25,7 +25,7 @@
   /** The part of the heap that unsent responses take at most, as a divisor. */
   public static final long RESPONSE_DIVISOR = 12;
 
-  /** Heap for each connection of a listener; an idle connection takes about a tenth of it. */
+  /** Heap for each connection of a listener, in bytes. */
   public static final long HEAP_BYTES_PER_CONNECTION = 48 * 1024;
 
   private final long requestLimitBytes;
--- a/burdockbay-server/src/main/java/org/burdockbay/server/wiring/HostModule.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/wiring/HostModule.java
@@ -24,7 +24,7 @@
 @Module
 public final class HostModule {
 
-  /** Heap for each token of a JSON document, which is parsed into up to 100 bytes. */
+  /** Heap for each token of a JSON document, in bytes; its tree takes a part of it. */
   private static final long HEAP_BYTES_PER_TOKEN = 1_024;
 
   private HostModule() {}
--- a/burdockbay-server/src/test/java/org/burdockbay/server/host/ControlThreadTest.java
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/host/ControlThreadTest.java
@@ -83,10 +83,7 @@
     assertEquals(order, List.of("deferred", "work"));
   }
 
-  /**
-   * Guards against work on state that an error left half changed, and against a host that counts as
-   * ready although its control thread is gone.
-   */
+  /** Guards against tasks that run on state which an error left inconsistent. */
   @Test
   public void runsNothingAfterAnError() throws Exception {
     final List<String> order = new CopyOnWriteArrayList<>();
--- a/burdockbay-server/src/test/java/org/burdockbay/server/metrics/HostMetricsTest.java
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/metrics/HostMetricsTest.java
@@ -10,10 +10,7 @@
 /** Tests {@link HostMetrics}. */
 public class HostMetricsTest {
 
-  /**
-   * Guards against many scrapes that hold up the event loop, as each formats all metrics, and
-   * against an outdated text for a single one.
-   */
+  /** Guards against many scrapes that block the event loop, and outdated metrics for a few. */
   @Test
   public void formatsMetricsForFewOfManyScrapes() {
     AtomicLong now = new AtomicLong();
--- a/burdockbay-server/src/test/java/org/burdockbay/server/web/RequestAssemblerTest.java
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/web/RequestAssemblerTest.java
@@ -120,10 +120,7 @@
     assertEquals(readRejection(channel).status(), 408);
   }
 
-  /**
-   * Guards against bodies under way on many connections that exhaust the memory together: the host
-   * lost contact with all others.
-   */
+  /** Guards against incomplete bodies on many connections that exhaust the memory. */
   @Test
   public void evictsOldestIncompleteBodies() {
     List<EmbeddedChannel> channels = new ArrayList<>();
@@ -144,7 +141,7 @@
     assertEquals(memory.requestBytes(), 10_000);
   }
 
-  /** Guards against incomplete heads on many connections that exhaust the memory together. */
+  /** Guards against incomplete heads on many connections that exhaust the memory. */
   @Test
   public void evictsOldestIncompleteHeads() {
     List<EmbeddedChannel> channels = new ArrayList<>();
