--- a/burdockbay-server/src/test/java/org/burdockbay/server/ProcessGuardTest.java
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/ProcessGuardTest.java
@@ -5,6 +5,7 @@
 import static org.testng.Assert.assertTrue;
 
 import java.io.ByteArrayOutputStream;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.RejectedExecutionException;
@@ -40,6 +41,24 @@
     assertTrue(line.startsWith("level=ERROR event=process-ended exit-code=70 " + cause), line);
   }
 
+  /** Guards against a real process that stays up after its control thread exhausted the heap. */
+  @Test
+  public void endsRealProcessWithCodeAndReason() throws Exception {
+    Process process =
+        new ProcessBuilder(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-Xmx72m",
+                "-cp",
+                System.getProperty("java.class.path"),
+                FailingProcess.class.getName())
+            .redirectErrorStream(true)
+            .start();
+    String lines = new String(process.getInputStream().readAllBytes(), UTF_8);
+    assertEquals(process.waitFor(), ProcessGuard.EXIT_THREAD_ENDED, lines);
+    assertTrue(lines.contains("event=process-ended exit-code=70 thread=control"), lines);
+    assertTrue(lines.contains("OutOfMemoryError"), lines);
+  }
+
   /** Guards against ending the process for a task that owns no state. */
   @Test
   public void keepsProcessAfterExceptionsOfVirtualThreads() {
