Show refused connections in metrics, document the limits of burdockbay serve

What operators saw: connections that a listener refused, since all that are allowed were in use, appeared in no metric (WebListener counted them and nothing read the count); and docs/CONFIGURATION.md named the limits of the users' platform only.

Cause: the metrics of the memory limits are those of WebMemory, and the count of connections was kept beside it.

Change: WebMemory counts them, as web.connections-refused. The reference lists the limits of burdockbay serve and what is done beyond them.

Measured: WebListenerTest.countsConnectionsRefusedBesideBusyOnes passes; before, there was no such metric to read.

--- a/burdockbay-app/src/main/java/org/burdockbay/app/command/ReferenceCommand.java
+++ b/burdockbay-app/src/main/java/org/burdockbay/app/command/ReferenceCommand.java
@@ -24,6 +24,14 @@
       for the idle timeout gets 408. Operators and runners may send up to a 32nd of the heap.
       """;
 
+  private static final String SERVE_LIMITS_HELP =
+      """
+      Hosts of `burdockbay serve` limit the bodies of requests under way and the jobs whose callers
+      wait to an eighth of the heap each (503; `caller_jobs_bytes` and `caller_jobs_refused` show the
+      jobs), and the texts of a dispatcher's unfinished jobs to a 16th. A runner's response of more
+      than 1 MiB counts as none: the task may have run.
+      """;
+
   private static final long EXAMPLE_HEAP_BYTES = 72L * 1024 * 1024;
 
   @Override
@@ -117,9 +125,10 @@
         text,
         "Connections of a listener",
         EXAMPLE_HEAP_BYTES / WebMemory.HEAP_BYTES_PER_CONNECTION,
-        "idle ones are closed",
-        "`web_connections_limit`");
+        "idle ones are closed, or new ones if none is idle",
+        "`web_connections_limit`, `web_connections_refused`");
     text.append('\n').append(CALLER_LIMITS_HELP);
+    text.append('\n').append(SERVE_LIMITS_HELP);
   }
 
   private static void appendLimit(
--- a/burdockbay-server/src/main/java/org/burdockbay/server/web/WebListener.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/web/WebListener.java
@@ -16,7 +16,6 @@
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
 import org.burdockbay.core.clock.Clock;
 import org.burdockbay.server.ServerException;
@@ -38,7 +37,6 @@
   private final ChannelGroup connections =
       new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
   private final AtomicInteger openRequests = new AtomicInteger();
-  private final AtomicLong refusedConnections = new AtomicLong();
   private final EventLoopGroup loops;
   private final Supplier<WebLimits> limits;
   private final WebMemory memory;
@@ -120,7 +118,7 @@
 
   private void accept(SocketChannel channel) {
     if (connections.size() >= memory.maxConnections() && !closeLongestIdle()) {
-      refusedConnections.incrementAndGet();
+      memory.countRefusedConnection();
       channel.close();
       return;
     }
@@ -186,11 +184,6 @@
         channel -> channel.eventLoop().execute(() -> WebConnection.closeIfIdle(channel)));
   }
 
-  /** Returns the number of connections that were refused because too many were open. */
-  public long refusedConnectionCount() {
-    return refusedConnections.get();
-  }
-
   /** Returns the number of open connections. */
   public int connectionCount() {
     return connections.size();
--- a/burdockbay-server/src/main/java/org/burdockbay/server/web/WebMemory.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/web/WebMemory.java
@@ -5,6 +5,7 @@
 import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import org.burdockbay.core.limits.MemoryBudget;
 
@@ -32,6 +33,7 @@
   private final int maxConnections;
   private final MemoryBudget responses;
   private final Set<Reservation> arriving = new LinkedHashSet<>();
+  private final AtomicLong refusedConnections = new AtomicLong();
   private long requestBytes;
   private long evictions;
 
@@ -54,7 +56,7 @@
     return new WebMemory(Long.MAX_VALUE, Long.MAX_VALUE, Integer.MAX_VALUE);
   }
 
-  /** Registers gauges of the memory in use and its limits, in bytes, and of the evictions. */
+  /** Registers gauges of the memory in use and its limits, in bytes, and of what was refused. */
   public void register(MetricRegistry registry) {
     registerGauge(registry, "web.request.bytes", this::requestBytes);
     registerGauge(registry, "web.request.bytes-limit", () -> requestLimitBytes);
@@ -63,6 +65,7 @@
     registerGauge(registry, "web.response.bytes-limit", responses::limitBytes);
     registerGauge(registry, "web.response.refused", responses::refusals);
     registerGauge(registry, "web.connections-limit", () -> (long) maxConnections);
+    registerGauge(registry, "web.connections-refused", refusedConnections::get);
   }
 
   /** Returns the maximum number of connections of a listener. */
@@ -70,6 +73,11 @@
     return maxConnections;
   }
 
+  /** Counts a connection that was refused because too many were open. */
+  void countRefusedConnection() {
+    refusedConnections.incrementAndGet();
+  }
+
   /** Returns the budget of responses that are not sent yet. */
   MemoryBudget responses() {
     return responses;
--- a/burdockbay-server/src/test/java/org/burdockbay/server/web/WebListenerTest.java
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/web/WebListenerTest.java
@@ -5,6 +5,7 @@
 import static org.testng.Assert.assertNull;
 import static org.testng.Assert.assertTrue;
 
+import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -190,6 +191,41 @@
     }
   }
 
+  /** Guards against refused connections that no metric shows. */
+  @Test
+  public void countsConnectionsRefusedBesideBusyOnes() throws Exception {
+    listener.close();
+    WebMemory memory = WebMemory.ofHeap(4 * 48 * 1024);
+    MetricRegistry registry = new MetricRegistry();
+    memory.register(registry);
+    listener =
+        new WebListener(
+            loops,
+            address,
+            () -> WebLimits.CALLERS,
+            memory,
+            openExchanges::add,
+            new EventLog("test"),
+            Clock.monotonic());
+    listener.start();
+    List<Socket> busy = new ArrayList<>();
+    for (int i = 0; i < 4; i++) {
+      Socket socket = new Socket();
+      socket.connect(address.toSocketAddress());
+      sendRequest(socket);
+      openExchanges.take();
+      busy.add(socket);
+    }
+    try (Socket caller = new Socket()) {
+      caller.connect(address.toSocketAddress());
+      assertEquals(caller.getInputStream().read(), -1);
+      assertEquals(registry.getGauges().get("web.connections-refused").getValue(), 1L);
+    }
+    for (Socket socket : busy) {
+      socket.close();
+    }
+  }
+
   private void awaitNoOpenRequests() throws InterruptedException {
     while (listener.openRequestCount() > 0) {
       Thread.sleep(POLL_INTERVAL_MILLIS);
