--- a/burdockbay-server/src/main/java/org/burdockbay/server/storage/DataFolder.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/storage/DataFolder.java
@@ -126,7 +126,7 @@
     }
   }
 
-  private static DataFolder openOrCreate(
+  static DataFolder openOrCreate(
       Disk disk, Path path, String cluster, String host, long newIncarnation)
       throws StorageException {
     try {
