--- a/burdockbay-core/src/main/java/org/burdockbay/core/agreement/RecoveredLog.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/agreement/RecoveredLog.java
@@ -23,6 +23,11 @@
     entries = List.copyOf(entries);
   }
 
+  /** Returns the members that the last change in the log sets, committed or not. */
+  public VoterSet members() {
+    return new RaftLog(this).voters();
+  }
+
   /**
    * Returns the initial log of the first voters of a group, which contains the predefined members.
    */
--- a/burdockbay-server/src/main/java/org/burdockbay/server/host/AgreementStorage.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/host/AgreementStorage.java
@@ -186,7 +186,9 @@
             + " term="
             + recovered.hardState().term()
             + " cut-bytes="
-            + report.truncatedBytes());
+            + report.truncatedBytes()
+            + " members="
+            + recovered.members());
     for (LogGap gap : report.gaps()) {
       log.info(
           "log-gap",
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/CatalogKeeper.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/CatalogKeeper.java
@@ -115,13 +115,15 @@
       return;
     }
     submittedVersion = compressed.version();
-    background.execute(() -> decode(compressed, origin));
+    long receivedAt = clock.millis();
+    background.execute(() -> decode(compressed, new Receipt(origin, receivedAt)));
   }
 
-  private void decode(CompressedCatalog compressed, String origin) {
+  private void decode(CompressedCatalog compressed, Receipt receipt) {
     try {
       Catalog decoded = reader.read(compressed.text());
-      control.execute(() -> putInForce(decoded, compressed, origin));
+      long decodedAt = clock.millis();
+      control.execute(() -> putInForce(decoded, compressed, receipt, decodedAt));
     } catch (CatalogException e) {
       // Validated before it was accepted, but possibly by another release. The current catalog
       // stays in force.
@@ -139,7 +141,8 @@
     retryAt = clock.millis() + RETRY_INTERVAL_MILLIS;
   }
 
-  private void putInForce(Catalog decoded, CompressedCatalog compressed, String origin) {
+  private void putInForce(
+      Catalog decoded, CompressedCatalog compressed, Receipt receipt, long decodedAt) {
     if (compressed.version() <= current.version()) {
       return;
     }
@@ -151,9 +154,13 @@
             + " before="
             + current.version()
             + " source="
-            + origin
+            + receipt.origin
             + " heard-ago="
             + (now - newerAnnouncedAt.orElse(now))
+            + " received-ago="
+            + (now - receipt.receivedAt)
+            + " decoded-ago="
+            + (now - decodedAt)
             + " bytes="
             + compressed.data().size());
     newerAnnouncedAt = OptionalLong.empty();
@@ -161,4 +168,12 @@
     source.add(compressed);
     onInForce.run();
   }
+
+  /**
+   * The receipt of a catalog.
+   *
+   * @param origin id of the host that sent it, or "log"
+   * @param receivedAt when its last part was handled, in milliseconds
+   */
+  private record Receipt(String origin, long receivedAt) {}
 }
