Limit how long a host acts on a configuration that may have been replaced

What callers saw: a read was answered by version 48, 3.7 s after version 51 had been acknowledged (2.5 s are stated).

Cause: a host acted on its version until the next one was in force, whatever held that one up: heartbeats or parts that wait for the event loop or the control thread, a lost request, a slow decoding, a suspended process. Nothing told it that its version might be outdated, and nothing ended the use of a version that it knew to be outdated. The class: state of another host is used without an age.

Change: the leader confirms in its heartbeats which version is the newest, and as of when. The time counts from when a quorum was asked, not from when replies were handled (section 6.4 of Ongaro's thesis); requests and replies of the agreement carry it. The receiver relates the leader's clock to its own by an echo of the time it stated, so a message that waits in a queue or on a link doesn't seem newer than it is. A host may act on its version for config_apply_ms after the confirmed time; then it refuses callers with 503 and isn't ready. This is decided where the request is handled, from a time, so it needs no progress of the control thread. A host that hears no leader for 450 ms, all messages that had arrived being handled, goes on with its version, unless it has heard of a newer one.

Why it works: a version that was acknowledged before the confirmed time is in the leader's state; so whoever acts on an older one got its confirmation before the acknowledgement, and at most config_apply_ms ago.

Ruled out: acknowledging a change only once all hosts have it (one host that is down would delay every change to the timeout); a bound from the announcement alone (a host that is late doesn't get to the announcement).

--- a/burdockbay-core/src/main/java/org/burdockbay/core/agreement/LeaderReplication.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/agreement/LeaderReplication.java
@@ -45,6 +45,24 @@
             });
   }
 
+  /**
+   * Returns the latest time such that a quorum, including this leader, has replied to requests sent
+   * no earlier; {@code Long.MIN_VALUE} if there is none.
+   */
+  long quorumConfirmedAt(VoterId self, long now) {
+    List<Long> confirmed =
+        log.voters().voters().stream()
+            .map(voter -> voter.equals(self) ? now : confirmedAt(voter))
+            .sorted(Comparator.reverseOrder())
+            .toList();
+    return confirmed.isEmpty() ? Long.MIN_VALUE : confirmed.get(log.voters().quorumSize() - 1);
+  }
+
+  private long confirmedAt(VoterId member) {
+    PeerProgress peer = peers.get(member);
+    return peer == null ? Long.MIN_VALUE : peer.confirmedAt;
+  }
+
   /** Sends heartbeats, and resends entries and snapshot chunks without a reply. */
   void tick(long now) {
     for (Map.Entry<VoterId, PeerProgress> entry : peers.entrySet()) {
@@ -83,6 +101,9 @@
       return;
     }
     peer.lastAckAt = now;
+    if (reply.requestSentAtMillis() != 0) {
+      peer.confirmedAt = Math.max(peer.confirmedAt, reply.requestSentAtMillis());
+    }
     if (!reply.accepted()) {
       peer.nextIndex = Math.max(peer.matchIndex + 1, Math.min(reply.index(), peer.nextIndex));
       return;
@@ -149,7 +170,7 @@
         && peer.nextIndex - peer.matchIndex <= MAX_ENTRIES_IN_FLIGHT) {
       List<LogEntry> entries =
           log.entriesFrom(peer.nextIndex, MAX_ENTRIES_PER_MESSAGE, MAX_BYTES_PER_MESSAGE);
-      sendAppend(member, peer.nextIndex - 1, entries, node.commitIndex());
+      sendAppend(member, peer.nextIndex - 1, entries, node.commitIndex(), now);
       if (peer.nextIndex == peer.matchIndex + 1) {
         peer.lastProgressAt = now;
       }
@@ -163,14 +184,15 @@
     peer.lastSentAt = now;
     boolean isMatchAvailable = peer.matchIndex >= log.baseIndex();
     long matched = isMatchAvailable ? peer.matchIndex : 0;
-    sendAppend(member, matched, List.of(), Math.min(node.commitIndex(), matched));
+    sendAppend(member, matched, List.of(), Math.min(node.commitIndex(), matched), now);
   }
 
-  private void sendAppend(VoterId member, long prevIndex, List<LogEntry> entries, long commit) {
+  private void sendAppend(
+      VoterId member, long prevIndex, List<LogEntry> entries, long commit, long now) {
     long prevTerm = prevIndex == 0 ? 0 : log.term(prevIndex);
     node.send(
         new RaftMessage.AppendRequest(
-            node.self(), member, node.term(), prevIndex, prevTerm, entries, commit));
+            node.self(), member, node.term(), prevIndex, prevTerm, entries, commit, now));
   }
 
   private void sendChunk(VoterId member, PeerProgress peer, long now) {
--- a/burdockbay-core/src/main/java/org/burdockbay/core/agreement/PeerProgress.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/agreement/PeerProgress.java
@@ -12,6 +12,10 @@
   long nextIndex;
 
   long lastAckAt;
+
+  /** Latest time at which a request was sent that the member has replied to in this term. */
+  long confirmedAt = Long.MIN_VALUE;
+
   long lastProgressAt;
   long lastSentAt;
 
--- a/burdockbay-core/src/main/java/org/burdockbay/core/agreement/RaftMessage.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/agreement/RaftMessage.java
@@ -42,6 +42,7 @@
    * @param prevLogIndex index of the entry that precedes the new ones
    * @param prevLogTerm term of that entry
    * @param commitIndex highest index that the leader has committed
+   * @param sentAtMillis time of the leader's clock, in milliseconds; 0 if it isn't stated
    */
   record AppendRequest(
       VoterId from,
@@ -50,13 +51,26 @@
       long prevLogIndex,
       long prevLogTerm,
       List<LogEntry> entries,
-      long commitIndex)
+      long commitIndex,
+      long sentAtMillis)
       implements RaftMessage {
 
     /** Copies the entries to make the message immutable. */
     public AppendRequest {
       entries = List.copyOf(entries);
     }
+
+    /** Creates a request without the time. */
+    public AppendRequest(
+        VoterId from,
+        VoterId to,
+        long term,
+        long prevLogIndex,
+        long prevLogTerm,
+        List<LogEntry> entries,
+        long commitIndex) {
+      this(from, to, term, prevLogIndex, prevLogTerm, entries, commitIndex, 0);
+    }
   }
 
   /**
@@ -64,9 +78,18 @@
    *
    * @param index if accepted, index of the last entry that is synced and matches the leader's log;
    *     otherwise the index from which the leader is to continue
+   * @param requestSentAtMillis {@link AppendRequest#sentAtMillis} of the request; 0 if this replies
+   *     to another message
    */
-  record AppendReply(VoterId from, VoterId to, long term, boolean accepted, long index)
-      implements RaftMessage {}
+  record AppendReply(
+      VoterId from, VoterId to, long term, boolean accepted, long index, long requestSentAtMillis)
+      implements RaftMessage {
+
+    /** Creates a reply without the time of the request. */
+    public AppendReply(VoterId from, VoterId to, long term, boolean accepted, long index) {
+      this(from, to, term, accepted, index, 0);
+    }
+  }
 
   /**
    * Transfers a chunk of a snapshot.
--- a/burdockbay-core/src/main/java/org/burdockbay/core/agreement/RaftNode.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/agreement/RaftNode.java
@@ -294,6 +294,23 @@
     return commitIndex;
   }
 
+  /**
+   * Returns the latest time, in milliseconds, before which no other leader can have committed an
+   * entry that this member, the leader, hasn't applied; empty if there is none.
+   *
+   * <p>This is the confirmation of leadership for linearizable reads of Ongaro's thesis (section
+   * 6.4). It counts from when the requests were sent, so a delay of this member's processor or of a
+   * reply can't make it later than it is.
+   */
+  public OptionalLong confirmedAt() {
+    boolean upToDate =
+        role == RaftRole.LEADER
+            && appliedIndex == commitIndex
+            && log.term(commitIndex) == hardState.term();
+    long confirmed = upToDate ? replication.quorumConfirmedAt(self, now) : Long.MIN_VALUE;
+    return confirmed == Long.MIN_VALUE ? OptionalLong.empty() : OptionalLong.of(confirmed);
+  }
+
   /** Returns the index of the last log entry. */
   public long lastIndex() {
     return log.lastIndex();
@@ -503,27 +520,32 @@
     }
     long lastNew = request.prevLogIndex() + request.entries().size();
     commitIndex = Math.max(commitIndex, Math.min(request.commitIndex(), lastNew));
-    acknowledge(request.from(), lastNew);
+    acknowledge(request.from(), lastNew, request.sentAtMillis());
   }
 
   /**
    * Acknowledges synced entries immediately, so that a slow sync doesn't appear as a failed member,
    * and the remaining entries after their sync.
    */
-  private void acknowledge(VoterId to, long lastNew) {
+  private void acknowledge(VoterId to, long lastNew, long requestSentAt) {
     send(
         new RaftMessage.AppendReply(
-            self, to, hardState.term(), true, Math.min(lastNew, syncedIndex)));
+            self, to, hardState.term(), true, Math.min(lastNew, syncedIndex), requestSentAt));
     if (lastNew > syncedIndex) {
       messagesAwaitingSync.add(
-          new RaftMessage.AppendReply(self, to, hardState.term(), true, lastNew));
+          new RaftMessage.AppendReply(self, to, hardState.term(), true, lastNew, requestSentAt));
     }
   }
 
   private void rejectAppend(RaftMessage.AppendRequest request, long nextIndex) {
     send(
         new RaftMessage.AppendReply(
-            self, request.from(), hardState.term(), false, Math.max(nextIndex, commitIndex + 1)));
+            self,
+            request.from(),
+            hardState.term(),
+            false,
+            Math.max(nextIndex, commitIndex + 1),
+            request.sentAtMillis()));
   }
 
   private long firstIndexOfTerm(long index) {
@@ -553,14 +575,14 @@
     }
     Snapshot part = chunk.snapshot();
     if (part.index() <= commitIndex) {
-      acknowledge(chunk.from(), Math.min(part.index(), log.lastIndex()));
+      acknowledge(chunk.from(), Math.min(part.index(), log.lastIndex()), 0);
       return;
     }
     if (log.term(part.index()) == part.term()) {
       // The log contains the snapshot's last entry and may contain later, acknowledged ones.
       // Replacing the log would discard those, and a leader without them could be elected.
       commitIndex = part.index();
-      acknowledge(chunk.from(), part.index());
+      acknowledge(chunk.from(), part.index(), 0);
       return;
     }
     if (incomingSnapshot == null || incomingSnapshot.index != part.index() || chunk.offset() == 0) {
@@ -574,7 +596,7 @@
           new Snapshot(
               part.index(), part.term(), part.timeMillis(), part.voters(), incomingSnapshot.data));
       incomingSnapshot = null;
-      acknowledge(chunk.from(), part.index());
+      acknowledge(chunk.from(), part.index(), 0);
     } else {
       send(
           new RaftMessage.SnapshotReply(
--- a/burdockbay-core/src/main/java/org/burdockbay/core/message/PeerMessage.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/message/PeerMessage.java
@@ -2,9 +2,11 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import org.burdockbay.core.agreement.GroupId;
 import org.burdockbay.core.agreement.RaftMessage;
+import org.burdockbay.core.catalog.CatalogConfirmation;
 import org.burdockbay.core.catalog.CatalogPart;
 import org.burdockbay.core.control.ControlCommand;
 import org.burdockbay.core.control.ControlReply;
@@ -26,8 +28,22 @@
    *
    * @param lastContactAgeMillis time since the sender last received a message from the receiver, in
    *     milliseconds; empty if it hasn't received any or doesn't report it
+   * @param sentAtMillis time of the sender's clock, in milliseconds; empty if the receiver doesn't
+   *     need it
+   * @param catalogConfirmation what the sender, the leader of the agreement group, knows about the
+   *     newest catalog; empty if it doesn't lead
    */
-  record Heartbeat(HostStatus status, OptionalLong lastContactAgeMillis) implements PeerMessage {
+  record Heartbeat(
+      HostStatus status,
+      OptionalLong lastContactAgeMillis,
+      OptionalLong sentAtMillis,
+      Optional<CatalogConfirmation> catalogConfirmation)
+      implements PeerMessage {
+
+    /** Creates a heartbeat without anything about catalogs but the version in force. */
+    public Heartbeat(HostStatus status, OptionalLong lastContactAgeMillis) {
+      this(status, lastContactAgeMillis, OptionalLong.empty(), Optional.empty());
+    }
 
     /** Creates a heartbeat without the time since the last contact. */
     public Heartbeat(HostStatus status) {
--- a/burdockbay-core/src/test/java/org/burdockbay/core/agreement/RaftModel.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/agreement/RaftModel.java
@@ -12,7 +12,9 @@
  * Single-threaded simulation of a group of voters, with messages in flight and simulated disks.
  *
  * <p>It checks two invariants of Raft in {@link #recordCommit} and {@link #recordLeader}: all
- * members commit the same entry at an index, and a term has at most one leader.
+ * members commit the same entry at an index, and a term has at most one leader. It also checks in
+ * {@link #checkConfirmation} that a leader has applied what was committed before the time that it
+ * confirms.
  */
 final class RaftModel {
 
@@ -21,6 +23,10 @@
   final List<Member> members = new ArrayList<>();
   final List<RaftMessage> messagesInFlight = new ArrayList<>();
   final Map<Long, LogEntry> committed = new TreeMap<>();
+
+  /** When each entry was first committed, by index. */
+  private final TreeMap<Long, Long> commitTimes = new TreeMap<>();
+
   private final Map<Long, VoterId> leaders = new HashMap<>();
   private final VoterPlanner planner;
   private final boolean replacesSilentVoters;
@@ -252,7 +258,30 @@
     return members.stream().anyMatch(member -> member.id.equals(sender) && member.partitioned);
   }
 
+  private void checkConfirmation(Member leader) {
+    leader
+        .node
+        .confirmedAt()
+        .ifPresent(
+            confirmedAt -> {
+              Map.Entry<Long, Long> missing = commitTimes.higherEntry(leader.appliedIndex);
+              if (missing != null && missing.getValue() < confirmedAt) {
+                throw new AssertionError(
+                    leader.id
+                        + " has applied entries up to "
+                        + leader.appliedIndex
+                        + " and confirms "
+                        + confirmedAt
+                        + ", but entry "
+                        + missing.getKey()
+                        + " was committed at "
+                        + missing.getValue());
+              }
+            });
+  }
+
   private void recordCommit(VoterId member, LogEntry entry) {
+    commitTimes.putIfAbsent(entry.index(), now);
     LogEntry before = committed.putIfAbsent(entry.index(), entry);
     if (before != null
         && (before.term() != entry.term() || !before.content().equals(entry.content()))) {
@@ -362,6 +391,7 @@
           }
         }
       }
+      checkConfirmation(this);
     }
 
     private void apply(LogEntry entry) {
--- a/burdockbay-core/src/test/java/org/burdockbay/core/agreement/RaftNodeTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/agreement/RaftNodeTest.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.testng.annotations.Test;
 
 /** Tests failures of a single member; each test covers a row in docs/PROOFS.md. */
@@ -32,6 +33,24 @@
     assertTrue(leader.propose(bytes("x"), AFTER_ELECTION_TIMEOUT + 100).isEmpty());
   }
 
+  /** Guards against confirming a leadership that ended while a reply waited at the leader. */
+  @Test
+  public void confirmsLeadershipFromWhenRequestsWereSent() {
+    RaftNode leader = electedLeader();
+    syncAll(leader, 10);
+    assertTrue(leader.confirmedAt().isEmpty(), "no entry of the term is committed");
+    long handledAt = AFTER_ELECTION_TIMEOUT + TIMING.electionTimeoutMillis() - 1;
+    leader.receive(
+        new RaftMessage.AppendReply(
+            B, A, leader.term(), true, leader.lastIndex(), AFTER_ELECTION_TIMEOUT),
+        handledAt);
+    assertEquals(leader.confirmedAt(), OptionalLong.of(AFTER_ELECTION_TIMEOUT));
+    leader.receive(
+        new RaftMessage.AppendReply(C, A, leader.term(), false, 1, AFTER_ELECTION_TIMEOUT + 5),
+        handledAt);
+    assertEquals(leader.confirmedAt(), OptionalLong.of(AFTER_ELECTION_TIMEOUT + 5));
+  }
+
   /**
    * A leader commits an entry of an earlier term as soon as a quorum has it. A voter with an entry
    * of a later term may still be elected and overwrite it, and an accepted change is lost (Raft
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
@@ -102,6 +102,7 @@
   private final Clock clock;
   private final EventLog log;
   private final CatalogKeeper catalog;
+  private final CatalogFreshnessKeeper freshness;
   private final EvacuationKeeper evacuations;
   private final Membership membership;
   private final HostDirectory directory;
@@ -172,9 +173,16 @@
             parts.catalogReader(),
             parts.background(),
             this::executeControl,
-            this::sendHeartbeats,
+            this::catalogPutInForce,
             log,
             clock);
+    this.freshness =
+        new CatalogFreshnessKeeper(
+            settings.configurationApplyMillis(),
+            () -> member().driver(),
+            new ArrivalBarrier(parts.transport().eventLoops(), this::executeControl)::run,
+            log,
+            now);
     this.evacuations =
         new EvacuationKeeper(
             (command, callback) -> proposals().propose(command, callback),
@@ -330,9 +338,18 @@
     return catalog.current();
   }
 
+  /**
+   * Returns whether this host may act on a catalog that was in force; false while a newer one may
+   * have been accepted for longer than the settings allow.
+   */
+  public boolean mayActOn(Catalog inForce) {
+    return freshness.mayActOn(inForce, clock.millis());
+  }
+
   /** Returns whether this host can serve callers. */
   public boolean isReady() {
     return catalog.current().version() > 0
+        && mayActOn(catalog.current())
         && hasDispatcher
         && !draining
         && parts.thread().isResponsive();
@@ -384,6 +401,7 @@
   public void connectionOpened(String host) {
     executeControl(
         () -> {
+          freshness.connectionOpened(host);
           send(host, heartbeatFor(host, status()));
           workHandler.handleIntakeEvent(new IntakeEvent.PeerReconnected(host));
         });
@@ -543,6 +561,15 @@
     return reply;
   }
 
+  private void catalogPutInForce() {
+    freshness.putInForce(catalog.current().version());
+    sendHeartbeats();
+  }
+
+  private AgreementMember member() {
+    return member;
+  }
+
   private <T> CompletableFuture<T> query(Supplier<T> supplier) {
     CompletableFuture<T> result = new CompletableFuture<>();
     // In the work lane, so that requests which are still queued are counted.
@@ -657,6 +684,7 @@
       workHandler.handleLeaseEvent(new LeaseEvent.EntryHostLost(status.host()));
     }
     evacuations.offer(status.evacuations(), status.host());
+    freshness.handleHeartbeat(heartbeat, arrivedAt);
     execute(membership.heartbeat(status, now));
     if (heartbeatSchedule.triggersHeartbeat(status.host(), now)) {
       sendHeartbeats();
@@ -862,6 +890,7 @@
       execute(membership.tick(now));
       epochs.save(membership.highestEpoch(), membership.layout(), now);
     }
+    freshness.tick(catalog.current(), now);
     workHandler.tick();
     upstreamGossip.tick(now);
     speedGossip.tick(now);
@@ -927,9 +956,13 @@
   }
 
   private PeerMessage.Heartbeat heartbeatFor(String host, HostStatus status) {
-    Optional<Long> lastContactAge = directory.lastContactAgeMillis(host, clock.millis());
+    long now = clock.millis();
+    Optional<Long> lastContactAge = directory.lastContactAgeMillis(host, now);
     return new PeerMessage.Heartbeat(
-        status, lastContactAge.map(OptionalLong::of).orElse(OptionalLong.empty()));
+        status,
+        lastContactAge.map(OptionalLong::of).orElse(OptionalLong.empty()),
+        freshness.sentAtFor(host, now),
+        freshness.confirmationFor(host, now));
   }
 
   private HostStatus status() {
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeSettings.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeSettings.java
@@ -27,6 +27,8 @@
  * @param callerRetryDelayMillis shortest time from a broken connection of a caller until its next
  *     attempt, in milliseconds
  * @param faultTolerance losses that the hosts with a data folder must bear
+ * @param configurationApplyMillis time after the acceptance of a catalog from which no host may act
+ *     on an older one, in milliseconds
  */
 public record NodeSettings(
     String cluster,
@@ -40,9 +42,13 @@
     SchedulingOptions scheduling,
     int weight,
     long callerRetryDelayMillis,
-    FaultTolerance faultTolerance) {
+    FaultTolerance faultTolerance,
+    long configurationApplyMillis) {
 
-  /** Creates settings with the default tolerance. */
+  /** The time for a catalog to come into force if the settings state none, in milliseconds. */
+  public static final long DEFAULT_CONFIGURATION_APPLY_MILLIS = 2_000;
+
+  /** Creates settings with the default tolerance and time for a catalog to come into force. */
   public NodeSettings(
       String cluster,
       HostDescriptor descriptor,
@@ -67,7 +73,8 @@
         scheduling,
         weight,
         callerRetryDelayMillis,
-        FaultTolerance.DEFAULT);
+        FaultTolerance.DEFAULT,
+        DEFAULT_CONFIGURATION_APPLY_MILLIS);
   }
 
   /** Copies the domains and the seeds. */
@@ -95,7 +102,8 @@
         scheduling,
         weight,
         callerRetryDelayMillis,
-        faultTolerance);
+        faultTolerance,
+        configurationApplyMillis);
   }
 
   /** Returns the durations of leases and orders for callers with this retry delay. */
--- a/burdockbay-wire/src/main/java/org/burdockbay/wire/PeerCodec.java
+++ b/burdockbay-wire/src/main/java/org/burdockbay/wire/PeerCodec.java
@@ -1,9 +1,11 @@
 package org.burdockbay.wire;
 
 import com.google.protobuf.ByteString;
+import java.util.Optional;
 import java.util.OptionalLong;
 import org.burdockbay.core.agreement.Bytes;
 import org.burdockbay.core.agreement.GroupId;
+import org.burdockbay.core.catalog.CatalogConfirmation;
 import org.burdockbay.core.catalog.CatalogPart;
 import org.burdockbay.core.dispatch.DomainLoad;
 import org.burdockbay.core.membership.HostStatus;
@@ -86,7 +88,12 @@
 
   private static Wire.HostStatus encode(PeerMessage.Heartbeat heartbeat) {
     HostStatus status = heartbeat.status();
-    return Wire.HostStatus.newBuilder()
+    Wire.HostStatus.Builder message = Wire.HostStatus.newBuilder();
+    heartbeat
+        .catalogConfirmation()
+        .map(PeerCodec::encode)
+        .ifPresent(message::setCatalogConfirmation);
+    return message
         .setHost(status.host())
         .setDomain(status.domain())
         .setIncarnation(status.incarnation())
@@ -106,6 +113,16 @@
         .setShardIndex(status.shard().index())
         .setEvacuations(ControlCodec.encode(status.evacuations()))
         .setWeight(status.weight())
+        .setSentAtMs(heartbeat.sentAtMillis().orElse(0))
+        .build();
+  }
+
+  private static Wire.CatalogConfirmation encode(CatalogConfirmation confirmation) {
+    return Wire.CatalogConfirmation.newBuilder()
+        .setVersion(confirmation.version())
+        .setAgeMsPlusOne(confirmation.ageMillis().orElse(-1) + 1)
+        .setEchoedSentAtMs(confirmation.echoedSentAtMillis().orElse(0))
+        .setEchoAgeMs(confirmation.echoAgeMillis())
         .build();
   }
 
@@ -222,11 +239,28 @@
   }
 
   private static PeerMessage.Heartbeat decodeHeartbeat(Wire.HostStatus status) {
-    long contactAgeMillisPlusOne = status.getHeardAgoMsPlusOne();
     return new PeerMessage.Heartbeat(
         decode(status),
-        contactAgeMillisPlusOne == 0
-            ? OptionalLong.empty()
-            : OptionalLong.of(contactAgeMillisPlusOne - 1));
+        decodePlusOne(status.getHeardAgoMsPlusOne()),
+        decodeTime(status.getSentAtMs()),
+        status.hasCatalogConfirmation()
+            ? Optional.of(decode(status.getCatalogConfirmation()))
+            : Optional.empty());
+  }
+
+  private static CatalogConfirmation decode(Wire.CatalogConfirmation confirmation) {
+    return new CatalogConfirmation(
+        confirmation.getVersion(),
+        decodePlusOne(confirmation.getAgeMsPlusOne()),
+        decodeTime(confirmation.getEchoedSentAtMs()),
+        confirmation.getEchoAgeMs());
+  }
+
+  private static OptionalLong decodePlusOne(long millisPlusOne) {
+    return millisPlusOne == 0 ? OptionalLong.empty() : OptionalLong.of(millisPlusOne - 1);
+  }
+
+  private static OptionalLong decodeTime(long millis) {
+    return millis == 0 ? OptionalLong.empty() : OptionalLong.of(millis);
   }
 }
--- a/burdockbay-wire/src/main/java/org/burdockbay/wire/RaftCodec.java
+++ b/burdockbay-wire/src/main/java/org/burdockbay/wire/RaftCodec.java
@@ -42,7 +42,8 @@
           raft.setAppendReply(
               Wire.Raft.AppendReply.newBuilder()
                   .setAccepted(reply.accepted())
-                  .setIndex(reply.index()));
+                  .setIndex(reply.index())
+                  .setRequestSentAtMs(reply.requestSentAtMillis()));
       case RaftMessage.SnapshotChunk chunk ->
           raft.setSnapshotChunk(
               Wire.Raft.SnapshotChunk.newBuilder()
@@ -129,7 +130,8 @@
             body.getPrevIndex(),
             body.getPrevTerm(),
             decodeEntries(body.getEntriesList()),
-            body.getCommitIndex());
+            body.getCommitIndex(),
+            body.getSentAtMs());
       }
       case APPEND_REPLY ->
           new RaftMessage.AppendReply(
@@ -137,7 +139,8 @@
               to,
               term,
               raft.getAppendReply().getAccepted(),
-              raft.getAppendReply().getIndex());
+              raft.getAppendReply().getIndex(),
+              raft.getAppendReply().getRequestSentAtMs());
       case SNAPSHOT_CHUNK -> {
         Wire.Raft.SnapshotChunk body = raft.getSnapshotChunk();
         yield new RaftMessage.SnapshotChunk(
@@ -197,6 +200,7 @@
         .setPrevTerm(request.prevLogTerm())
         .addAllEntries(request.entries().stream().map(RaftCodec::encode).toList())
         .setCommitIndex(request.commitIndex())
+        .setSentAtMs(request.sentAtMillis())
         .build();
   }
 
