Cancel jobs that are under way

Ruled out: asking the registrar of the id, which knows the dispatcher but not the callers that have to be answered.

Open: the message to the other hosts isn't repeated if a connection breaks at that moment.

--- a/burdockbay-core/src/main/java/org/burdockbay/core/intake/IntakeEvent.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/intake/IntakeEvent.java
@@ -22,6 +22,9 @@
   /** A caller has closed its connection. */
   record CallerDisconnected(long ticket) implements IntakeEvent {}
 
+  /** A caller, not necessarily one that waits for the outcome, has cancelled work. */
+  record CancelRequested(String workId) implements IntakeEvent {}
+
   /**
    * A dispatcher has reported the outcome of work.
    *
--- a/burdockbay-core/src/main/java/org/burdockbay/core/intake/WorkIntake.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/intake/WorkIntake.java
@@ -122,6 +122,7 @@
     switch (event) {
       case IntakeEvent.RequestReceived received -> acceptRequest(received);
       case IntakeEvent.CallerDisconnected disconnected -> handleDisconnect(disconnected.ticket());
+      case IntakeEvent.CancelRequested requested -> handleCancelRequest(requested.workId());
       case IntakeEvent.OutcomeReported reported -> handleOutcome(reported);
       case IntakeEvent.DispatchersChanged changed -> updateDispatchers(changed.dispatchers());
       case IntakeEvent.OwnShardsChanged changed -> heldWork.updateOwnShards(changed.shards());
@@ -145,6 +146,12 @@
     return result;
   }
 
+  /** Returns whether callers wait for a piece of work. */
+  public boolean holds(String workId) {
+    PendingWork work = workById.get(workId);
+    return work != null && !work.callers.isEmpty();
+  }
+
   /** Returns the number of waiting callers. */
   public int waitingCallers() {
     return workByTicket.size();
@@ -180,6 +187,16 @@
     }
   }
 
+  private void handleCancelRequest(String workId) {
+    if (!holds(workId)) {
+      return;
+    }
+    PendingWork work = workById.get(workId);
+    logEvent("work-cancelled", work, work.callers.values().iterator().next(), "");
+    answerAll(work, new WorkOutcome.Failed("cancelled by a caller"));
+    cancel(work);
+  }
+
   private void handleOutcome(IntakeEvent.OutcomeReported reported) {
     PendingWork work = workById.get(reported.workId());
     if (work == null || work.callers.isEmpty()) {
--- a/burdockbay-core/src/main/java/org/burdockbay/core/message/PeerMessage.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/message/PeerMessage.java
@@ -137,6 +137,9 @@
    */
   record CancelWork(long token, String workId) implements PeerMessage {}
 
+  /** Tells an entry host that a caller has cancelled work at another host. */
+  record WithdrawWork(String workId) implements PeerMessage {}
+
   /** Reports the outcome of work to its entry host. */
   record ReportWork(String workId, WorkOutcome outcome) implements PeerMessage {}
 
--- a/burdockbay-core/src/test/java/org/burdockbay/core/intake/WorkIntakeTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/intake/WorkIntakeTest.java
@@ -1,6 +1,7 @@
 package org.burdockbay.core.intake;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import java.util.List;
@@ -89,6 +90,31 @@
     assertEquals(moved.quietPeriodMillis(), MAX_ORPHANED_RUN_MILLIS - 500);
   }
 
+  /** Guards against work that goes on after a caller has cancelled it. */
+  @Test
+  public void cancelsWorkAtItsDispatcherAndAnswersItsCallers() {
+    changeDispatcher(FIRST);
+    handle(new IntakeEvent.RequestReceived(1, WORK));
+    handle(new IntakeEvent.RequestReceived(2, WORK));
+    assertTrue(intake.holds(WORK.id()));
+    List<IntakeEffect> effects = handle(new IntakeEvent.CancelRequested(WORK.id()));
+    assertEquals(answers(effects).size(), 2);
+    assertTrue(answers(effects).getFirst().outcome() instanceof WorkOutcome.Failed);
+    assertTrue(effects.contains(new IntakeEffect.Cancel(FIRST, WORK.id())));
+    assertFalse(intake.holds(WORK.id()));
+    now += 400;
+    assertTrue(submits(handle(new IntakeEvent.Tick())).isEmpty());
+  }
+
+  /** Guards against cancelling work that no caller of this host waits for. */
+  @Test
+  public void ignoresCancellationOfUnknownWork() {
+    changeDispatcher(FIRST);
+    handle(new IntakeEvent.RequestReceived(1, WORK));
+    assertTrue(handle(new IntakeEvent.CancelRequested("unknown")).isEmpty());
+    assertTrue(intake.holds(WORK.id()));
+  }
+
   /**
    * Guards against a dispatcher that counts as receiving messages because it sent something other
    * than a heartbeat, which doesn't report the contact.
--- a/burdockbay-server/src/main/java/org/burdockbay/server/host/HostController.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/host/HostController.java
@@ -343,6 +343,7 @@
           entryDriver.handle(new EntryEvent.Returned(returned.key(), host));
       case PeerMessage.SubmitWork work -> logIgnored(host, message);
       case PeerMessage.CancelWork cancel -> logIgnored(host, message);
+      case PeerMessage.WithdrawWork withdraw -> logIgnored(host, message);
       case PeerMessage.ReportWork report -> logIgnored(host, message);
       case PeerMessage.RegisterWork register -> logIgnored(host, message);
       case PeerMessage.ConfirmRegistration confirm -> logIgnored(host, message);
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
@@ -34,6 +34,7 @@
 import org.burdockbay.core.lease.LeaseEvent;
 import org.burdockbay.core.lease.LeaseTiming;
 import org.burdockbay.core.limits.MemoryBudget;
+import org.burdockbay.core.limits.RateLimit;
 import org.burdockbay.core.limits.WorkFootprint;
 import org.burdockbay.core.membership.HostDescriptor;
 import org.burdockbay.core.membership.HostStatus;
@@ -88,6 +89,9 @@
   /** Load reported by a host that doesn't dispatch. */
   private static final DomainLoad NO_LOAD = new DomainLoad(0, 0);
 
+  /** Maximum number of cancellations a second that this host passes on to all others. */
+  private static final int MAX_WITHDRAWALS_PER_SECOND = 100;
+
   private static final long LAYOUT_INTERVAL_MILLIS = 500;
   private static final long VOTER_INTERVAL_MILLIS = 100;
 
@@ -129,6 +133,9 @@
 
   private final AtomicLong lastTicket;
 
+  /** Limits the messages that cancellations by callers cause. */
+  private final RateLimit withdrawals = new RateLimit(MAX_WITHDRAWALS_PER_SECOND);
+
   /** Memory of the requests whose callers wait at this host. */
   private final MemoryBudget waitingWork;
 
@@ -279,6 +286,32 @@
     return Optional.of(submission);
   }
 
+  /**
+   * Cancels work, at whichever host its callers wait. The callers are answered, no further task of
+   * the work starts, and its runs are stopped.
+   *
+   * @param callback receives the result once, on the control thread
+   * @return whether the cancellation is accepted; false if the control thread is overloaded
+   */
+  public boolean cancelWork(String workId, Consumer<CancelResult> callback) {
+    if (isOverloaded()) {
+      return false;
+    }
+    // Behind the submissions that have arrived before it.
+    executeWork(
+        () -> {
+          if (workHandler.cancel(workId)) {
+            callback.accept(CancelResult.CANCELLED);
+          } else if (withdrawals.tryAdd(clock.millis())) {
+            broadcast(new PeerMessage.WithdrawWork(workId));
+            callback.accept(CancelResult.FORWARDED);
+          } else {
+            callback.accept(CancelResult.REFUSED);
+          }
+        });
+    return true;
+  }
+
   /** Returns why a request can never be accepted by a host of this size; empty if it can. */
   public Optional<String> violation(WorkRequest request) {
     return parts.limits().work().violation(request);
@@ -392,6 +425,8 @@
     switch (message) {
       case PeerMessage.SubmitWork submit -> enqueueSubmission(host, submit, arrivedAt);
       case PeerMessage.CancelWork cancel -> workCancelled(host, cancel, arrivedAt);
+      case PeerMessage.WithdrawWork withdraw ->
+          executeWork(() -> workHandler.cancel(withdraw.workId()));
       case PeerMessage.Heartbeat heartbeat -> enqueueHeartbeat(host, heartbeat, arrivedAt);
       default -> executeControl(() -> handle(host, message, arrivedAt));
     }
@@ -1003,6 +1038,16 @@
         .map(HostStatus::leader);
   }
 
+  /** Result of a cancellation. */
+  public enum CancelResult {
+    /** Callers waited at this host, and were answered. */
+    CANCELLED,
+    /** No caller waits at this host; the other hosts were told. */
+    FORWARDED,
+    /** Nothing was done, as there are too many cancellations. */
+    REFUSED
+  }
+
   /** The submission of a caller that waits for its outcome. */
   public final class Submission {
 
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/WorkHandler.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/WorkHandler.java
@@ -99,6 +99,17 @@
     handleIntakeEvent(new IntakeEvent.CallerDisconnected(ticket));
   }
 
+  /**
+   * Cancels work whose callers wait at this host; they are answered.
+   *
+   * @return whether callers were waiting
+   */
+  boolean cancel(String workId) {
+    boolean held = intake.holds(workId);
+    handleIntakeEvent(new IntakeEvent.CancelRequested(workId));
+    return held;
+  }
+
   /** Returns the number of callers of this host that wait for an outcome. */
   int waitingCallers() {
     return intake.waitingCallers();
--- a/burdockbay-wire/src/main/java/org/burdockbay/wire/PeerCodec.java
+++ b/burdockbay-wire/src/main/java/org/burdockbay/wire/PeerCodec.java
@@ -69,6 +69,8 @@
           envelope.setReturnJob(SubmissionCodec.encode(returned.key()));
       case PeerMessage.SubmitWork submit -> envelope.setSubmitWork(WorkCodec.encode(submit));
       case PeerMessage.CancelWork cancel -> envelope.setCancelWork(WorkCodec.encode(cancel));
+      case PeerMessage.WithdrawWork withdraw ->
+          extension(envelope).setWithdrawWork(withdraw.workId());
       case PeerMessage.ReportWork report -> envelope.setReportWork(WorkCodec.encode(report));
       case PeerMessage.UpstreamNews news -> envelope.setUpstreamNews(FleetCodec.encode(news));
       case PeerMessage.UpstreamSpeeds speeds ->
@@ -217,6 +219,7 @@
       case CONFIRM_REGISTRATION -> WorkCodec.decode(envelope.getConfirmRegistration());
       case DEFER_REGISTRATION -> WorkCodec.decode(envelope.getDeferRegistration());
       case DEREGISTER_WORK -> WorkCodec.decode(envelope.getDeregisterWork());
+      case WITHDRAW_WORK -> new PeerMessage.WithdrawWork(envelope.getWithdrawWork());
       case EXTENSION_NOT_SET -> FleetCodec.decode(envelope.getUpstreamNews());
     };
   }
