--- a/burdockbay-wire/src/main/java/org/burdockbay/wire/PeerCodec.java
+++ b/burdockbay-wire/src/main/java/org/burdockbay/wire/PeerCodec.java
@@ -247,11 +247,11 @@
         decodePlusOne(status.getHeardAgoMsPlusOne()),
         decodeTime(status.getSentAtMs()),
         status.hasCatalogConfirmation()
-            ? Optional.of(decode(status.getCatalogConfirmation()))
+            ? Optional.of(decodeConfirmation(status.getCatalogConfirmation()))
             : Optional.empty());
   }
 
-  private static CatalogConfirmation decode(Wire.CatalogConfirmation confirmation) {
+  private static CatalogConfirmation decodeConfirmation(Wire.CatalogConfirmation confirmation) {
     return new CatalogConfirmation(
         confirmation.getVersion(),
         decodePlusOne(confirmation.getAgeMsPlusOne()),
