Ignore announcements that another writer makes under a runner's id

The later start time of the ping was taken for a new boot, which ends all runs of the earlier one at once.

Announcements under new ids are recorded as before, so a service that is configured later finds its runners.

Open: a writer that states a configured service, valid fields and a later start is still taken for a new boot; nothing tells them apart without asking the runner.

--- a/burdockbay-core/src/main/java/org/burdockbay/core/catalog/Catalog.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/catalog/Catalog.java
@@ -17,14 +17,17 @@
 public final class Catalog {
 
   /** The catalog without queues that is in force before the first one is published. */
-  public static final Catalog EMPTY = new Catalog(0, List.of(), RequestLimits.DEFAULT);
+  public static final Catalog EMPTY = new Catalog(0, List.of(), Set.of(), RequestLimits.DEFAULT);
 
   private final long version;
+  private final Set<String> services;
   private final RequestLimits limits;
   private final Map<String, VirtualHost> virtualHosts = new HashMap<>();
 
-  private Catalog(long version, List<QueueRule> queues, RequestLimits limits) {
+  private Catalog(
+      long version, List<QueueRule> queues, Set<String> services, RequestLimits limits) {
     this.version = version;
+    this.services = Set.copyOf(services);
     this.limits = limits;
     for (QueueRule queue : queues) {
       virtualHosts
@@ -64,7 +67,7 @@
     for (QueueRule queue : queues) {
       validate(queue, services, routes);
     }
-    return new Catalog(version, queues, limits);
+    return new Catalog(version, queues, services, limits);
   }
 
   /** Returns the version; 0 before the first catalog. */
@@ -72,6 +75,11 @@
     return version;
   }
 
+  /** Returns whether a service is known. */
+  public boolean hasService(String service) {
+    return services.contains(service);
+  }
+
   /** Returns the limits on the requests of callers. */
   public RequestLimits limits() {
     return limits;
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
@@ -336,6 +336,17 @@
     return true;
   }
 
+  /**
+   * Returns whether an announcement may come from an upstream. One that gives the id of a known
+   * upstream to a service without configuration would end the runs of that upstream.
+   */
+  public boolean isPlausible(UpstreamAnnouncement announcement) {
+    Catalog inForce = catalog.current();
+    return inForce.version() == 0
+        || inForce.hasService(announcement.service())
+        || !upstreamGossip.changesService(announcement);
+  }
+
   /** Handles a departure that an upstream reported to this host. */
   public void upstreamDeparted(String upstream) {
     executeControl(() -> upstreamGossip.upstreamDeparted(upstream, clock.millis()));
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/UpstreamGossip.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/UpstreamGossip.java
@@ -178,6 +178,17 @@
         : Optional.of(new PeerMessage.UpstreamNews(missedAnnounced, missedDeparted));
   }
 
+  /**
+   * Returns whether an announcement names another service than the known upstream of this id; may
+   * be called on any thread.
+   */
+  boolean changesService(UpstreamAnnouncement announcement) {
+    return registry
+        .announcement(announcement.id())
+        .filter(known -> !known.service().equals(announcement.service()))
+        .isPresent();
+  }
+
   /** Returns whether there is memory for an announcement; may be called on any thread. */
   boolean hasRoomFor(UpstreamAnnouncement announcement) {
     return registry.hasRoomFor(announcement);
--- a/burdockbay-server/src/test/java/org/burdockbay/server/node/UpstreamGossipTest.java
+++ b/burdockbay-server/src/test/java/org/burdockbay/server/node/UpstreamGossipTest.java
@@ -46,6 +46,27 @@
     assertEquals(events, List.of(new LeaseEvent.Announced(announcement())));
   }
 
+  /** Guards against an announcement that gives the id of a known upstream to another service. */
+  @Test
+  public void tellsAnnouncementsOfOtherServices() {
+    UpstreamAnnouncement known = announcement();
+    assertFalse(gossip.changesService(known));
+    gossip.upstreamAnnounced(known, 0);
+    assertFalse(gossip.changesService(known));
+    assertTrue(
+        gossip.changesService(
+            new UpstreamAnnouncement(
+                known.id(),
+                known.startedAt() + 1,
+                1,
+                "other",
+                known.address(),
+                known.domain(),
+                false,
+                known.capacity(),
+                known.labels())));
+  }
+
   /** Guards against announcements under ever new ids that fill the memory. */
   @Test
   public void refusesUpstreamsBeyondMemory() {
