Start nothing beside a run of unknown size

Cause: an unclaimed run of an earlier dispatcher has no known size and counts with none. Until its stop is acknowledged the upstream gets no starts, for the sake of its lease; after that it does, though the run goes on for up to stop_timeout_ms.

Change: an upstream gets no starts while a run of unknown size is on it, that is until the upstream lists the run as ended or no longer lists it.

--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseTable.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseTable.java
@@ -78,7 +78,11 @@
   /** Returns the upstreams on which tasks may start now. */
   List<UpstreamLease> usableUpstreams() {
     return upstreams.values().stream()
-        .filter(upstream -> upstream.isUsable(context.now()) && runs.mayExtendLease(upstream))
+        .filter(
+            upstream ->
+                upstream.isUsable(context.now())
+                    && runs.mayExtendLease(upstream)
+                    && runs.knowsUsedCapacity(upstream))
         .toList();
   }
 
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeasedRun.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeasedRun.java
@@ -25,6 +25,10 @@
   final RunId id;
   final UpstreamLease upstream;
   final TaskSize size;
+
+  /** Whether {@link #size} is the capacity that the run takes on its upstream. */
+  final boolean hasKnownSize;
+
   final long beganAt;
 
   /** End of the lease that the start carries, on the upstream's clock, in milliseconds. */
@@ -68,6 +72,7 @@
     this.upstream = upstream;
     this.task = task;
     this.size = task.step.size();
+    this.hasKnownSize = true;
     this.beganAt = sentAt;
     this.lastStartSentAt = sentAt;
   }
@@ -77,6 +82,7 @@
     this.id = id;
     this.upstream = upstream;
     this.size = TaskSize.ZERO;
+    this.hasKnownSize = false;
     this.beganAt = foundAt;
     this.lastStartSentAt = foundAt;
     this.startsSent = 0;
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/RunTable.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/RunTable.java
@@ -490,4 +490,12 @@
         && upstream.runs.values().stream()
             .noneMatch(run -> run.phase == LeasedRun.Phase.STOPPING && run.confirmedSequence == 0);
   }
+
+  /**
+   * Returns whether the capacity that the runs on an upstream take is known. A run that is being
+   * stopped takes its capacity until it has ended.
+   */
+  boolean knowsUsedCapacity(UpstreamLease upstream) {
+    return upstream.runs.values().stream().allMatch(run -> run.hasKnownSize);
+  }
 }
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseDispatcherTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseDispatcherTest.java
@@ -467,6 +467,29 @@
     assertEquals(stops(handle(new LeaseEvent.Tick())).getFirst().run(), run);
   }
 
+  /** Guards against a start that overfills an upstream while an unclaimed run is being stopped. */
+  @Test
+  public void startsNothingBesideUnclaimedRunOfUnknownSize() {
+    UpstreamAnnouncement announcement = announcement("u1", 1, false);
+    handle(new LeaseEvent.Announced(announcement));
+    RunId run = new RunId(new TaskId("gone", 0, 0), 1);
+    answerOpenRenewal(announcement, List.of(run), List.of());
+    now += TakenOverRuns.CLAIM_TIMEOUT_MILLIS + 1;
+    handle(new LeaseEvent.Tick());
+    submit("w", 1, HALF_CAPACITY);
+    List<LeaseEffect> effects =
+        new ArrayList<>(
+            handle(
+                new LeaseEvent.StopAnswered(
+                    announcement, run, OrderResult.DONE, OptionalLong.empty())));
+    effects.addAll(handle(new LeaseEvent.Tick()));
+    assertTrue(starts(effects).isEmpty(), "the run may still be under way");
+    answerOpenRenewal(announcement, List.of(run), List.of());
+    effects = new ArrayList<>(endRun(announcement, run, 1, RunEnd.Cause.CUT_SHORT));
+    effects.addAll(handle(new LeaseEvent.Tick()));
+    assertEquals(starts(effects).size(), 1);
+  }
+
   /**
    * Guards against a run of work that was reported as not run. The entry host's resubmission
    * crosses the refusal in transit.
