--- a/burdockbay-core/src/test/java/org/burdockbay/core/agreement/RaftModel.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/agreement/RaftModel.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.TreeMap;
 
 /**
@@ -67,6 +68,17 @@
     }
   }
 
+  /** Returns the current time, in milliseconds, which is the same for all members. */
+  long now() {
+    return now;
+  }
+
+  /** Returns when an entry was first committed, in milliseconds; empty if none was. */
+  OptionalLong commitTime(long index) {
+    Long time = commitTimes.get(index);
+    return time == null ? OptionalLong.empty() : OptionalLong.of(time);
+  }
+
   /** Advances time for one member. */
   void tick(int member, int millis) {
     now += millis;
@@ -308,7 +320,7 @@
     private Optional<Snapshot> snapshot;
     private List<LogEntry> entries;
     private final List<RaftEffect.Persist> unsynced = new ArrayList<>();
-    private long appliedIndex;
+    long appliedIndex;
     private long appliedHash;
 
     Member(VoterId id, RecoveredLog disk) {
