Compute the leader's confirmation once for the heartbeats to all hosts

Read: each heartbeat of the leader sorted the replies of all voters anew, once for each host and 150 ms. In a fleet of 300 hosts that is 2,000 times a second for the same result. The value is now kept for the millisecond in which it was computed; an older one stays true, as it only says less. Measured: OutdatedCatalogTest, PausedEntryHostTest, EvacuationOrderTest and CatalogFreshnessTest pass; the cost before and after wasn't measured.

--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/CatalogFreshnessKeeper.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/CatalogFreshnessKeeper.java
@@ -30,6 +30,11 @@
   private final EventLog log;
   private final Map<String, Echo> echoes = new HashMap<>();
   private final Set<String> hostsWithoutDisk = new HashSet<>();
+
+  /** When {@link #leaderConfirmedAt} was computed; the heartbeats to all hosts share it. */
+  private long leaderConfirmationAt = Long.MIN_VALUE;
+
+  private OptionalLong leaderConfirmedAt = OptionalLong.empty();
   private boolean checkingSilence;
   private boolean outdated;
 
@@ -141,11 +146,14 @@
                 freshness.handleConfirmation(confirmation.version(), confirmedAt, arrivedAt));
   }
 
-  private static OptionalLong confirmationAge(AgreementDriver leader, long now) {
-    OptionalLong confirmedAt = leader.node().confirmedAt();
-    return confirmedAt.isEmpty()
+  private OptionalLong confirmationAge(AgreementDriver leader, long now) {
+    if (now != leaderConfirmationAt) {
+      leaderConfirmationAt = now;
+      leaderConfirmedAt = leader.node().confirmedAt();
+    }
+    return leaderConfirmedAt.isEmpty()
         ? OptionalLong.empty()
-        : OptionalLong.of(Math.max(0, now - confirmedAt.getAsLong()));
+        : OptionalLong.of(Math.max(0, now - leaderConfirmedAt.getAsLong()));
   }
 
   private void logChange(Catalog inForce, long now) {
