Take no silence of a late host for an outage of the voters

Change: the silence of the leader counts only over a time in which each check followed the last one, and ended, within 250 ms. A shorter delay can't make a connection that carries a message every 150 ms seem silent for 450 ms.

Measured: CatalogFreshnessTest.refusesCallersOfDelayedHostThatHearsNoLeader (the earlier code judged each check alone, so any of them would have permitted the version); OutdatedCatalogTest, PausedEntryHostTest and ConfirmedCatalogFuzzTest pass.

--- a/burdockbay-core/src/main/java/org/burdockbay/core/catalog/CatalogFreshness.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/catalog/CatalogFreshness.java
@@ -20,6 +20,13 @@
   /** Silence after which no leader counts as heard, in milliseconds; three heartbeat intervals. */
   static final long LEADER_SILENCE_MILLIS = 450;
 
+  /**
+   * Delay of this host, in milliseconds, up to which the messages of a leader that sends them every
+   * 150 ms don't appear as silence. After a longer one this host may have closed connections as
+   * silent, and lost what had arrived over them.
+   */
+  static final long MAX_DELAY_MILLIS = 250;
+
   private static final int MAX_NEWER_VERSIONS = 64;
 
   private final long maxAgeMillis;
@@ -38,6 +45,11 @@
 
   private long leaderHeardAt;
 
+  /** Start of the period in which each silence check followed the last one without a delay. */
+  private long responsiveSince;
+
+  private long lastCheckEndedAt = Long.MIN_VALUE / 2;
+
   /** Latest time at which no leader had been heard for {@link #LEADER_SILENCE_MILLIS}. */
   private long leaderSilentAt = Long.MIN_VALUE;
 
@@ -52,6 +64,7 @@
   public CatalogFreshness(long maxAgeMillis, long now) {
     this.maxAgeMillis = maxAgeMillis;
     this.leaderHeardAt = now;
+    this.responsiveSince = now;
   }
 
   /** Returns whether a host may act on a version now; safe on any thread. */
@@ -103,19 +116,26 @@
     leaderHeardAt = Math.max(leaderHeardAt, arrivedAt);
   }
 
-  /** Returns whether {@link #handledAllArrivedBefore} should be called soon. */
+  /** Returns whether a silence check is due. */
   public boolean needsSilenceCheck(long now) {
     long knownAt = Math.max(confirmedAt, leaderSilentAt);
     return knownAt == Long.MIN_VALUE || now - knownAt > LEADER_SILENCE_MILLIS;
   }
 
   /**
-   * Records that all messages which had arrived at this host before a given time are handled. Only
-   * then does the absence of a leader's message show that none had arrived.
+   * Records a silence check: all messages which had arrived at this host when it began are handled
+   * now. The absence of a leader's message shows that none had arrived only if this host wasn't
+   * delayed meanwhile.
    */
-  public void handledAllArrivedBefore(long time) {
-    if (time - leaderHeardAt >= LEADER_SILENCE_MILLIS) {
-      leaderSilentAt = Math.max(leaderSilentAt, time);
+  public void silenceChecked(long beganAt, long endedAt) {
+    if (endedAt - beganAt > MAX_DELAY_MILLIS) {
+      responsiveSince = endedAt;
+    } else if (beganAt - lastCheckEndedAt > MAX_DELAY_MILLIS) {
+      responsiveSince = beganAt;
+    }
+    lastCheckEndedAt = endedAt;
+    if (beganAt - Math.max(leaderHeardAt, responsiveSince) >= LEADER_SILENCE_MILLIS) {
+      leaderSilentAt = Math.max(leaderSilentAt, beganAt);
       updatePermit();
     }
   }
--- a/burdockbay-core/src/test/java/org/burdockbay/core/catalog/CatalogFreshnessTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/catalog/CatalogFreshnessTest.java
@@ -20,7 +20,7 @@
     CatalogFreshness started = new CatalogFreshness(MAX_AGE, START);
     started.putInForce(1);
     started.leaderHeard(START + 10);
-    started.handledAllArrivedBefore(START + SILENCE);
+    checkSilence(started, START, START + SILENCE);
     assertFalse(started.mayActOn(1, START + SILENCE));
     started.handleConfirmation(1, START + SILENCE, START + SILENCE + 2);
     assertTrue(started.mayActOn(1, START + SILENCE + 2));
@@ -33,7 +33,7 @@
     confirmed.putInForce(1);
     confirmed.handleConfirmation(1, START, START + 1_000);
     confirmed.leaderHeard(START + 3_000);
-    confirmed.handledAllArrivedBefore(START + 3_000);
+    checkSilence(confirmed, START + 2_000, START + 3_000);
     assertTrue(confirmed.mayActOn(1, START + MAX_AGE));
     assertFalse(confirmed.mayActOn(1, START + MAX_AGE + 1));
   }
@@ -71,13 +71,29 @@
     CatalogFreshness cutOff = new CatalogFreshness(MAX_AGE, START);
     cutOff.putInForce(1);
     cutOff.handleConfirmation(1, START, START);
-    for (long now = START + SILENCE; now < START + 20_000; now += 300) {
-      assertTrue(cutOff.needsSilenceCheck(now + SILENCE));
-      cutOff.handledAllArrivedBefore(now);
+    for (long now = START; now < START + 20_000; now += 25) {
+      if (cutOff.needsSilenceCheck(now)) {
+        cutOff.silenceChecked(now, now + 10);
+      }
       assertTrue(cutOff.mayActOn(1, now));
     }
   }
 
+  /** Guards against taking the silence of connections that a late host has closed for an outage. */
+  @Test
+  public void refusesCallersOfDelayedHostThatHearsNoLeader() {
+    CatalogFreshness delayed = new CatalogFreshness(MAX_AGE, START);
+    delayed.putInForce(1);
+    delayed.handleConfirmation(1, START, START);
+    for (long now = START; now < START + 10_000; now += 400) {
+      checkSilence(delayed, now, now + 100);
+      delayed.silenceChecked(now + 100, now + 400);
+    }
+    assertFalse(delayed.mayActOn(1, START + MAX_AGE + 1));
+    checkSilence(delayed, START + 10_000, START + 10_000 + SILENCE + 50);
+    assertTrue(delayed.mayActOn(1, START + 10_000 + SILENCE));
+  }
+
   /** Guards against acting on a version known to be replaced because no leader can be reached. */
   @Test
   public void refusesReplacedVersionWhileLeaderIsSilent() {
@@ -85,7 +101,7 @@
     cutOff.putInForce(1);
     cutOff.handleConfirmation(1, START, START);
     cutOff.handleAnnouncement(2, START + 100);
-    cutOff.handledAllArrivedBefore(START + 5_000);
+    checkSilence(cutOff, START + 4_000, START + 5_000);
     assertFalse(cutOff.mayActOn(1, START + 100 + MAX_AGE + 1));
   }
 
@@ -110,4 +126,10 @@
             .confirmedAt(START)
             .isEmpty());
   }
+
+  private static void checkSilence(CatalogFreshness freshness, long from, long to) {
+    for (long now = from; now <= to; now += 25) {
+      freshness.silenceChecked(now, now + 10);
+    }
+  }
 }
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/CatalogFreshnessKeeper.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/CatalogFreshnessKeeper.java
@@ -11,6 +11,7 @@
 import org.burdockbay.core.catalog.Catalog;
 import org.burdockbay.core.catalog.CatalogConfirmation;
 import org.burdockbay.core.catalog.CatalogFreshness;
+import org.burdockbay.core.clock.Clock;
 import org.burdockbay.core.membership.HostStatus;
 import org.burdockbay.core.message.PeerMessage;
 import org.burdockbay.server.host.AgreementDriver;
@@ -28,6 +29,7 @@
   private final Supplier<Optional<AgreementDriver>> agreement;
   private final Consumer<Runnable> afterArrivedMessages;
   private final EventLog log;
+  private final Clock clock;
   private final Map<String, Echo> echoes = new HashMap<>();
   private final Set<String> hostsWithoutDisk = new HashSet<>();
 
@@ -46,18 +48,18 @@
    * @param agreement returns the Raft node of this host, if it has one
    * @param afterArrivedMessages runs a task on the control thread after all messages that have
    *     already arrived at this host
-   * @param now current time, in milliseconds
    */
   CatalogFreshnessKeeper(
       long maxAgeMillis,
       Supplier<Optional<AgreementDriver>> agreement,
       Consumer<Runnable> afterArrivedMessages,
       EventLog log,
-      long now) {
-    this.freshness = new CatalogFreshness(maxAgeMillis, now);
+      Clock clock) {
+    this.freshness = new CatalogFreshness(maxAgeMillis, clock.millis());
     this.agreement = agreement;
     this.afterArrivedMessages = afterArrivedMessages;
     this.log = log;
+    this.clock = clock;
   }
 
   /** Returns whether this host may act on a catalog now; safe on any thread. */
@@ -131,7 +133,7 @@
       afterArrivedMessages.accept(
           () -> {
             checkingSilence = false;
-            freshness.handledAllArrivedBefore(now);
+            freshness.silenceChecked(now, clock.millis());
           });
     }
     logChange(inForce, now);
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
@@ -189,7 +189,7 @@
             () -> member().driver(),
             new ArrivalBarrier(parts.transport().eventLoops(), this::executeControl)::run,
             log,
-            now);
+            clock);
     this.evacuations =
         new EvacuationKeeper(
             (command, callback) -> proposals().propose(command, callback),
