--- a/review/src-3/review3/CancelPastFreeze.java
+++ b/review/src-3/review3/CancelPastFreeze.java
@@ -102,7 +102,7 @@
           Http.call(
               front.ip, fleet.frontPort(), "POST", "/q/" + id,
               Map.of("Host", Fleet.HOST, "Deadline-Ms", Long.toString(BUDGET_MILLIS)),
-              Fleet.job(STEPS, 1, TASK_MILLIS), (int) BUDGET_MILLIS + 3_000);
+              fleet.job(STEPS, 1, TASK_MILLIS), (int) BUDGET_MILLIS + 3_000);
       return answer.status() + " " + answer.body();
     } catch (IOException e) {
       return e.toString();
--- a/review/src-3/review3/Fleet.java
+++ b/review/src-3/review3/Fleet.java
@@ -63,7 +63,15 @@
   private final Map<String, List<String>> commands = new HashMap<>();
   private long version;
 
+  private final long cpuOfTask;
+
   Fleet(Record record, int frontsPerZone, int runnerCount) throws IOException {
+    this(record, frontsPerZone, runnerCount, 1_000);
+  }
+
+  /** Starts a fleet; all tasks take {@code cpuOfTask}, in thousandths of a core. */
+  Fleet(Record record, int frontsPerZone, int runnerCount, long cpuOfTask) throws IOException {
+    this.cpuOfTask = cpuOfTask;
     this.record = record;
     this.subnet = "127." + (20 + ProcessHandle.current().pid() % 200);
     this.port = freePorts();
@@ -86,7 +94,7 @@
       runners.add(
           new Runner(
               "i-" + Integer.toHexString(0x7f3a90 + i), subnet + ".2." + (i + 1), port,
-              ZONES.get(i % ZONES.size()), controlIps, controlPort(), record, history));
+              ZONES.get(i % ZONES.size()), controlIps, controlPort(), cpuOfTask, record, history));
     }
   }
 
@@ -218,12 +226,12 @@
   }
 
   /** Returns a job that needn't be kept, of steps that follow one another. */
-  static String job(int steps, int count, int taskMillis) {
+  String job(int steps, int count, int taskMillis) {
     List<Object> list = new ArrayList<>();
     for (int i = 0; i < steps; i++) {
       Map<String, Object> step = new LinkedHashMap<>();
       step.put("count", count);
-      step.put("cpu", 1_000);
+      step.put("cpu", cpuOfTask);
       step.put("requested_memory_mb", 64);
       step.put("estimated_ms", taskMillis);
       if (i > 0) {
--- a/review/src-3/review3/Runner.java
+++ b/review/src-3/review3/Runner.java
@@ -3,6 +3,7 @@
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.ArrayList;
@@ -10,6 +11,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 
 /**
  * A stand-in for one runner, as the page "Running tasks" describes it. The specification of a job
@@ -20,7 +23,10 @@
   private static final long PING_INTERVAL_MILLIS = 1_500;
   private static final long MAX_HOLD_MILLIS = 1_000;
   private static final long STOP_MILLIS = 30;
-  private static final long CPU = 16_000;
+
+  /** Stands for the answer of a process that has crashed. */
+  private static final byte[] GONE = new byte[0];
+  static final long CPU = 16_000;
 
   /** A run of a task, by the record's clock. */
   static final class Run {
@@ -36,14 +42,16 @@
     private long dueAt;
     private String dueHow = "done";
 
-    Run(String runner, String task, long number, long token, long begunAt, String specification) {
+    Run(
+        String runner, String task, long number, long token, long begunAt, String specification,
+        long cpu) {
       this.runner = runner;
       this.task = task;
       this.number = number;
       this.token = token;
       this.begunAt = begunAt;
       this.specification = specification;
-      this.cpu = 1_000;
+      this.cpu = cpu;
       this.dueAt = begunAt + Long.parseLong(specification);
     }
   }
@@ -56,9 +64,14 @@
   private final List<String> controlIps;
   private final int controlPort;
   private final List<Run> history;
-  private final long born = System.currentTimeMillis();
-  private final long clockOffset;
-  private final ServerSocket listener;
+  private final long cpuOfTask;
+  private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+  private volatile long born = System.currentTimeMillis();
+  private volatile long clockOffset;
+  private volatile ServerSocket listener;
+
+  /** Whether the runner's process is down between a crash and its next start. */
+  private volatile boolean down;
   private final List<Run> running = new ArrayList<>();
   private final List<List<Object>> ended = new ArrayList<>();
   private final Map<String, Long> highestOver = new HashMap<>();
@@ -72,8 +85,9 @@
 
   Runner(
       String id, String ip, int port, String zone, List<String> controlIps, int controlPort,
-      Record record, List<Run> history)
+      long cpuOfTask, Record record, List<Run> history)
       throws IOException {
+    this.cpuOfTask = cpuOfTask;
     this.id = id;
     this.ip = ip;
     this.port = port;
@@ -84,12 +98,63 @@
     this.history = history;
     this.clockOffset = 480_000 + (id.hashCode() & 0xffff);
     this.control = Math.abs(id.hashCode()) % controlIps.size();
-    this.listener = new ServerSocket(port, 256, InetAddress.getByName(ip));
+    this.listener = listen();
     Thread.ofVirtual().start(this::accept);
     Thread.ofVirtual().start(this::ping);
     Thread.ofVirtual().start(this::settleOften);
   }
 
+  private ServerSocket listen() throws IOException {
+    ServerSocket socket = new ServerSocket();
+    socket.setReuseAddress(true);
+    socket.bind(new InetSocketAddress(InetAddress.getByName(ip), port), 256);
+    return socket;
+  }
+
+  /**
+   * Crashes, and starts again under the same id after some time. It then holds and knows nothing of
+   * before; its clock, its numbers of ends and its pings start anew.
+   */
+  void restart(long downMillis) throws IOException {
+    down = true;
+    listener.close();
+    synchronized (this) {
+      for (Socket socket : sockets) {
+        reset(socket);
+      }
+      sockets.clear();
+      record.line("CRASH of " + id + " with " + running.size() + " runs");
+      long now = record.now();
+      for (Run run : running) {
+        run.endedAt = now;
+        run.how = "crash";
+      }
+      running.clear();
+      ended.clear();
+      highestOver.clear();
+      endCount = 0;
+      token = 0;
+      deadline = 0;
+      sequence = 0;
+      born = System.currentTimeMillis();
+      clockOffset = 1_000 - record.now();
+      notifyAll();
+    }
+    pause(downMillis);
+    listener = listen();
+    down = false;
+    record.line("START of " + id + " again");
+  }
+
+  private static void reset(Socket socket) {
+    try {
+      socket.setSoLinger(true, 0);
+      socket.close();
+    } catch (IOException e) {
+      // It is closed already.
+    }
+  }
+
   private long clock() {
     return clockOffset + record.now();
   }
@@ -99,41 +164,52 @@
       try {
         Socket socket = listener.accept();
         socket.setTcpNoDelay(true);
-        Thread.ofVirtual().start(() -> serve(socket));
+        sockets.add(socket);
+        final long boot = born;
+        Thread.ofVirtual().start(() -> serve(socket, boot));
       } catch (IOException e) {
-        return;
+        // Closed for good, or until the next start.
+        pause(2);
       }
     }
   }
 
-  private void serve(Socket socket) {
+  private void serve(Socket socket, long boot) {
     try (socket) {
       var in = new BufferedInputStream(socket.getInputStream());
       for (Http.Message call = Http.read(in); call != null; call = Http.read(in)) {
-        byte[] answer = answer(call);
+        byte[] answer = answer(call, boot);
+        if (answer.length == 0) {
+          // The process that read the call has crashed.
+          return;
+        }
         socket.getOutputStream().write(answer);
       }
-    } catch (IOException | RuntimeException e) {
-      if (!(e instanceof IOException)) {
-        record.line("DEFECT of runner " + id + " " + e);
-      }
+    } catch (IOException e) {
+      // The other end has closed the channel.
+    } finally {
+      sockets.remove(socket);
     }
   }
 
-  private byte[] answer(Http.Message call) {
+  private byte[] answer(Http.Message call, long boot) {
     String expected = call.headers().get("expect-instance");
     if (expected != null && !expected.equals(id)) {
       return Http.response(421, "");
     }
     Map<String, Object> order = Json.object(call.body());
     return switch (call.first()[1]) {
-      case "/-/run-start" -> start(order);
-      case "/-/run-stop" -> stop(order);
-      case "/-/hold" -> hold(order);
+      case "/-/run-start" -> start(order, boot);
+      case "/-/run-stop" -> stop(order, boot);
+      case "/-/hold" -> hold(order, boot);
       default -> Http.response(404, "");
     };
   }
 
+  private boolean isGone(long boot) {
+    return down || boot != born;
+  }
+
   private boolean isFenced(Map<String, Object> order) {
     long sent = Json.number(order, "fencing_token", 0);
     if (sent < token) {
@@ -149,7 +225,10 @@
     deadline = Math.max(deadline, Math.min(asked, clock() + MAX_HOLD_MILLIS));
   }
 
-  private synchronized byte[] start(Map<String, Object> order) {
+  private synchronized byte[] start(Map<String, Object> order, long boot) {
+    if (isGone(boot)) {
+      return GONE;
+    }
     settle();
     String task = (String) order.get("task");
     long number = Json.number(order, "run", 0);
@@ -166,17 +245,20 @@
     if (Json.number(order, "deadline_ms", 0) <= clock() && deadline <= clock()) {
       return refuse("late", task, number);
     }
-    if (running.stream().mapToLong(run -> run.cpu).sum() + 1_000 > CPU) {
+    if (running.stream().mapToLong(run -> run.cpu).sum() + cpuOfTask > CPU) {
       return refuse("room", task, number);
     }
-    Run run = new Run(id, task, number, token, record.now(), (String) order.get("specification"));
+    Run run = new Run(id, task, number, token, record.now(), (String) order.get("specification"), cpuOfTask);
     running.add(run);
     history.add(run);
     record.line("RUN start " + task + " run=" + number + " on " + id + " token=" + token);
     return respond(Map.of());
   }
 
-  private synchronized byte[] stop(Map<String, Object> order) {
+  private synchronized byte[] stop(Map<String, Object> order, long boot) {
+    if (isGone(boot)) {
+      return GONE;
+    }
     settle();
     String task = (String) order.get("task");
     long number = Json.number(order, "run", 0);
@@ -192,9 +274,12 @@
     return respond(Map.of());
   }
 
-  private byte[] hold(Map<String, Object> order) {
+  private byte[] hold(Map<String, Object> order, long boot) {
     long until;
     synchronized (this) {
+      if (isGone(boot)) {
+        return GONE;
+      }
       settle();
       if (isFenced(order)) {
         return refuse("fence", "-", 0);
@@ -210,6 +295,9 @@
           Thread.currentThread().interrupt();
         }
       }
+      if (isGone(boot)) {
+        return GONE;
+      }
       Map<String, Object> fields = new LinkedHashMap<>();
       fields.put(
           "running",
@@ -286,7 +374,7 @@
       ping.put("labels", List.of("a", "r1-" + zone));
       ping.put("clock_ms", clock());
       ping.put("born", born);
-      for (int attempt = 0; attempt < controlIps.size(); attempt++) {
+      for (int attempt = 0; attempt < controlIps.size() && !down; attempt++) {
         ping.put("sequence", ++sequence);
         try {
           String path = "/-/instances/" + id;
--- a/review/src-3/review3/WaitingJobAtStop.java
+++ b/review/src-3/review3/WaitingJobAtStop.java
@@ -52,7 +52,7 @@
       final String longId = "00000000000000aa";
       CompletableFuture<String> longAnswer =
           CompletableFuture.supplyAsync(
-              () -> submit(fleet, other, longId, Fleet.job(1, RUNNERS * CORES, LONG_TASK_MILLIS)));
+              () -> submit(fleet, other, longId, fleet.job(1, RUNNERS * CORES, LONG_TASK_MILLIS)));
       record.line("SENT POST " + longId + " to " + other.name);
       long end = record.now() + 5_000;
       while (fleet.runs(longId).size() < RUNNERS * CORES && record.now() < end) {
@@ -75,7 +75,7 @@
         channel.send(
             "POST", "/q/" + id,
             Map.of("Host", Fleet.HOST, "Deadline-Ms", Long.toString(BUDGET_MILLIS)),
-            Fleet.job(1, 1, 300));
+            fleet.job(1, 1, 300));
         final long sentAt = record.now();
         record.line("SENT POST " + id + " to " + stopped.name);
         Http.Message answer;
