Count orders that may have reached a later process of an upstream as runs under way

Cause: an order names its upstream by the id alone, so a process that has restarted under the id carries out orders for the earlier one. The dispatcher learned of the later process from its answer or its announcement and took the earlier one's end for the end of all runs there, those included whose start the later process had just confirmed or could still receive.

Ruled out: a pause of the dispatcher alone (its role is kept below 250 ms, and the runs are listed), and the load of the case: the models show it with a few jobs a second.

Change: answers carry the start time of the process that gave them. A run moves to the later process unless each copy of its start is known to have arrived at the earlier one; the later one's list shows whether it has the run, which is then taken over, and otherwise the run is stopped there before its task starts elsewhere. Where the later process isn't heard of, the task waits for the longest lease that an upstream grants, as the end of the lease in the order refers to another clock. Starts without an answer whose runs are over are stopped at each new process. A process that is known from an answer only gets no tasks until it has announced itself. What is known to be gone starts again in the same event; before, the task waited for the next one.

Models: upstreams match orders by the id alone, their clock begins anew at a restart, restarts take from 5 ms, a process that is down may refuse connections, and starts may be answered without the start time. The check that a start isn't carried out after its lease holds for the process to which it was addressed; a later one has another clock (PROTOCOL: "its counts start anew ... its clock").

--- a/burdockbay-core/src/main/java/org/burdockbay/core/fleet/UpstreamAnnouncement.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/fleet/UpstreamAnnouncement.java
@@ -49,6 +49,16 @@
     return equals(other.withSequence(sequence));
   }
 
+  /**
+   * Returns a description of a process that has restarted under the id and address of this one, and
+   * hasn't announced itself yet; its capacity, service and labels may be others.
+   *
+   * @param time when the process started, in milliseconds since the Unix epoch
+   */
+  public UpstreamAnnouncement restartedAt(long time) {
+    return new UpstreamAnnouncement(id, time, 0, service, address, domain, false, capacity, labels);
+  }
+
   private UpstreamAnnouncement withSequence(long number) {
     return new UpstreamAnnouncement(
         id, startedAt, number, service, address, domain, leaving, capacity, labels);
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseDispatcher.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseDispatcher.java
@@ -163,7 +163,8 @@
     switch (event) {
       case LeaseEvent.RoleGained gained -> roleGained(gained.token());
       case LeaseEvent.RoleLost lost -> roleLost();
-      case LeaseEvent.Announced announced -> leases.upstreamAnnounced(announced.announcement());
+      case LeaseEvent.Announced announced ->
+          placementNeeded |= leases.upstreamAnnounced(announced.announcement());
       case LeaseEvent.Departed departed -> leases.upstreamDeparted(departed.announcement());
       case LeaseEvent.ShardsChanged changed -> {
         leases.shardsChanged(changed.ownShard(), changed.liveShards());
@@ -211,13 +212,22 @@
       case LeaseEvent.EntryHostLost lost -> works.entryHostLost(lost.entryHost());
       case LeaseEvent.StartAnswered answered ->
           handleAnswer(
-              answered.upstream(), answered.clockMillis(), () -> leases.startAnswered(answered));
+              answered.upstream(),
+              answered.startedAt(),
+              answered.clockMillis(),
+              () -> leases.startAnswered(answered));
       case LeaseEvent.StopAnswered answered ->
           handleAnswer(
-              answered.upstream(), answered.clockMillis(), () -> leases.stopAnswered(answered));
+              answered.upstream(),
+              answered.startedAt(),
+              answered.clockMillis(),
+              () -> leases.stopAnswered(answered));
       case LeaseEvent.RenewalAnswered answered ->
           handleAnswer(
-              answered.upstream(), answered.clockMillis(), () -> leases.renewalAnswered(answered));
+              answered.upstream(),
+              answered.startedAt(),
+              answered.clockMillis(),
+              () -> leases.renewalAnswered(answered));
       case LeaseEvent.Tick tick -> tick();
       case LeaseEvent.WorkRegistered registered -> registrations.workRegistered(registered);
       case LeaseEvent.WorkDeregistered removed -> registrations.workDeregistered(removed);
@@ -272,8 +282,11 @@
    * and the first reading reveals the pause.
    */
   private void handleAnswer(
-      UpstreamAnnouncement upstream, OptionalLong clockMillis, Runnable handler) {
-    long pauseMillis = leases.localPauseMillis(upstream, clockMillis);
+      UpstreamAnnouncement upstream,
+      OptionalLong startedAt,
+      OptionalLong clockMillis,
+      Runnable handler) {
+    long pauseMillis = leases.localPauseMillis(upstream, startedAt, clockMillis);
     if (pauseMillis > PAUSE_THRESHOLD_MILLIS) {
       releaseRoleAfterPause(pauseMillis);
     } else {
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseEvent.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseEvent.java
@@ -153,20 +153,60 @@
   /** An upstream has left, or no message of it has arrived for a long time. */
   record Departed(UpstreamAnnouncement announcement) implements LeaseEvent {}
 
-  /** An upstream has answered a start, or no answer arrived. */
+  /**
+   * An upstream has answered a start, or no answer arrived.
+   *
+   * @param upstream the process to which the start was addressed
+   * @param clockMillis the clock of the process that answered, in milliseconds; empty if the answer
+   *     doesn't contain it
+   * @param startedAt when the process that answered started, in milliseconds since the Unix epoch:
+   *     another one than the addressed process if the upstream has restarted under its id; empty if
+   *     the answer doesn't contain it
+   */
   record StartAnswered(
-      UpstreamAnnouncement upstream, RunId run, OrderResult result, OptionalLong clockMillis)
-      implements LeaseEvent {}
+      UpstreamAnnouncement upstream,
+      RunId run,
+      OrderResult result,
+      OptionalLong clockMillis,
+      OptionalLong startedAt)
+      implements LeaseEvent {
+
+    /** Creates an answer that doesn't name the process that answered. */
+    public StartAnswered(
+        UpstreamAnnouncement upstream, RunId run, OrderResult result, OptionalLong clockMillis) {
+      this(upstream, run, result, clockMillis, OptionalLong.empty());
+    }
+  }
 
-  /** An upstream has answered a stop, or no answer arrived. */
+  /**
+   * An upstream has answered a stop, or no answer arrived.
+   *
+   * @param upstream the process to which the stop was addressed
+   * @param clockMillis as in {@link StartAnswered}
+   * @param startedAt as in {@link StartAnswered}
+   */
   record StopAnswered(
-      UpstreamAnnouncement upstream, RunId run, OrderResult result, OptionalLong clockMillis)
-      implements LeaseEvent {}
+      UpstreamAnnouncement upstream,
+      RunId run,
+      OrderResult result,
+      OptionalLong clockMillis,
+      OptionalLong startedAt)
+      implements LeaseEvent {
+
+    /** Creates an answer that doesn't name the process that answered. */
+    public StopAnswered(
+        UpstreamAnnouncement upstream, RunId run, OrderResult result, OptionalLong clockMillis) {
+      this(upstream, run, result, clockMillis, OptionalLong.empty());
+    }
+  }
 
   /**
    * An upstream has answered a renewal, or no answer arrived; the lists are empty unless the result
    * is {@link OrderResult#DONE}.
    *
+   * @param upstream the process to which the renewal was addressed
+   * @param clockMillis as in {@link StartAnswered}
+   * @param startedAt as in {@link StartAnswered}
    * @param running the runs that are under way on the upstream
    * @param ended the ends of runs that aren't acknowledged yet
    */
@@ -175,6 +215,7 @@
       long renewalNumber,
       OrderResult result,
       OptionalLong clockMillis,
+      OptionalLong startedAt,
       List<RunId> running,
       List<RunEnd> ended)
       implements LeaseEvent {
@@ -184,6 +225,17 @@
       running = List.copyOf(running);
       ended = List.copyOf(ended);
     }
+
+    /** Creates an answer that doesn't name the process that answered. */
+    public RenewalAnswered(
+        UpstreamAnnouncement upstream,
+        long renewalNumber,
+        OrderResult result,
+        OptionalLong clockMillis,
+        List<RunId> running,
+        List<RunEnd> ended) {
+      this(upstream, renewalNumber, result, clockMillis, OptionalLong.empty(), running, ended);
+    }
   }
 
   /**
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseTable.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseTable.java
@@ -120,7 +120,12 @@
 
   /** Discards the leases and keeps the upstreams. */
   void releaseLeases() {
-    upstreams.replaceAll((id, upstream) -> createLease(upstream.announcement));
+    upstreams.replaceAll(
+        (id, upstream) -> {
+          UpstreamLease released = createLease(upstream.announcement);
+          released.announced = upstream.announced;
+          return released;
+        });
   }
 
   /** Takes over the upstreams that join the shard and gives up those that leave it. */
@@ -180,34 +185,108 @@
     return upstream;
   }
 
-  void upstreamAnnounced(UpstreamAnnouncement announcement) {
+  /**
+   * Handles an announcement of an upstream.
+   *
+   * @return whether tasks may start because of it
+   */
+  boolean upstreamAnnounced(UpstreamAnnouncement announcement) {
     UpstreamLease known = upstreams.get(announcement.id());
     if (known != null && known.announcement.isSameInstance(announcement)) {
+      final boolean isFirst = !known.announced;
+      if (isFirst) {
+        known.announced = true;
+        context.logEvent("upstream-announced", "upstream=" + announcement.id());
+      }
       if (known.announcement.leaving() != announcement.leaving()) {
         context.logEvent(
             "upstream-leaving", "upstream=" + announcement.id() + " runs=" + known.runs.size());
       }
       known.announcement = announcement;
-      return;
+      return isFirst;
     }
     if (known != null) {
-      if (known.announcement.startedAt() > announcement.startedAt()) {
-        return;
+      boolean isLater = known.announcement.startedAt() < announcement.startedAt();
+      if (isLater) {
+        replaceProcess(known, announcement, "announced");
       }
-      instanceGone(known, "reborn");
+      return isLater;
     }
     UpstreamLease upstream = createLease(announcement);
     upstreams.put(announcement.id(), upstream);
     context.logEvent(
         "upstream-found", "upstream=" + announcement.id() + " address=" + announcement.address());
+    runs.stopLateStarts(upstream);
     if (context.isDispatching() && upstream.inOwnShard) {
       renew(upstream, false);
     }
+    return false;
+  }
+
+  /**
+   * Replaces the process of an upstream by a later one under the same id.
+   *
+   * <p>Orders without an answer may have reached the later process if it has the same address; an
+   * order to another address can't reach it.
+   */
+  private UpstreamLease replaceProcess(
+      UpstreamLease earlier, UpstreamAnnouncement announcement, String reason) {
+    final UpstreamLease later = createLease(announcement);
+    upstreams.put(announcement.id(), later);
+    final int runCount = earlier.runs.size();
+    if (announcement.address().equals(earlier.announcement.address())) {
+      later.continueCoverage(earlier);
+      runs.moveToLaterProcess(earlier, later);
+    } else {
+      runs.forgetUpstream(earlier);
+    }
+    context.logEvent(
+        "upstream-replaced",
+        "upstream="
+            + announcement.id()
+            + " reason="
+            + reason
+            + " runs="
+            + runCount
+            + " moved="
+            + later.runs.size());
+    runs.stopLateStarts(later);
+    if (context.isDispatching() && (later.inOwnShard || earlier.tokenAccepted)) {
+      renew(later, false);
+    }
+    return later;
+  }
+
+  /**
+   * Returns the process that answered an order, which may be a later one than the order was sent
+   * to; null if that process is gone or not known.
+   *
+   * @param addressed the process to which the order was sent
+   * @param startedAt when the process that answered started; empty if it didn't say so
+   */
+  private @Nullable UpstreamLease findAnswering(
+      UpstreamAnnouncement addressed, OptionalLong startedAt) {
+    UpstreamLease known = upstreams.get(addressed.id());
+    if (known == null) {
+      return null;
+    }
+    long answeredBy = startedAt.orElse(addressed.startedAt());
+    if (isAnswerOf(known, answeredBy)) {
+      return known;
+    }
+    if (answeredBy < known.announcement.startedAt()) {
+      return null;
+    }
+    UpstreamLease later = replaceProcess(known, addressed.restartedAt(answeredBy), "answered");
+    later.announced = false;
+    return later;
   }
 
   void upstreamDeparted(UpstreamAnnouncement announcement) {
     UpstreamLease known = upstreams.get(announcement.id());
-    if (known == null || !known.announcement.isSameInstance(announcement)) {
+    boolean coversKnown =
+        known != null && (known.announcement.isSameInstance(announcement) || !known.announced);
+    if (!coversKnown) {
       return;
     }
     // Its runs may go on until the lease is over, although it has announced its departure.
@@ -246,25 +325,51 @@
 
   void startAnswered(LeaseEvent.StartAnswered answered) {
     runs.startReturned(answered.run());
-    UpstreamLease upstream = findInstance(answered.upstream());
-    if (upstream == null) {
-      return;
-    }
-    upstream.recordClock(answered.clockMillis(), context.arrivedAt());
-    LeasedRun run = upstream.runs.get(answered.run());
-    if (answered.result() == OrderResult.OTHER_LIFE) {
-      instanceGone(upstream, "other-life");
-      return;
+    UpstreamLease upstream = findAnswering(answered.upstream(), answered.startedAt());
+    if (upstream != null) {
+      upstream.recordClock(answered.clockMillis(), context.arrivedAt());
     }
+    UpstreamLease current = upstreams.get(answered.upstream().id());
+    LeasedRun run = current == null ? null : current.runs.get(answered.run());
     if (run == null || run.startsSent == 0) {
-      // The order was sent under an earlier role of this host; its run may have been adopted since.
-      return;
+      // The run is over, or the order was sent under an earlier role of this host and its run may
+      // have been adopted since.
+      if (showsWhereStartArrived(answered)) {
+        runs.lateStartArrived(answered.run());
+      }
+    } else {
+      run.unansweredStarts--;
+      if (showsWhereStartArrived(answered)) {
+        run.unattributedStarts--;
+      }
+      if (answered.result() != OrderResult.NO_ANSWER) {
+        runs.recordAnswered(run.lastStartSentAt);
+      }
+      if (upstream != null) {
+        handleStartResult(upstream, run, answered.result());
+      } else {
+        runs.startArrivedAtEarlierProcess(run, answered.result());
+      }
     }
-    run.unansweredStarts--;
-    if (answered.result() != OrderResult.NO_ANSWER) {
-      runs.recordAnswered(run.lastStartSentAt);
+    if (answered.result() == OrderResult.OTHER_LIFE) {
+      addressTaken(answered.upstream());
     }
-    switch (answered.result()) {
+  }
+
+  /**
+   * Returns whether an answer shows that a copy of a start can't begin a run at a later process: it
+   * was refused, or carried out by a process that is known.
+   */
+  private static boolean showsWhereStartArrived(LeaseEvent.StartAnswered answered) {
+    return switch (answered.result()) {
+      case NO_ANSWER -> false;
+      case DONE -> answered.startedAt().isPresent();
+      default -> true;
+    };
+  }
+
+  private void handleStartResult(UpstreamLease upstream, LeasedRun run, OrderResult result) {
+    switch (result) {
       case DONE -> {
         if (run.startsSent == 1) {
           runs.recordAnswerTime(context.now() - run.lastStartSentAt);
@@ -282,32 +387,34 @@
         }
         tokenSuperseded(upstream);
       }
-      case NO_ROOM, UNWELL, LATE -> runs.startRefused(run, answered.result());
+      case NO_ROOM, UNWELL, LATE -> runs.startRefused(run, result);
       case OLD -> {
         if (run.phase != LeasedRun.Phase.UNSURE) {
-          runs.startRefused(run, answered.result());
+          runs.startRefused(run, result);
         }
       }
+      case OTHER_LIFE -> {
+        // The process is gone, as addressTaken records.
+      }
       case INVALID -> {
         context.logEvent(
             "start-invalid", "run=" + run.id + " upstream=" + upstream.announcement.id());
         runFailed(run);
       }
-      default ->
-          throw new IllegalStateException("unexpected result of a start: " + answered.result());
+      default -> throw new IllegalStateException("unexpected result of a start: " + result);
     }
   }
 
   void stopAnswered(LeaseEvent.StopAnswered answered) {
-    UpstreamLease upstream = findInstance(answered.upstream());
-    if (upstream == null) {
+    if (answered.result() == OrderResult.OTHER_LIFE) {
+      addressTaken(answered.upstream());
       return;
     }
-    upstream.recordClock(answered.clockMillis(), context.arrivedAt());
-    if (answered.result() == OrderResult.OTHER_LIFE) {
-      instanceGone(upstream, "other-life");
+    UpstreamLease upstream = findAnswering(answered.upstream(), answered.startedAt());
+    if (upstream == null) {
       return;
     }
+    upstream.recordClock(answered.clockMillis(), context.arrivedAt());
     LeasedRun run = upstream.runs.get(answered.run());
     if (run == null || run.stopsSent == 0) {
       return;
@@ -326,16 +433,29 @@
   /**
    * Returns how long this host's clock was paused, in milliseconds, according to the clock reading
    * in an upstream's answer; at most 0 if it was not.
+   *
+   * @param startedAt when the process that answered started; another process has another clock
    */
-  long localPauseMillis(UpstreamAnnouncement announcement, OptionalLong clockMillis) {
-    UpstreamLease upstream = findInstance(announcement);
-    return upstream == null || clockMillis.isEmpty()
-        ? 0
-        : upstream.localPauseMillis(clockMillis.getAsLong(), context.arrivedAt());
+  long localPauseMillis(
+      UpstreamAnnouncement addressed, OptionalLong startedAt, OptionalLong clockMillis) {
+    UpstreamLease known = upstreams.get(addressed.id());
+    boolean isReadingOfKnown =
+        known != null
+            && clockMillis.isPresent()
+            && isAnswerOf(known, startedAt.orElse(addressed.startedAt()));
+    return isReadingOfKnown
+        ? known.localPauseMillis(clockMillis.getAsLong(), context.arrivedAt())
+        : 0;
+  }
+
+  /** Returns whether an answer of the process with the given start time is one of an upstream. */
+  private static boolean isAnswerOf(UpstreamLease upstream, long startedAt) {
+    long knownStartedAt = upstream.announcement.startedAt();
+    return knownStartedAt == 0 || startedAt == knownStartedAt;
   }
 
   void renewalAnswered(LeaseEvent.RenewalAnswered answered) {
-    UpstreamLease upstream = findInstance(answered.upstream());
+    UpstreamLease upstream = findAnswering(answered.upstream(), answered.startedAt());
     if (upstream == null || upstream.renewalNumber != answered.renewalNumber()) {
       return;
     }
@@ -355,7 +475,7 @@
     switch (result) {
       case DONE -> renewalSucceeded(upstream, answered);
       case FENCED -> tokenSuperseded(upstream);
-      case OTHER_LIFE -> instanceGone(upstream, "other-life");
+      case OTHER_LIFE -> addressTaken(answered.upstream());
       default -> {
         upstream.unansweredRenewals++;
         upstream.nextRenewalAt = context.now() + upstream.renewalBackoffMillis();
@@ -421,6 +541,7 @@
       }
       return;
     }
+    runs.attributeSingleStart(run);
     switch (end.cause()) {
       case DONE -> runSucceeded(run);
       case FAILED -> runFailed(run);
@@ -466,18 +587,17 @@
     }
   }
 
-  /** Removes an upstream whose process is gone, together with its runs. */
-  private void instanceGone(UpstreamLease upstream, String reason) {
+  /** Removes an upstream, together with its runs, as another upstream uses its address. */
+  private void addressTaken(UpstreamAnnouncement addressed) {
+    UpstreamLease upstream = upstreams.get(addressed.id());
+    if (upstream == null || !upstream.announcement.isSameInstance(addressed)) {
+      return;
+    }
     context.logEvent(
         "upstream-over",
-        "upstream="
-            + upstream.announcement.id()
-            + " reason="
-            + reason
-            + " runs="
-            + upstream.runs.size());
+        "upstream=" + addressed.id() + " reason=other-life runs=" + upstream.runs.size());
     runs.forgetUpstream(upstream);
-    upstreams.remove(upstream.announcement.id(), upstream);
+    upstreams.remove(addressed.id());
   }
 
   /**
@@ -522,11 +642,8 @@
       }
       boolean silent =
           upstream.unansweredRenewals > 0 || (!upstream.inOwnShard && !upstream.tokenAccepted);
-      if (silent && context.now() > upstream.coveredUntil && !upstream.runs.isEmpty()) {
-        context.logEvent(
-            "lease-over",
-            "upstream=" + upstream.announcement.id() + " runs=" + upstream.runs.size());
-        runs.endRunsOn(upstream);
+      if (silent) {
+        runs.endExpiredRuns(upstream);
       }
       int maxUnanswered = upstream.inOwnShard ? 4 : 0;
       if (upstream.announcement.leaving()
@@ -582,9 +699,4 @@
                 ? runs.renewalTimeoutMillis()
                 : timing.answerTimeoutMillis()));
   }
-
-  private @Nullable UpstreamLease findInstance(UpstreamAnnouncement announcement) {
-    UpstreamLease known = upstreams.get(announcement.id());
-    return known != null && known.announcement.isSameInstance(announcement) ? known : null;
-  }
 }
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseTiming.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseTiming.java
@@ -10,13 +10,15 @@
  * @param answerTimeoutMillis silence after which an order counts as unanswered
  * @param callerRetryDelayMillis shortest time from a broken connection of a caller until its next
  *     attempt
+ * @param maxGrantedLeaseMillis longest lease that an upstream grants, on its clock
  */
 public record LeaseTiming(
     long leaseMillis,
     long pollMillis,
     long resendIntervalMillis,
     long answerTimeoutMillis,
-    long callerRetryDelayMillis) {
+    long callerRetryDelayMillis,
+    long maxGrantedLeaseMillis) {
 
   /**
    * Silence after which an entry host is considered lost and its work is dropped, in milliseconds:
@@ -43,12 +45,28 @@
    * domains; one without an answer after 40 ms is lost or delayed, and half of a short task's slack
    * is left.
    */
-  public static final LeaseTiming DEFAULT = new LeaseTiming(700, 150, 40, 300, 1_300);
+  public static final LeaseTiming DEFAULT = new LeaseTiming(700, 150, 40, 300, 1_300, 1_000);
 
   /** Returns this timing for callers that retry after another delay, in milliseconds. */
   public LeaseTiming withCallerRetryDelay(long delayMillis) {
     return new LeaseTiming(
-        leaseMillis, pollMillis, resendIntervalMillis, answerTimeoutMillis, delayMillis);
+        leaseMillis,
+        pollMillis,
+        resendIntervalMillis,
+        answerTimeoutMillis,
+        delayMillis,
+        maxGrantedLeaseMillis);
+  }
+
+  /** Returns this timing for upstreams that grant leases up to another length, in milliseconds. */
+  public LeaseTiming withMaxGrantedLease(long millis) {
+    return new LeaseTiming(
+        leaseMillis,
+        pollMillis,
+        resendIntervalMillis,
+        answerTimeoutMillis,
+        callerRetryDelayMillis,
+        millis);
   }
 
   /**
@@ -66,4 +84,18 @@
   public long maxLeaseMillis() {
     return (long) Math.ceil(leaseMillis / MIN_CLOCK_RATE) + RUN_TERMINATION_MILLIS;
   }
+
+  /**
+   * Returns the longest real time from an order until the runs end whose lease it extends at a
+   * process other than the one to which it was addressed, in milliseconds.
+   *
+   * <p>The end of the lease in the order refers to the clock of the addressed process. By another
+   * clock it may lie far in the future, so the process grants its longest lease from the arrival of
+   * the order on. An order that arrives after the answer timeout may be in force for longer.
+   */
+  public long maxLeaseAtOtherProcessMillis() {
+    return answerTimeoutMillis
+        + (long) Math.ceil(maxGrantedLeaseMillis / MIN_CLOCK_RATE)
+        + RUN_TERMINATION_MILLIS;
+  }
 }
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeasedRun.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeasedRun.java
@@ -23,9 +23,11 @@
   }
 
   final RunId id;
-  final UpstreamLease upstream;
   final TaskSize size;
 
+  /** The process at which the run is, or may be. */
+  UpstreamLease upstream;
+
   /** Whether {@link #size} is the capacity that the run takes on its upstream. */
   final boolean hasKnownSize;
 
@@ -49,6 +51,12 @@
   /** Number of copies of the start that were neither answered nor timed out. */
   int unansweredStarts = 1;
 
+  /**
+   * Number of copies of the start that may have reached, or may yet reach, another process than the
+   * one that is known to have the run; 0 for a run of an earlier dispatcher.
+   */
+  int unattributedStarts = 1;
+
   Phase phase = Phase.STARTING;
 
   /** The task that gets the result; null once the result is no longer needed. */
@@ -87,5 +95,6 @@
     this.lastStartSentAt = foundAt;
     this.startsSent = 0;
     this.unansweredStarts = 0;
+    this.unattributedStarts = 0;
   }
 }
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/RunTable.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/RunTable.java
@@ -42,6 +42,7 @@
 
   private final TakenOverRuns takenOverRuns = new TakenOverRuns();
   private final UnansweredStarts unansweredStarts;
+  private final LateStarts lateStarts = new LateStarts();
   private final RunForecast forecast;
 
   /** Moving average of the time until a start is answered, in milliseconds. */
@@ -124,6 +125,7 @@
     openRuns.clear();
     openRunCounts.clear();
     takenOverRuns.clear();
+    lateStarts.clear();
   }
 
   /** Returns whether a start of the task may be sent beside those that aren't answered yet. */
@@ -192,6 +194,7 @@
     run.phase = LeasedRun.Phase.RUNNING;
     run.startsSent = 0;
     run.unansweredStarts = 0;
+    run.unattributedStarts = 0;
     run.confirmedSequence = context.nextSequence();
     task.run = run;
     task.lastRunNumber = Math.max(task.lastRunNumber, id.number());
@@ -227,6 +230,9 @@
    * @param listed whether the list contains the run
    */
   void reconcile(LeasedRun run, boolean listed) {
+    if (listed) {
+      attributeSingleStart(run);
+    }
     boolean listedAfterConfirmation =
         run.confirmedSequence != 0 && run.confirmedSequence < run.upstream.renewalSequence;
     switch (run.phase) {
@@ -306,6 +312,18 @@
     }
   }
 
+  /**
+   * Handles an answer to a copy of a start that shows that it didn't begin the run at the present
+   * process of the upstream. The run is over if no other copy can.
+   */
+  void startArrivedAtEarlierProcess(LeasedRun run, OrderResult result) {
+    if (result == OrderResult.NO_ANSWER) {
+      startUnanswered(run);
+    } else if (run.unattributedStarts == 0 && run.phase == LeasedRun.Phase.UNSURE) {
+      endRun(run);
+    }
+  }
+
   private void markUnsure(LeasedRun run) {
     run.phase = LeasedRun.Phase.UNSURE;
     context.logEvent(
@@ -337,8 +355,23 @@
     context.emit(new LeaseEffect.Stop(run.upstream.announcement, run.id, context.token()));
   }
 
+  /** Records that the process of a run has it, so that the only copy of its start has arrived. */
+  void attributeSingleStart(LeasedRun run) {
+    if (run.startsSent == 1) {
+      run.unattributedStarts = 0;
+    }
+  }
+
+  /** Records that a copy of the start of a run that is over has been carried out or refused. */
+  void lateStartArrived(RunId run) {
+    lateStarts.copyArrived(run);
+  }
+
   /** Records that a run is over, whatever its result; its task may start again. */
   void endRun(LeasedRun run) {
+    if (run.unattributedStarts > 0) {
+      lateStarts.add(run);
+    }
     run.upstream.removeRun(run);
     removeOpenRun(run);
     TaskState task = run.task;
@@ -348,17 +381,63 @@
     }
   }
 
-  /** Records that all runs on an upstream are over. */
-  void endRunsOn(UpstreamLease upstream) {
-    List.copyOf(upstream.runs.values()).forEach(this::endRun);
+  /** Records that the runs on a silent upstream are over whose leases have expired. */
+  void endExpiredRuns(UpstreamLease upstream) {
+    List<LeasedRun> expired =
+        upstream.runs.values().stream()
+            .filter(run -> context.now() > upstream.coveredUntil(run))
+            .toList();
+    if (!expired.isEmpty()) {
+      context.logEvent(
+          "lease-over", "upstream=" + upstream.announcement.id() + " runs=" + expired.size());
+      expired.forEach(this::endRun);
+    }
   }
 
-  /** Records that an upstream's instance is gone, and with it all its runs. */
+  /** Records that an upstream's process is gone, and with it all its runs. */
   void forgetUpstream(UpstreamLease upstream) {
-    endRunsOn(upstream);
+    List.copyOf(upstream.runs.values()).forEach(this::endRun);
     takenOverRuns.forgetUpstream(upstream);
   }
 
+  /**
+   * Moves the runs that may be at a later process of an upstream to that process, and ends those
+   * that are known to be gone with the earlier one.
+   *
+   * <p>An order names the upstream by its id alone, so the later process carries out an order to
+   * the earlier one that reaches it. The next list of runs shows which runs it has; the others are
+   * stopped there before their tasks start elsewhere.
+   */
+  void moveToLaterProcess(UpstreamLease earlier, UpstreamLease later) {
+    for (LeasedRun run : List.copyOf(earlier.runs.values())) {
+      boolean isGone = run.startsSent > 0 && run.unattributedStarts == 0;
+      if (isGone) {
+        endRun(run);
+      } else {
+        // An earlier dispatcher may have sent several copies of a start.
+        earlier.removeRun(run);
+        run.upstream = later;
+        run.confirmedSequence = 0;
+        later.addRun(run);
+        if (run.phase == LeasedRun.Phase.STOPPING) {
+          stop(run);
+        } else {
+          run.phase = LeasedRun.Phase.UNSURE;
+        }
+      }
+    }
+    takenOverRuns.forgetUpstream(earlier);
+  }
+
+  /** Stops the runs at a new process of an upstream whose starts it may still carry out. */
+  void stopLateStarts(UpstreamLease upstream) {
+    for (RunId run : lateStarts.runsAt(upstream.announcement)) {
+      if (!upstream.runs.containsKey(run)) {
+        stopUnknown(run, upstream);
+      }
+    }
+  }
+
   /** Returns whether an upstream has unclaimed runs of an earlier dispatcher. */
   boolean hasUnclaimedRuns(UpstreamLease upstream) {
     return takenOverRuns.hasRunsOn(upstream);
@@ -413,6 +492,7 @@
 
   void tick() {
     unansweredStarts.tick(context.now());
+    lateStarts.tick(context.now());
     openRuns.values().forEach(this::resendIfLost);
     takenOverRuns.removeUnclaimed(context.now()).forEach(this::stopUnclaimed);
   }
@@ -453,6 +533,7 @@
       run.lastStartSentAt = context.now();
       run.startsSent++;
       run.unansweredStarts++;
+      run.unattributedStarts++;
       sendStart(run, task);
       context.logEvent(
           "start-resent",
@@ -470,10 +551,15 @@
   private void stopUnclaimed(TakenOverRuns.FoundRun found) {
     context.logEvent(
         "run-unclaimed", "run=" + found.run() + " upstream=" + found.upstream().announcement.id());
-    LeasedRun run = new LeasedRun(found.run(), found.upstream(), context.now());
-    found.upstream().addRun(run);
-    if (!hasOpenRun(found.run().task())) {
-      addOpenRun(found.run().task(), run);
+    stopUnknown(found.run(), found.upstream());
+  }
+
+  /** Stops a run whose size and task aren't known. */
+  private void stopUnknown(RunId id, UpstreamLease upstream) {
+    LeasedRun run = new LeasedRun(id, upstream, context.now());
+    upstream.addRun(run);
+    if (!hasOpenRun(id.task())) {
+      addOpenRun(id.task(), run);
     }
     stop(run);
   }
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/UpstreamLease.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/UpstreamLease.java
@@ -37,6 +37,12 @@
   final Map<RunId, LeasedRun> runs = new HashMap<>();
   UpstreamAnnouncement announcement;
 
+  /**
+   * Whether the process has announced itself; otherwise {@link #announcement} describes the earlier
+   * process of the upstream, and no task may start.
+   */
+  boolean announced = true;
+
   /** Whether the upstream belongs to this host's shard. */
   boolean inOwnShard;
 
@@ -54,6 +60,12 @@
   /** Until when runs may go on there, even if this host fails, in milliseconds. */
   long coveredUntil;
 
+  /**
+   * Until when runs may go on at a later process of the upstream that got orders for this one, in
+   * milliseconds.
+   */
+  long coveredAtLaterProcessUntil;
+
   long renewalNumber;
   boolean renewalInFlight;
 
@@ -107,6 +119,7 @@
   /** Returns whether new tasks may start on the upstream now. */
   boolean isUsable(long now) {
     return inOwnShard
+        && announced
         && !evacuated
         && tokenAccepted
         && hasClockReading
@@ -181,6 +194,19 @@
 
   void extendCoverage(LeaseTiming timing, long now) {
     coveredUntil = Math.max(coveredUntil, now + timing.maxLeaseMillis());
+    coveredAtLaterProcessUntil =
+        Math.max(coveredAtLaterProcessUntil, now + timing.maxLeaseAtOtherProcessMillis());
+  }
+
+  /** Takes over the time for which orders to the earlier process of the upstream are in force. */
+  void continueCoverage(UpstreamLease earlier) {
+    coveredUntil = earlier.coveredAtLaterProcessUntil;
+    coveredAtLaterProcessUntil = earlier.coveredAtLaterProcessUntil;
+  }
+
+  /** Returns until when a run may go on without any further order, in milliseconds. */
+  long coveredUntil(LeasedRun run) {
+    return run.unattributedStarts > 0 ? coveredAtLaterProcessUntil : coveredUntil;
   }
 
   void addRun(LeasedRun run) {
