--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeSettings.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeSettings.java
@@ -29,6 +29,7 @@
  * @param faultTolerance losses that the hosts with a data folder must bear
  * @param configurationApplyMillis time after the acceptance of a catalog from which no host may act
  *     on an older one, in milliseconds
+ * @param maxGrantedLeaseMillis longest lease that an upstream grants, in milliseconds
  */
 public record NodeSettings(
     String cluster,
@@ -43,12 +44,13 @@
     int weight,
     long callerRetryDelayMillis,
     FaultTolerance faultTolerance,
-    long configurationApplyMillis) {
+    long configurationApplyMillis,
+    long maxGrantedLeaseMillis) {
 
   /** The time for a catalog to come into force if the settings state none, in milliseconds. */
   public static final long DEFAULT_CONFIGURATION_APPLY_MILLIS = 2_000;
 
-  /** Creates settings with the default tolerance and time for a catalog to come into force. */
+  /** Creates settings with the default tolerance, lease and time for a catalog to be in force. */
   public NodeSettings(
       String cluster,
       HostDescriptor descriptor,
@@ -74,7 +76,8 @@
         weight,
         callerRetryDelayMillis,
         FaultTolerance.DEFAULT,
-        DEFAULT_CONFIGURATION_APPLY_MILLIS);
+        DEFAULT_CONFIGURATION_APPLY_MILLIS,
+        LeaseTiming.DEFAULT.maxGrantedLeaseMillis());
   }
 
   /** Copies the domains and the seeds. */
@@ -103,12 +106,15 @@
         weight,
         callerRetryDelayMillis,
         faultTolerance,
-        configurationApplyMillis);
+        configurationApplyMillis,
+        maxGrantedLeaseMillis);
   }
 
-  /** Returns the durations of leases and orders for callers with this retry delay. */
+  /** Returns the durations of leases and orders for these callers and upstreams. */
   public LeaseTiming leaseTiming() {
-    return LeaseTiming.DEFAULT.withCallerRetryDelay(callerRetryDelayMillis);
+    return LeaseTiming.DEFAULT
+        .withCallerRetryDelay(callerRetryDelayMillis)
+        .withMaxGrantedLease(maxGrantedLeaseMillis);
   }
 
   /**
