Start tasks again on the upstream at which a copy of their start is late

Callers saw two runs of a task at once when one copy of a resent start was answered, the run ended, the task started elsewhere, and the other copy reached a process that had restarted in between.

Cause: the earlier process refuses such a copy, a later one knows nothing of the run, and no field of the order tells it so. The stop that a new process gets may arrive after the copy.

Change: copies without any answer are counted apart from those whose process isn't known. While one may be late, the task prefers the upstream that refuses it, and an overdue run isn't moved elsewhere. Starts that may be late stay recorded for each further process.

--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LateStarts.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LateStarts.java
@@ -1,17 +1,20 @@
 package org.burdockbay.core.lease;
 
+import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import org.burdockbay.core.fleet.UpstreamAnnouncement;
 import org.burdockbay.core.work.RunId;
+import org.burdockbay.core.work.TaskId;
 
 /**
  * Keeps the starts that may still be carried out although their runs are over.
  *
  * <p>The process that ended such a run refuses a late copy of its start. A later process of the
- * upstream doesn't know the run and would begin it, so it has to be told to stop it first.
+ * upstream begins the run, unless it has been told to stop it before the start arrives. A task
+ * whose earlier start may be late had therefore better start again on the same upstream.
  */
 final class LateStarts {
 
@@ -20,17 +23,20 @@
    */
   private static final long RETENTION_MILLIS = 15_000;
 
-  /** Maximum number of runs that are kept; the oldest ones are dropped. */
-  private static final int MAX_RUNS = 10_000;
+  /** Maximum number of tasks whose starts are kept; the oldest ones are dropped. */
+  private static final int MAX_TASKS = 10_000;
 
-  private final Map<RunId, LateStart> starts = new LinkedHashMap<>();
+  private final Map<TaskId, List<LateStart>> starts = new LinkedHashMap<>();
+  private final long maxLeaseMillis;
 
-  /** Records copies of the start of a run that is over. */
+  LateStarts(LeaseTiming timing) {
+    this.maxLeaseMillis = timing.maxLeaseAtOtherProcessMillis();
+  }
+
+  /** Records the copies of the start of a run that is over. */
   void add(LeasedRun run) {
-    starts.put(
-        run.id,
-        new LateStart(run.upstream.announcement, run.unattributedStarts, run.lastStartSentAt));
-    if (starts.size() > MAX_RUNS) {
+    starts.computeIfAbsent(run.id.task(), task -> new ArrayList<>()).add(new LateStart(run));
+    if (starts.size() > MAX_TASKS) {
       starts.remove(starts.keySet().iterator().next());
     }
   }
@@ -38,26 +44,36 @@
   /** Records that one copy of a start has been carried out or refused. */
   void copyArrived(RunId run) {
     starts.computeIfPresent(
-        run,
-        (id, start) ->
-            start.copies > 1
-                ? new LateStart(start.addressed, start.copies - 1, start.sentAt)
-                : null);
+        run.task(),
+        (task, late) -> {
+          late.removeIf(start -> start.run.equals(run) && --start.copies == 0);
+          return late.isEmpty() ? null : late;
+        });
+  }
+
+  /**
+   * Returns whether a run of a task on the given upstream may overlap one that begins late at a
+   * process of another upstream.
+   */
+  boolean mayOverlap(TaskId task, UpstreamAnnouncement upstream, long now) {
+    return starts.getOrDefault(task, List.of()).stream()
+        .anyMatch(start -> !start.mayReach(upstream) && now - start.sentAt <= maxLeaseMillis);
   }
 
   /** Returns the runs whose starts may be carried out by a new process. */
   List<RunId> runsAt(UpstreamAnnouncement process) {
-    return starts.entrySet().stream()
-        .filter(entry -> entry.getValue().mayReach(process))
-        .map(Map.Entry::getKey)
+    return starts.values().stream()
+        .flatMap(List::stream)
+        .filter(start -> start.mayReach(process))
+        .map(start -> start.run)
         .toList();
   }
 
   /** Drops the starts that are too old to be carried out. */
   void tick(long now) {
-    // The runs are in the order of their ends, which is nearly that of their starts.
-    Iterator<LateStart> oldest = starts.values().iterator();
-    while (oldest.hasNext() && now - oldest.next().sentAt > RETENTION_MILLIS) {
+    // The tasks are in the order of the ends of their runs, which is nearly that of the starts.
+    Iterator<List<LateStart>> oldest = starts.values().iterator();
+    while (oldest.hasNext() && now - oldest.next().getLast().sentAt > RETENTION_MILLIS) {
       oldest.remove();
     }
   }
@@ -66,14 +82,24 @@
     starts.clear();
   }
 
-  /**
-   * A start whose run is over.
-   *
-   * @param addressed the process to which it was sent
-   * @param copies the number of copies that may be late
-   * @param sentAt when the last copy was sent, in milliseconds
-   */
-  private record LateStart(UpstreamAnnouncement addressed, int copies, long sentAt) {
+  /** A start whose run is over. */
+  private static final class LateStart {
+
+    private final RunId run;
+    private final UpstreamAnnouncement addressed;
+
+    /** When the last copy was sent, in milliseconds. */
+    private final long sentAt;
+
+    /** Number of copies that may be late. */
+    private int copies;
+
+    LateStart(LeasedRun run) {
+      this.run = run.id;
+      this.addressed = run.upstream.announcement;
+      this.sentAt = run.lastStartSentAt;
+      this.copies = run.lateStarts;
+    }
 
     boolean mayReach(UpstreamAnnouncement process) {
       return addressed.id().equals(process.id()) && addressed.address().equals(process.address());
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseDispatcher.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseDispatcher.java
@@ -350,7 +350,7 @@
     }
     works.admitConfirmed(leases);
     List<UpstreamLease> usableUpstreams = leases.usableUpstreams();
-    PlacementPolicy placement = new PlacementPolicy(usableUpstreams, context);
+    PlacementPolicy placement = runs.placement(usableUpstreams);
     Backlog backlog = new Backlog(usableUpstreams, context.profiles());
     boolean mayRefuse = leases.mayRefuseForCapacity();
     shares.compareFlows(works.unansweredWork(), usableUpstreams);
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseTable.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseTable.java
@@ -334,15 +334,13 @@
     if (run == null || run.startsSent == 0) {
       // The run is over, or the order was sent under an earlier role of this host and its run may
       // have been adopted since.
-      if (showsWhereStartArrived(answered)) {
+      if (answered.result() != OrderResult.NO_ANSWER) {
         runs.lateStartArrived(answered.run());
       }
     } else {
       run.unansweredStarts--;
-      if (showsWhereStartArrived(answered)) {
-        run.unattributedStarts--;
-      }
       if (answered.result() != OrderResult.NO_ANSWER) {
+        run.recordStartAnswered(showsWhereStartArrived(answered));
         runs.recordAnswered(run.lastStartSentAt);
       }
       if (upstream != null) {
@@ -541,7 +539,7 @@
       }
       return;
     }
-    runs.attributeSingleStart(run);
+    run.recordSeen();
     switch (end.cause()) {
       case DONE -> runSucceeded(run);
       case FAILED -> runFailed(run);
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeasedRun.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeasedRun.java
@@ -51,6 +51,9 @@
   /** Number of copies of the start that were neither answered nor timed out. */
   int unansweredStarts = 1;
 
+  /** Number of copies of the start without any answer, which may still be carried out late. */
+  int lateStarts = 1;
+
   /**
    * Number of copies of the start that may have reached, or may yet reach, another process than the
    * one that is known to have the run; 0 for a run of an earlier dispatcher.
@@ -95,6 +98,36 @@
     this.lastStartSentAt = foundAt;
     this.startsSent = 0;
     this.unansweredStarts = 0;
+    this.lateStarts = 0;
     this.unattributedStarts = 0;
   }
+
+  /** Records that another copy of the start is sent. */
+  void recordResent(long now) {
+    lastStartSentAt = now;
+    startsSent++;
+    unansweredStarts++;
+    lateStarts++;
+    unattributedStarts++;
+  }
+
+  /**
+   * Records an answer to a copy of the start.
+   *
+   * @param isAttributed whether it shows that the copy can't begin a run at an unknown process
+   */
+  void recordStartAnswered(boolean isAttributed) {
+    lateStarts = Math.max(0, lateStarts - 1);
+    if (isAttributed) {
+      unattributedStarts = Math.max(0, unattributedStarts - 1);
+    }
+  }
+
+  /** Records that the present process has the run, so that the only copy of its start is there. */
+  void recordSeen() {
+    if (startsSent == 1) {
+      lateStarts = 0;
+      unattributedStarts = 0;
+    }
+  }
 }
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/PlacementPolicy.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/PlacementPolicy.java
@@ -12,11 +12,18 @@
  *
  * <p>Uses best fit by processor: two or three tasks fill an upstream, and choosing the upstream
  * with the smallest remainder keeps larger remainders free for larger tasks. Upstreams on the rack
- * of the data are preferred, since the task takes longer elsewhere. Where the speeds of upstreams
- * are known, those that are too slow for a prompt answer come last.
+ * of the data are preferred, since the task takes longer elsewhere. A task whose earlier start may
+ * still be carried out prefers the upstream of that start, whose process refuses it. Where the
+ * speeds of upstreams are known, those that are too slow for a prompt answer come last.
  */
 final class PlacementPolicy {
 
+  /** Added to the score of upstreams that aren't on the rack of the data. */
+  private static final long OFF_RACK_SCORE = 1L << 48;
+
+  /** Added to the score of upstreams on which the run may overlap a late start of its task. */
+  private static final long OVERLAP_SCORE = 1L << 50;
+
   /** Added to the score of upstreams that come last. */
   private static final long TOO_SLOW_SCORE = 1L << 52;
 
@@ -27,6 +34,7 @@
   private final double[] speeds;
 
   private final RunForecast forecast;
+  private final LateStarts lateStarts;
   private final long now;
 
   /**
@@ -40,12 +48,14 @@
    *
    * @param candidates the upstreams on which tasks may start now
    * @param context the time, and what is known about upstreams
+   * @param lateStarts the earlier starts of tasks that may still be carried out
    */
-  PlacementPolicy(List<UpstreamLease> candidates, DispatchContext context) {
+  PlacementPolicy(List<UpstreamLease> candidates, DispatchContext context, LateStarts lateStarts) {
     this.candidates = candidates;
     this.profiles = context.profiles();
     this.speeds = candidates.stream().mapToDouble(it -> profiles.speed(it.announcement)).toArray();
     this.forecast = new RunForecast(profiles);
+    this.lateStarts = lateStarts;
     this.now = context.now();
     updateMaxFreeCapacity();
   }
@@ -153,13 +163,14 @@
     return running < limit;
   }
 
-  private static long score(UpstreamLease upstream, TaskState task) {
+  private long score(UpstreamLease upstream, TaskState task) {
     WorkStep step = task.step;
     TaskSize remainder = upstream.freeCapacity().minus(step.size());
     boolean offRack =
         step.nearRack().map(rack -> !upstream.announcement.labels().contains(rack)).orElse(false);
     long score = remainder.cpuMillicores() + ((long) remainder.accelerators() << 32);
-    return offRack ? score + (1L << 48) : score;
+    score += offRack ? OFF_RACK_SCORE : 0;
+    return score + (lateStarts.mayOverlap(task.id, upstream.announcement, now) ? OVERLAP_SCORE : 0);
   }
 
   /** Rates a candidate of the given speed; the lowest score is best. */
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/RunTable.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/RunTable.java
@@ -42,7 +42,7 @@
 
   private final TakenOverRuns takenOverRuns = new TakenOverRuns();
   private final UnansweredStarts unansweredStarts;
-  private final LateStarts lateStarts = new LateStarts();
+  private final LateStarts lateStarts;
   private final RunForecast forecast;
 
   /** Moving average of the time until a start is answered, in milliseconds. */
@@ -55,6 +55,7 @@
     this.context = context;
     this.timing = timing;
     this.unansweredStarts = new UnansweredStarts(limits.startBytes(), timing);
+    this.lateStarts = new LateStarts(timing);
     this.forecast = new RunForecast(context.profiles());
   }
 
@@ -133,6 +134,15 @@
     return unansweredStarts.hasRoom(task.work.request.payload());
   }
 
+  /**
+   * Returns the policy for a round of placements.
+   *
+   * @param candidates the upstreams on which tasks may start now
+   */
+  PlacementPolicy placement(List<UpstreamLease> candidates) {
+    return new PlacementPolicy(candidates, context, lateStarts);
+  }
+
   /** Records that a copy of a start was answered or has failed. */
   void startReturned(RunId run) {
     unansweredStarts.answered(run);
@@ -194,6 +204,7 @@
     run.phase = LeasedRun.Phase.RUNNING;
     run.startsSent = 0;
     run.unansweredStarts = 0;
+    run.lateStarts = 0;
     run.unattributedStarts = 0;
     run.confirmedSequence = context.nextSequence();
     task.run = run;
@@ -231,7 +242,7 @@
    */
   void reconcile(LeasedRun run, boolean listed) {
     if (listed) {
-      attributeSingleStart(run);
+      run.recordSeen();
     }
     boolean listedAfterConfirmation =
         run.confirmedSequence != 0 && run.confirmedSequence < run.upstream.renewalSequence;
@@ -355,13 +366,6 @@
     context.emit(new LeaseEffect.Stop(run.upstream.announcement, run.id, context.token()));
   }
 
-  /** Records that the process of a run has it, so that the only copy of its start has arrived. */
-  void attributeSingleStart(LeasedRun run) {
-    if (run.startsSent == 1) {
-      run.unattributedStarts = 0;
-    }
-  }
-
   /** Records that a copy of the start of a run that is over has been carried out or refused. */
   void lateStartArrived(RunId run) {
     lateStarts.copyArrived(run);
@@ -369,7 +373,7 @@
 
   /** Records that a run is over, whatever its result; its task may start again. */
   void endRun(LeasedRun run) {
-    if (run.unattributedStarts > 0) {
+    if (run.lateStarts > 0) {
       lateStarts.add(run);
     }
     run.upstream.removeRun(run);
@@ -451,7 +455,7 @@
   void moveStragglers(StragglerRule rule, Supplier<List<UpstreamLease>> usableUpstreams) {
     List<LeasedRun> stragglers = rule.findStragglers(openRuns.values(), context.now());
     if (!stragglers.isEmpty()) {
-      PlacementPolicy placement = new PlacementPolicy(usableUpstreams.get(), context);
+      PlacementPolicy placement = placement(usableUpstreams.get());
       stragglers.forEach(run -> handleStraggler(run, rule, placement));
     }
   }
@@ -482,7 +486,12 @@
               + task.step.estimateMillis());
     }
     task.avoidedUpstream = run.upstream.announcement.id();
-    if (rule.isWorthMoving(task, context.now()) && placement.choose(task).isPresent()) {
+    boolean startMayBeLate =
+        run.lateStarts > 0
+            && context.now() - run.lastStartSentAt <= timing.maxLeaseAtOtherProcessMillis();
+    if (!startMayBeLate
+        && rule.isWorthMoving(task, context.now())
+        && placement.choose(task).isPresent()) {
       task.moves++;
       context.logEvent(
           "run-moved", "run=" + run.id + " upstream=" + run.upstream.announcement.id());
@@ -530,10 +539,7 @@
         && run.startsSent < MAX_COPIES
         && isLost(run.lastStartSentAt)
         && mayStart(task)) {
-      run.lastStartSentAt = context.now();
-      run.startsSent++;
-      run.unansweredStarts++;
-      run.unattributedStarts++;
+      run.recordResent(context.now());
       sendStart(run, task);
       context.logEvent(
           "start-resent",
