Probe the connections to hosts whose heartbeats are overdue

Cause: a host replaces a connection if the other one reports that it hears nothing over it. With both directions silent that report doesn't arrive, and the connections' own pings found the silence after 5 to 7 s.

Change: once no message of a host has arrived for two heartbeat intervals, the connection to it is pinged, and replaced if nothing arrives within the third, when the host counts as lost. A probe that this host evaluates late shows nothing and is repeated, and a host that is only slow answers it. No ping is added while heartbeats arrive.

--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/HostDirectory.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/HostDirectory.java
@@ -67,6 +67,18 @@
         .map(entry -> now - entry.lastContactAt);
   }
 
+  /** Returns the hosts that have sent a message, but none for at least the given time. */
+  List<String> silentHosts(long silenceMillis, long now) {
+    List<String> silent = new ArrayList<>();
+    hosts.forEach(
+        (host, entry) -> {
+          if (entry.contacted && now - entry.lastContactAt >= silenceMillis) {
+            silent.add(host);
+          }
+        });
+    return silent;
+  }
+
   /**
    * Returns the time since the last message from a host, or since it was added if none has arrived,
    * in milliseconds. An unknown host counts as silent since this directory was created: after a
--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
@@ -80,6 +80,13 @@
    */
   private static final long CONNECTION_SILENCE_TIMEOUT_MILLIS = 350;
 
+  /**
+   * Silence of a host after which the connection to it is probed, in milliseconds. An answer is due
+   * within a heartbeat interval, by the time at which the host counts as lost.
+   */
+  private static final long PROBE_SILENCE_MILLIS =
+      HOST_SILENCE_TIMEOUT_MILLIS - HeartbeatSchedule.INTERVAL_MILLIS;
+
   private static final long MEMBERSHIP_INTERVAL_MILLIS = 25;
   private static final long DIRECTORY_CLEANUP_INTERVAL_MILLIS = 2_000;
 
@@ -764,6 +771,19 @@
     }
   }
 
+  /**
+   * Probes the connections to silent hosts.
+   *
+   * <p>Where a device has lost the state of the connections in both directions, neither host
+   * receives the heartbeats that would report the silence. A host that is only slow answers the
+   * probe, and one without a connection isn't probed.
+   */
+  private void probeSilentHosts(long now) {
+    directory
+        .silentHosts(PROBE_SILENCE_MILLIS, now)
+        .forEach(host -> parts.transport().probe(host, HeartbeatSchedule.INTERVAL_MILLIS));
+  }
+
   private void fetchCatalogPart(String host, CatalogPart.Request request) {
     send(host, new PeerMessage.FetchCatalogPart(request));
   }
@@ -934,6 +954,7 @@
     if (now >= nextMembershipTickAt) {
       nextMembershipTickAt = now + MEMBERSHIP_INTERVAL_MILLIS;
       execute(membership.tick(now));
+      probeSilentHosts(now);
       epochs.save(membership.highestEpoch(), membership.layout(), now);
     }
     freshness.tick(catalog.current(), now);
--- a/burdockbay-server/src/main/java/org/burdockbay/server/transport/OutboundConnection.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/transport/OutboundConnection.java
@@ -11,6 +11,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.LongSupplier;
 import org.burdockbay.core.clock.Clock;
 import org.burdockbay.server.logging.EventLog;
@@ -168,6 +169,20 @@
     }
   }
 
+  /**
+   * Pings the other host, and closes the connection if nothing arrives in time.
+   *
+   * @param timeoutMillis the time for an answer, in milliseconds
+   */
+  void probe(long timeoutMillis) {
+    Channel channel = establishedChannel;
+    OutboundHandler handler =
+        channel == null ? null : channel.pipeline().get(OutboundHandler.class);
+    if (handler != null) {
+      handler.probe(channel, timeoutMillis);
+    }
+  }
+
   /**
    * Closes the current connection if it was established longer ago than the given time.
    *
@@ -210,6 +225,7 @@
     private Wire.Hello localHello = Wire.Hello.getDefaultInstance();
     private Wire.Hello remoteHello = Wire.Hello.getDefaultInstance();
     private long lastReceivedAt;
+    private final AtomicBoolean probing = new AtomicBoolean();
 
     @Override
     public void channelActive(ChannelHandlerContext context) {
@@ -268,6 +284,33 @@
       context.close();
     }
 
+    private void probe(Channel channel, long timeoutMillis) {
+      if (probing.compareAndSet(false, true)) {
+        channel.eventLoop().execute(() -> beginProbe(channel, timeoutMillis));
+      }
+    }
+
+    private void beginProbe(Channel channel, long timeoutMillis) {
+      long sentAt = clock.millis();
+      channel.writeAndFlush(Wire.Envelope.newBuilder().setPing(sentAt).build());
+      channel
+          .eventLoop()
+          .schedule(
+              () -> endProbe(channel, sentAt, timeoutMillis), timeoutMillis, TimeUnit.MILLISECONDS);
+    }
+
+    /** Ends a probe; one that this host has evaluated late shows nothing about the connection. */
+    private void endProbe(Channel channel, long sentAt, long timeoutMillis) {
+      probing.set(false);
+      long elapsedMillis = clock.millis() - sentAt;
+      boolean isLate = elapsedMillis >= 2 * timeoutMillis;
+      if (lastReceivedAt < sentAt && !isLate && channel.isActive()) {
+        log.warn("connection-silent", "to=" + peer.id() + " unanswered=" + elapsedMillis);
+        connectReason = TransportCounters.ConnectReason.SILENT;
+        channel.close();
+      }
+    }
+
     private void pingOrClose(ChannelHandlerContext context) {
       if (!context.channel().isActive()) {
         return;
--- a/burdockbay-server/src/main/java/org/burdockbay/server/transport/PeerTransport.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/transport/PeerTransport.java
@@ -127,6 +127,18 @@
     return connection != null && connection.closeIfOlderThan(olderThanMillis);
   }
 
+  /**
+   * Checks whether the connection to a host still delivers, and replaces it otherwise.
+   *
+   * @param timeoutMillis the time for an answer of the host, in milliseconds
+   */
+  public void probe(String host, long timeoutMillis) {
+    OutboundConnection connection = outbound.get(host);
+    if (connection != null) {
+      connection.probe(timeoutMillis);
+    }
+  }
+
   /** Closes the connection to a host and stops reconnecting. */
   public void disconnect(String host) {
     OutboundConnection connection = outbound.remove(host);
