Send cancellations again to hosts whose connection was replaced

Cause: a host that doesn't hold the job tells all others once. A host that was paused for longer than 450 ms closes the connection before it reads what waits there, and a host without a connection gets nothing.

Change: cancellations of the last 30 s, at most 100 a second as before, are sent again over each new connection to a host. One that it knows already, or whose work it doesn't hold, changes nothing.

A host that ends right after its acknowledgement takes the repetition with it; that remains open.

--- a/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
+++ b/burdockbay-server/src/main/java/org/burdockbay/server/node/NodeController.java
@@ -34,7 +34,6 @@
 import org.burdockbay.core.lease.LeaseEvent;
 import org.burdockbay.core.lease.LeaseTiming;
 import org.burdockbay.core.limits.MemoryBudget;
-import org.burdockbay.core.limits.RateLimit;
 import org.burdockbay.core.limits.WorkFootprint;
 import org.burdockbay.core.membership.HostDescriptor;
 import org.burdockbay.core.membership.HostStatus;
@@ -141,7 +140,7 @@
   private final AtomicLong lastTicket;
 
   /** Limits the messages that cancellations by callers cause. */
-  private final RateLimit withdrawals = new RateLimit(MAX_WITHDRAWALS_PER_SECOND);
+  private final Withdrawals withdrawals = new Withdrawals(MAX_WITHDRAWALS_PER_SECOND);
 
   /** Memory of the requests whose callers wait at this host. */
   private final MemoryBudget waitingWork;
@@ -309,7 +308,7 @@
         () -> {
           if (workHandler.cancel(workId)) {
             callback.accept(CancelResult.CANCELLED);
-          } else if (withdrawals.tryAdd(clock.millis())) {
+          } else if (withdrawals.tryAdd(workId, clock.millis())) {
             broadcast(new PeerMessage.WithdrawWork(workId));
             callback.accept(CancelResult.FORWARDED);
           } else {
@@ -463,6 +462,7 @@
   @Override
   public void outboundConnected(String host, long incarnation) {
     executeControl(() -> sendMissedNews(host, incarnation, clock.millis()));
+    executeWork(() -> sendWithdrawals(host));
   }
 
   @Override
@@ -784,6 +784,13 @@
         .forEach(host -> parts.transport().probe(host, HeartbeatSchedule.INTERVAL_MILLIS));
   }
 
+  /** Sends recent cancellations to a host that may have lost them with its last connection. */
+  private void sendWithdrawals(String host) {
+    withdrawals
+        .recent(clock.millis())
+        .forEach(workId -> send(host, new PeerMessage.WithdrawWork(workId)));
+  }
+
   private void fetchCatalogPart(String host, CatalogPart.Request request) {
     send(host, new PeerMessage.FetchCatalogPart(request));
   }
