--- a/burdockbay-core/src/main/java/org/burdockbay/core/fleet/UpstreamAnnouncement.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/fleet/UpstreamAnnouncement.java
@@ -50,10 +50,10 @@
   }
 
   /**
-   * Returns a description of a process that has restarted under the id and address of this one, and
-   * hasn't announced itself yet; its capacity, service and labels may be others.
+   * Returns a description of an instance that has restarted under the id and address of this one,
+   * and hasn't announced itself yet; its capacity, service and labels may be others.
    *
-   * @param time when the process started, in milliseconds since the Unix epoch
+   * @param time when the instance started, in milliseconds since the Unix epoch
    */
   public UpstreamAnnouncement restartedAt(long time) {
     return new UpstreamAnnouncement(id, time, 0, service, address, domain, false, capacity, labels);
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LateStarts.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LateStarts.java
@@ -12,7 +12,7 @@
 /**
  * Keeps the starts that may still be carried out although their runs are over.
  *
- * <p>The process that ended such a run refuses a late copy of its start. A later process of the
+ * <p>The instance that ended such a run refuses a late copy of its start. A later instance of the
  * upstream begins the run, unless it has been told to stop it before the start arrives. A task
  * whose earlier start may be late had therefore better start again on the same upstream.
  */
@@ -30,7 +30,7 @@
   private final long maxLeaseMillis;
 
   LateStarts(LeaseTiming timing) {
-    this.maxLeaseMillis = timing.maxLeaseAtOtherProcessMillis();
+    this.maxLeaseMillis = timing.maxLeaseAtOtherInstanceMillis();
   }
 
   /** Records the copies of the start of a run that is over. */
@@ -53,18 +53,18 @@
 
   /**
    * Returns whether a run of a task on the given upstream may overlap one that begins late at a
-   * process of another upstream.
+   * instance of another upstream.
    */
   boolean mayOverlap(TaskId task, UpstreamAnnouncement upstream, long now) {
     return starts.getOrDefault(task, List.of()).stream()
         .anyMatch(start -> !start.mayReach(upstream) && now - start.sentAt <= maxLeaseMillis);
   }
 
-  /** Returns the runs whose starts may be carried out by a new process. */
-  List<RunId> runsAt(UpstreamAnnouncement process) {
+  /** Returns the runs whose starts may be carried out by a new instance. */
+  List<RunId> runsAt(UpstreamAnnouncement instance) {
     return starts.values().stream()
         .flatMap(List::stream)
-        .filter(start -> start.mayReach(process))
+        .filter(start -> start.mayReach(instance))
         .map(start -> start.run)
         .toList();
   }
@@ -101,8 +101,8 @@
       this.copies = run.lateStarts;
     }
 
-    boolean mayReach(UpstreamAnnouncement process) {
-      return addressed.id().equals(process.id()) && addressed.address().equals(process.address());
+    boolean mayReach(UpstreamAnnouncement instance) {
+      return addressed.id().equals(instance.id()) && addressed.address().equals(instance.address());
     }
   }
 }
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseEvent.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseEvent.java
@@ -156,12 +156,12 @@
   /**
    * An upstream has answered a start, or no answer arrived.
    *
-   * @param upstream the process to which the start was addressed
-   * @param clockMillis the clock of the process that answered, in milliseconds; empty if the answer
-   *     doesn't contain it
-   * @param startedAt when the process that answered started, in milliseconds since the Unix epoch:
-   *     another one than the addressed process if the upstream has restarted under its id; empty if
-   *     the answer doesn't contain it
+   * @param upstream the instance to which the start was addressed
+   * @param clockMillis the clock of the instance that answered, in milliseconds; empty if the
+   *     answer doesn't contain it
+   * @param startedAt when the instance that answered started, in milliseconds since the Unix epoch:
+   *     another one than the addressed instance if the upstream has restarted under its id; empty
+   *     if the answer doesn't contain it
    */
   record StartAnswered(
       UpstreamAnnouncement upstream,
@@ -171,7 +171,7 @@
       OptionalLong startedAt)
       implements LeaseEvent {
 
-    /** Creates an answer that doesn't name the process that answered. */
+    /** Creates an answer that doesn't name the instance that answered. */
     public StartAnswered(
         UpstreamAnnouncement upstream, RunId run, OrderResult result, OptionalLong clockMillis) {
       this(upstream, run, result, clockMillis, OptionalLong.empty());
@@ -181,7 +181,7 @@
   /**
    * An upstream has answered a stop, or no answer arrived.
    *
-   * @param upstream the process to which the stop was addressed
+   * @param upstream the instance to which the stop was addressed
    * @param clockMillis as in {@link StartAnswered}
    * @param startedAt as in {@link StartAnswered}
    */
@@ -193,7 +193,7 @@
       OptionalLong startedAt)
       implements LeaseEvent {
 
-    /** Creates an answer that doesn't name the process that answered. */
+    /** Creates an answer that doesn't name the instance that answered. */
     public StopAnswered(
         UpstreamAnnouncement upstream, RunId run, OrderResult result, OptionalLong clockMillis) {
       this(upstream, run, result, clockMillis, OptionalLong.empty());
@@ -204,7 +204,7 @@
    * An upstream has answered a renewal, or no answer arrived; the lists are empty unless the result
    * is {@link OrderResult#DONE}.
    *
-   * @param upstream the process to which the renewal was addressed
+   * @param upstream the instance to which the renewal was addressed
    * @param clockMillis as in {@link StartAnswered}
    * @param startedAt as in {@link StartAnswered}
    * @param running the runs that are under way on the upstream
@@ -226,7 +226,7 @@
       ended = List.copyOf(ended);
     }
 
-    /** Creates an answer that doesn't name the process that answered. */
+    /** Creates an answer that doesn't name the instance that answered. */
     public RenewalAnswered(
         UpstreamAnnouncement upstream,
         long renewalNumber,
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseTable.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseTable.java
@@ -208,7 +208,7 @@
     if (known != null) {
       boolean isLater = known.announcement.startedAt() < announcement.startedAt();
       if (isLater) {
-        replaceProcess(known, announcement, "announced");
+        replaceInstance(known, announcement, "announced");
       }
       return isLater;
     }
@@ -224,19 +224,19 @@
   }
 
   /**
-   * Replaces the process of an upstream by a later one under the same id.
+   * Replaces the instance of an upstream by a later one under the same id.
    *
-   * <p>Orders without an answer may have reached the later process if it has the same address; an
+   * <p>Orders without an answer may have reached the later instance if it has the same address; an
    * order to another address can't reach it.
    */
-  private UpstreamLease replaceProcess(
+  private UpstreamLease replaceInstance(
       UpstreamLease earlier, UpstreamAnnouncement announcement, String reason) {
     final UpstreamLease later = createLease(announcement);
     upstreams.put(announcement.id(), later);
     final int runCount = earlier.runs.size();
     if (announcement.address().equals(earlier.announcement.address())) {
       later.continueCoverage(earlier);
-      runs.moveToLaterProcess(earlier, later);
+      runs.moveToLaterInstance(earlier, later);
     } else {
       runs.forgetUpstream(earlier);
     }
@@ -258,11 +258,11 @@
   }
 
   /**
-   * Returns the process that answered an order, which may be a later one than the order was sent
-   * to; null if that process is gone or not known.
+   * Returns the instance that answered an order, which may be a later one than the order was sent
+   * to; null if that instance is gone or not known.
    *
-   * @param addressed the process to which the order was sent
-   * @param startedAt when the process that answered started; empty if it didn't say so
+   * @param addressed the instance to which the order was sent
+   * @param startedAt when the instance that answered started; empty if it didn't say so
    */
   private @Nullable UpstreamLease findAnswering(
       UpstreamAnnouncement addressed, OptionalLong startedAt) {
@@ -277,7 +277,7 @@
     if (answeredBy < known.announcement.startedAt()) {
       return null;
     }
-    UpstreamLease later = replaceProcess(known, addressed.restartedAt(answeredBy), "answered");
+    UpstreamLease later = replaceInstance(known, addressed.restartedAt(answeredBy), "answered");
     later.announced = false;
     return later;
   }
@@ -346,7 +346,7 @@
       if (upstream != null) {
         handleStartResult(upstream, run, answered.result());
       } else {
-        runs.startArrivedAtEarlierProcess(run, answered.result());
+        runs.startArrivedAtEarlierInstance(run, answered.result());
       }
     }
     if (answered.result() == OrderResult.OTHER_LIFE) {
@@ -355,8 +355,8 @@
   }
 
   /**
-   * Returns whether an answer shows that a copy of a start can't begin a run at a later process: it
-   * was refused, or carried out by a process that is known.
+   * Returns whether an answer shows that a copy of a start can't begin a run at a later instance:
+   * it was refused, or carried out by an instance that is known.
    */
   private static boolean showsWhereStartArrived(LeaseEvent.StartAnswered answered) {
     return switch (answered.result()) {
@@ -392,7 +392,7 @@
         }
       }
       case OTHER_LIFE -> {
-        // The process is gone, as addressTaken records.
+        // The instance is gone, as addressTaken records.
       }
       case INVALID -> {
         context.logEvent(
@@ -432,7 +432,7 @@
    * Returns how long this host's clock was paused, in milliseconds, according to the clock reading
    * in an upstream's answer; at most 0 if it was not.
    *
-   * @param startedAt when the process that answered started; another process has another clock
+   * @param startedAt when the instance that answered started; another instance has another clock
    */
   long localPauseMillis(
       UpstreamAnnouncement addressed, OptionalLong startedAt, OptionalLong clockMillis) {
@@ -446,7 +446,7 @@
         : 0;
   }
 
-  /** Returns whether an answer of the process with the given start time is one of an upstream. */
+  /** Returns whether an answer of the instance with the given start time is one of an upstream. */
   private static boolean isAnswerOf(UpstreamLease upstream, long startedAt) {
     long knownStartedAt = upstream.announcement.startedAt();
     return knownStartedAt == 0 || startedAt == knownStartedAt;
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseTiming.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeaseTiming.java
@@ -87,13 +87,13 @@
 
   /**
    * Returns the longest real time from an order until the runs end whose lease it extends at a
-   * process other than the one to which it was addressed, in milliseconds.
+   * instance other than the one to which it was addressed, in milliseconds.
    *
-   * <p>The end of the lease in the order refers to the clock of the addressed process. By another
-   * clock it may lie far in the future, so the process grants its longest lease from the arrival of
-   * the order on. An order that arrives after the answer timeout may be in force for longer.
+   * <p>The end of the lease in the order refers to the clock of the addressed instance. By another
+   * clock it may lie far in the future, so the instance grants its longest lease from the arrival
+   * of the order on. An order that arrives after the answer timeout may be in force for longer.
    */
-  public long maxLeaseAtOtherProcessMillis() {
+  public long maxLeaseAtOtherInstanceMillis() {
     return answerTimeoutMillis
         + (long) Math.ceil(maxGrantedLeaseMillis / MIN_CLOCK_RATE)
         + RUN_TERMINATION_MILLIS;
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeasedRun.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LeasedRun.java
@@ -25,7 +25,7 @@
   final RunId id;
   final TaskSize size;
 
-  /** The process at which the run is, or may be. */
+  /** The instance at which the run is, or may be. */
   UpstreamLease upstream;
 
   /** Whether {@link #size} is the capacity that the run takes on its upstream. */
@@ -55,8 +55,8 @@
   int lateStarts = 1;
 
   /**
-   * Number of copies of the start that may have reached, or may yet reach, another process than the
-   * one that is known to have the run; 0 for a run of an earlier dispatcher.
+   * Number of copies of the start that may have reached, or may yet reach, another instance than
+   * the one that is known to have the run; 0 for a run of an earlier dispatcher.
    */
   int unattributedStarts = 1;
 
@@ -114,7 +114,7 @@
   /**
    * Records an answer to a copy of the start.
    *
-   * @param isAttributed whether it shows that the copy can't begin a run at an unknown process
+   * @param isAttributed whether it shows that the copy can't begin a run at an unknown instance
    */
   void recordStartAnswered(boolean isAttributed) {
     lateStarts = Math.max(0, lateStarts - 1);
@@ -123,7 +123,7 @@
     }
   }
 
-  /** Records that the present process has the run, so that the only copy of its start is there. */
+  /** Records that the present instance has the run, so that the only copy of its start is there. */
   void recordSeen() {
     if (startsSent == 1) {
       lateStarts = 0;
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/OrderResult.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/OrderResult.java
@@ -14,7 +14,7 @@
   NO_ROOM,
   /** The upstream accepts no orders at present and has done nothing. */
   UNWELL,
-  /** Another instance of the upstream, or another upstream, uses the address. */
+  /** Another upstream uses the address; the order wasn't carried out. */
   OTHER_LIFE,
   /** The upstream refuses the order as malformed. */
   INVALID,
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/RunTable.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/RunTable.java
@@ -325,9 +325,9 @@
 
   /**
    * Handles an answer to a copy of a start that shows that it didn't begin the run at the present
-   * process of the upstream. The run is over if no other copy can.
+   * instance of the upstream. The run is over if no other copy can.
    */
-  void startArrivedAtEarlierProcess(LeasedRun run, OrderResult result) {
+  void startArrivedAtEarlierInstance(LeasedRun run, OrderResult result) {
     if (result == OrderResult.NO_ANSWER) {
       startUnanswered(run);
     } else if (run.unattributedStarts == 0 && run.phase == LeasedRun.Phase.UNSURE) {
@@ -398,21 +398,21 @@
     }
   }
 
-  /** Records that an upstream's process is gone, and with it all its runs. */
+  /** Records that an upstream's instance is gone, and with it all its runs. */
   void forgetUpstream(UpstreamLease upstream) {
     List.copyOf(upstream.runs.values()).forEach(this::endRun);
     takenOverRuns.forgetUpstream(upstream);
   }
 
   /**
-   * Moves the runs that may be at a later process of an upstream to that process, and ends those
+   * Moves the runs that may be at a later instance of an upstream to that instance, and ends those
    * that are known to be gone with the earlier one.
    *
-   * <p>An order names the upstream by its id alone, so the later process carries out an order to
+   * <p>An order names the upstream by its id alone, so the later instance carries out an order to
    * the earlier one that reaches it. The next list of runs shows which runs it has; the others are
    * stopped there before their tasks start elsewhere.
    */
-  void moveToLaterProcess(UpstreamLease earlier, UpstreamLease later) {
+  void moveToLaterInstance(UpstreamLease earlier, UpstreamLease later) {
     for (LeasedRun run : List.copyOf(earlier.runs.values())) {
       boolean isGone = run.startsSent > 0 && run.unattributedStarts == 0;
       if (isGone) {
@@ -433,7 +433,7 @@
     takenOverRuns.forgetUpstream(earlier);
   }
 
-  /** Stops the runs at a new process of an upstream whose starts it may still carry out. */
+  /** Stops the runs at a new instance of an upstream whose starts it may still carry out. */
   void stopLateStarts(UpstreamLease upstream) {
     for (RunId run : lateStarts.runsAt(upstream.announcement)) {
       if (!upstream.runs.containsKey(run)) {
@@ -488,7 +488,7 @@
     task.avoidedUpstream = run.upstream.announcement.id();
     boolean startMayBeLate =
         run.lateStarts > 0
-            && context.now() - run.lastStartSentAt <= timing.maxLeaseAtOtherProcessMillis();
+            && context.now() - run.lastStartSentAt <= timing.maxLeaseAtOtherInstanceMillis();
     if (!startMayBeLate
         && rule.isWorthMoving(task, context.now())
         && placement.choose(task).isPresent()) {
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/UpstreamLease.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/UpstreamLease.java
@@ -38,8 +38,8 @@
   UpstreamAnnouncement announcement;
 
   /**
-   * Whether the process has announced itself; otherwise {@link #announcement} describes the earlier
-   * process of the upstream, and no task may start.
+   * Whether the instance has announced itself; otherwise {@link #announcement} describes the
+   * earlier instance of the upstream, and no task may start.
    */
   boolean announced = true;
 
@@ -61,10 +61,10 @@
   long coveredUntil;
 
   /**
-   * Until when runs may go on at a later process of the upstream that got orders for this one, in
+   * Until when runs may go on at a later instance of the upstream that got orders for this one, in
    * milliseconds.
    */
-  long coveredAtLaterProcessUntil;
+  long coveredAtLaterInstanceUntil;
 
   long renewalNumber;
   boolean renewalInFlight;
@@ -194,19 +194,19 @@
 
   void extendCoverage(LeaseTiming timing, long now) {
     coveredUntil = Math.max(coveredUntil, now + timing.maxLeaseMillis());
-    coveredAtLaterProcessUntil =
-        Math.max(coveredAtLaterProcessUntil, now + timing.maxLeaseAtOtherProcessMillis());
+    coveredAtLaterInstanceUntil =
+        Math.max(coveredAtLaterInstanceUntil, now + timing.maxLeaseAtOtherInstanceMillis());
   }
 
-  /** Takes over the time for which orders to the earlier process of the upstream are in force. */
+  /** Takes over the time for which orders to the earlier instance of the upstream are in force. */
   void continueCoverage(UpstreamLease earlier) {
-    coveredUntil = earlier.coveredAtLaterProcessUntil;
-    coveredAtLaterProcessUntil = earlier.coveredAtLaterProcessUntil;
+    coveredUntil = earlier.coveredAtLaterInstanceUntil;
+    coveredAtLaterInstanceUntil = earlier.coveredAtLaterInstanceUntil;
   }
 
   /** Returns until when a run may go on without any further order, in milliseconds. */
   long coveredUntil(LeasedRun run) {
-    return run.unattributedStarts > 0 ? coveredAtLaterProcessUntil : coveredUntil;
+    return run.unattributedStarts > 0 ? coveredAtLaterInstanceUntil : coveredUntil;
   }
 
   void addRun(LeasedRun run) {
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseModel.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseModel.java
@@ -101,7 +101,7 @@
   /** Longest delay of such calls, in milliseconds. */
   long maxCallDelayMillis = 12_000;
 
-  /** Whether the answers to starts and stops name the process, as lists of runs always do. */
+  /** Whether the answers to starts and stops name the instance, as lists of runs always do. */
   private final boolean namesProcessInAnswers;
 
   /** Share of calls to upstreams that are carried out, but whose answer is lost. */
@@ -273,7 +273,7 @@
     return new SplittableRandom(seed ^ upstream.hashCode());
   }
 
-  /** Returns the start time of a process in its answers to starts and stops. */
+  /** Returns the start time of an instance in its answers to starts and stops. */
   OptionalLong startTimeInAnswers(ModelUpstream upstream) {
     return namesProcessInAnswers ? OptionalLong.of(upstream.startedAt()) : OptionalLong.empty();
   }
@@ -578,8 +578,8 @@
   /**
    * Records the start of a run.
    *
-   * @param isAddressed whether the process was addressed; the end of the lease in an order to an
-   *     earlier process refers to the clock of that one, so a later process can't tell that the
+   * @param isAddressed whether the instance was addressed; the end of the lease in an order to an
+   *     earlier instance refers to the clock of that one, so a later instance can't tell that the
    *     order is late
    */
   void recordStart(RunId run, ModelUpstream upstream, boolean isAddressed) {
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/RestartedUpstreamTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/RestartedUpstreamTest.java
@@ -22,7 +22,7 @@
 
 /**
  * Tests a {@link LeaseDispatcher} with an upstream that restarts under its id and address, so that
- * orders to the earlier process reach the later one.
+ * orders to the earlier instance reach the later one.
  */
 public class RestartedUpstreamTest {
 
@@ -33,7 +33,7 @@
   private static final ShardId OWN_SHARD = new ShardId("north", 0);
   private static final ShardId OTHER_SHARD = new ShardId("south", 0);
 
-  /** Ways in which the later process is seen first. */
+  /** Ways in which the later instance is seen first. */
   enum Discovery {
     ANNOUNCEMENT,
     LIST,
@@ -55,34 +55,34 @@
     effects.clear();
     now = 10_000;
     handle(new LeaseEvent.RoleGained(TOKEN));
-    upstream = process("u1", EARLIER);
+    upstream = instance("u1", EARLIER);
     addUpstream(upstream);
   }
 
-  /** Guards against starting a task elsewhere whose run the later process has confirmed. */
+  /** Guards against starting a task elsewhere whose run the later instance has confirmed. */
   @Test
-  public void keepsRunThatLaterProcessConfirms() {
+  public void keepsRunThatLaterInstanceConfirms() {
     RunId run = start("w", 1).getFirst();
-    addUpstream(process("u2", EARLIER));
+    addUpstream(instance("u2", EARLIER));
     answerStart(run, OrderResult.DONE, LATER);
-    assertTrue(newStarts().isEmpty(), "the run is under way at the later process");
+    assertTrue(newStarts().isEmpty(), "the run is under way at the later instance");
     answerRenewal("u1", LATER, List.of(run), List.of());
     answerRenewal("u1", LATER, List.of(), List.of(new RunEnd(1, run, RunEnd.Cause.DONE)));
     assertTrue(newStarts().isEmpty());
     assertEquals(effectsOfType(LeaseEffect.Report.class).size(), 1);
   }
 
-  /** Guards against a delay of tasks whose runs are known to be gone with their process. */
+  /** Guards against a delay of tasks whose runs are known to be gone with their instance. */
   @Test
-  public void startsRunsOfEarlierProcessElsewhereAtOnce() {
+  public void startsRunsOfEarlierInstanceElsewhereAtOnce() {
     RunId run = start("w", 1).getFirst();
     answerStart(run, OrderResult.DONE, EARLIER);
-    addUpstream(process("u2", EARLIER));
-    handle(new LeaseEvent.Announced(process("u1", LATER)));
+    addUpstream(instance("u2", EARLIER));
+    handle(new LeaseEvent.Announced(instance("u1", LATER)));
     assertEquals(newStarts().getFirst().upstream().id(), "u2");
   }
 
-  /** Returns all ways in which the later process is seen first. */
+  /** Returns all ways in which the later instance is seen first. */
   @DataProvider
   public Object[] discoveries() {
     return Discovery.values();
@@ -90,37 +90,37 @@
 
   /** Guards against starting a task elsewhere while its start may be carried out late. */
   @Test(dataProvider = "discoveries")
-  public void stopsUnansweredStartAtLaterProcessBeforeTaskStartsElsewhere(Discovery discovery) {
+  public void stopsUnansweredStartAtLaterInstanceBeforeTaskStartsElsewhere(Discovery discovery) {
     RunId run = discover(discovery);
-    addUpstream(process("u2", EARLIER));
-    assertFalse(startsAgain(run), "the start may have reached the later process");
+    addUpstream(instance("u2", EARLIER));
+    assertFalse(startsAgain(run), "the start may have reached the later instance");
     answerRenewal("u1", LATER, List.of(), List.of());
     assertTrue(stopsRun(run), "the start may still arrive");
     assertFalse(startsAgain(run), "the stop isn't confirmed");
     handle(
         new LeaseEvent.StopAnswered(
-            process("u1", LATER), run, OrderResult.DONE, clock(), OptionalLong.of(LATER)));
+            instance("u1", LATER), run, OrderResult.DONE, clock(), OptionalLong.of(LATER)));
     answerRenewal("u1", LATER, List.of(), List.of());
     answerRenewal("u1", LATER, List.of(), List.of());
     assertTrue(startsAgain(run));
   }
 
-  /** Guards against stopping a run that the later process has begun. */
+  /** Guards against stopping a run that the later instance has begun. */
   @Test(dataProvider = "discoveries")
-  public void takesOverUnansweredStartThatLaterProcessLists(Discovery discovery) {
+  public void takesOverUnansweredStartThatLaterInstanceLists(Discovery discovery) {
     RunId run = discover(discovery);
-    addUpstream(process("u2", EARLIER));
+    addUpstream(instance("u2", EARLIER));
     answerRenewal("u1", LATER, List.of(run), List.of());
     assertFalse(stopsRun(run));
     assertFalse(startsAgain(run));
   }
 
-  /** Guards against two runs when a start reaches a process that is never heard of. */
+  /** Guards against two runs when a start reaches an instance that is never heard of. */
   @Test
-  public void waitsForLongestLeaseOfProcessThatIsNeverSeen() {
+  public void waitsForLongestLeaseOfInstanceThatIsNeverSeen() {
     start("w", 1);
     final long startedAt = now;
-    addUpstream(process("u2", EARLIER));
+    addUpstream(instance("u2", EARLIER));
     while (newStarts().isEmpty()) {
       now += 10;
       loseAnswers("u1");
@@ -129,11 +129,11 @@
       assertTrue(now < startedAt + 3_000, "never starts again");
     }
     assertTrue(
-        now - startedAt > LeaseTiming.DEFAULT.maxLeaseAtOtherProcessMillis(),
+        now - startedAt > LeaseTiming.DEFAULT.maxLeaseAtOtherInstanceMillis(),
         "after " + (now - startedAt));
   }
 
-  /** Guards against a late copy of a start that a new process begins after the run is over. */
+  /** Guards against a late copy of a start that a new instance begins after the run is over. */
   @Test
   public void stopsLateCopiesOfEndedRunsAtNewProcess() {
     RunId run = start("w", 1).getFirst();
@@ -145,26 +145,26 @@
     answerRenewal("u1", EARLIER, List.of(), List.of());
     effects.clear();
     handle(new LeaseEvent.Departed(upstream));
-    handle(new LeaseEvent.Announced(process("u1", LATER)));
+    handle(new LeaseEvent.Announced(instance("u1", LATER)));
     assertTrue(stopsRun(run));
-    handle(new LeaseEvent.Announced(process("u1", LATER + 1)));
+    handle(new LeaseEvent.Announced(instance("u1", LATER + 1)));
     assertEquals(effectsOfType(LeaseEffect.Stop.class).getLast().upstream().startedAt(), LATER + 1);
   }
 
-  /** Guards against starts on a process whose capacity, service and labels aren't known. */
+  /** Guards against starts on an instance whose capacity, service and labels aren't known. */
   @Test
-  public void startsNothingOnProcessThatHasNotAnnouncedItself() {
+  public void startsNothingOnInstanceThatHasNotAnnouncedItself() {
     answerRenewal("u1", LATER, List.of(), List.of());
     answerRenewal("u1", LATER, List.of(), List.of());
     submit("w", 1);
     assertTrue(newStarts().isEmpty());
-    handle(new LeaseEvent.Announced(process("u1", LATER)));
+    handle(new LeaseEvent.Announced(instance("u1", LATER)));
     assertEquals(newStarts().size(), 1);
   }
 
-  /** Guards against giving up the role because a later process has another clock. */
+  /** Guards against giving up the role because a later instance has another clock. */
   @Test
-  public void takesClockOfLaterProcessForNoPause() {
+  public void takesClockOfLaterInstanceForNoPause() {
     RunId run = start("w", 1).getFirst();
     handle(
         new LeaseEvent.StartAnswered(
@@ -172,27 +172,27 @@
     assertTrue(dispatcher.isDispatching());
   }
 
-  /** Guards against ending a run at the later process by a late answer of the earlier one. */
+  /** Guards against ending a run at the later instance by a late answer of the earlier one. */
   @Test
-  public void ignoresLateListOfEarlierProcess() {
+  public void ignoresLateListOfEarlierInstance() {
     RunId run = start("w", 1).getFirst();
     LeaseEffect.Renew sentBefore = openRenewals.get("u1");
     answerStart(run, OrderResult.DONE, LATER);
-    addUpstream(process("u2", EARLIER));
+    addUpstream(instance("u2", EARLIER));
     answer(sentBefore, EARLIER, List.of(), List.of());
     assertTrue(newStarts().isEmpty());
   }
 
   /** Guards against two runs when an upstream restarts after it has left the shard. */
   @Test
-  public void waitsForLeaseOfLaterProcessInOtherShard() {
+  public void waitsForLeaseOfLaterInstanceInOtherShard() {
     handle(new LeaseEvent.ShardsChanged(OWN_SHARD, Set.of(OWN_SHARD)));
     start("w", 1);
     final long startedAt = now;
-    UpstreamAnnouncement moved = process("u1", LATER, "south");
+    UpstreamAnnouncement moved = instance("u1", LATER, "south");
     handle(new LeaseEvent.ShardsChanged(OWN_SHARD, Set.of(OWN_SHARD, OTHER_SHARD)));
     handle(new LeaseEvent.Announced(moved));
-    addUpstream(process("u2", EARLIER));
+    addUpstream(instance("u2", EARLIER));
     while (newStarts().isEmpty()) {
       now += 10;
       loseAnswers("u1");
@@ -201,11 +201,11 @@
       assertTrue(now < startedAt + 3_000, "never starts again");
     }
     assertTrue(
-        now - startedAt > LeaseTiming.DEFAULT.maxLeaseAtOtherProcessMillis(),
+        now - startedAt > LeaseTiming.DEFAULT.maxLeaseAtOtherInstanceMillis(),
         "after " + (now - startedAt));
   }
 
-  /** Sends a start that gets no answer, and lets the later process be seen in some way. */
+  /** Sends a start that gets no answer, and lets the later instance be seen in some way. */
   private RunId discover(Discovery discovery) {
     List<RunId> runs = start("w", 2);
     final RunId run = runs.getFirst();
@@ -216,7 +216,7 @@
     handle(
         new LeaseEvent.StartAnswered(upstream, run, OrderResult.NO_ANSWER, OptionalLong.empty()));
     switch (discovery) {
-      case ANNOUNCEMENT -> handle(new LeaseEvent.Announced(process("u1", LATER)));
+      case ANNOUNCEMENT -> handle(new LeaseEvent.Announced(instance("u1", LATER)));
       case LIST -> answerRenewal("u1", LATER, List.of(), List.of());
       case ANSWER_TO_OTHER_START -> answerStart(other, OrderResult.DONE, LATER);
       case ANSWER_TO_STOP -> answerStop(other, LATER);
@@ -231,11 +231,11 @@
     answerRenewal(announcement.id(), announcement.startedAt(), List.of(), List.of());
   }
 
-  private static UpstreamAnnouncement process(String id, long startedAt) {
-    return process(id, startedAt, "north");
+  private static UpstreamAnnouncement instance(String id, long startedAt) {
+    return instance(id, startedAt, "north");
   }
 
-  private static UpstreamAnnouncement process(String id, long startedAt, String domain) {
+  private static UpstreamAnnouncement instance(String id, long startedAt, String domain) {
     TaskSize capacity = new TaskSize(32_000, 64_000, 0);
     return new UpstreamAnnouncement(
         id, startedAt, 1, "desk", id + ":1", domain, false, capacity, Set.of());
