Test that a task returns to the upstream that refuses its late start

Without the preference of PlacementPolicy the test fails: the task starts on the upstream that fits best, beside a start that a restarted instance may still carry out.

--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/LateStarts.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/LateStarts.java
@@ -14,7 +14,7 @@
  *
  * <p>The instance that ended such a run refuses a late copy of its start. A later instance of the
  * upstream begins the run, unless it has been told to stop it before the start arrives. A task
- * whose earlier start may be late had therefore better start again on the same upstream.
+ * whose earlier start may be late should therefore start again on the same upstream.
  */
 final class LateStarts {
 
@@ -52,8 +52,8 @@
   }
 
   /**
-   * Returns whether a run of a task on the given upstream may overlap one that begins late at a
-   * instance of another upstream.
+   * Returns whether a run of a task on the given upstream may overlap one that begins late at
+   * another upstream.
    */
   boolean mayOverlap(TaskId task, UpstreamAnnouncement upstream, long now) {
     return starts.getOrDefault(task, List.of()).stream()
--- a/burdockbay-core/src/main/java/org/burdockbay/core/lease/PlacementPolicy.java
+++ b/burdockbay-core/src/main/java/org/burdockbay/core/lease/PlacementPolicy.java
@@ -13,7 +13,7 @@
  * <p>Uses best fit by processor: two or three tasks fill an upstream, and choosing the upstream
  * with the smallest remainder keeps larger remainders free for larger tasks. Upstreams on the rack
  * of the data are preferred, since the task takes longer elsewhere. A task whose earlier start may
- * still be carried out prefers the upstream of that start, whose process refuses it. Where the
+ * still be carried out prefers the upstream of that start, whose instance refuses it. Where the
  * speeds of upstreams are known, those that are too slow for a prompt answer come last.
  */
 final class PlacementPolicy {
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/RestartedUpstreamTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/RestartedUpstreamTest.java
@@ -151,6 +151,21 @@
     assertEquals(effectsOfType(LeaseEffect.Stop.class).getLast().upstream().startedAt(), LATER + 1);
   }
 
+  /** Guards against two runs when a late start reaches an instance that isn't known yet. */
+  @Test
+  public void prefersUpstreamThatRefusesLateStart() {
+    RunId run = start("w", 1).getFirst();
+    addUpstream(
+        new UpstreamAnnouncement("u2", EARLIER, 1, "desk", "u2:1", "north", false, SIZE, Set.of()));
+    handle(
+        new LeaseEvent.StartAnswered(upstream, run, OrderResult.NO_ANSWER, OptionalLong.empty()));
+    answerRenewal("u1", EARLIER, List.of(), List.of());
+    answerStop(run, EARLIER);
+    answerRenewal("u1", EARLIER, List.of(), List.of());
+    answerRenewal("u1", EARLIER, List.of(), List.of());
+    assertEquals(newStarts().getFirst().upstream().id(), "u1", "u2 is the best fit otherwise");
+  }
+
   /** Guards against starts on an instance whose capacity, service and labels aren't known. */
   @Test
   public void startsNothingOnInstanceThatHasNotAnnouncedItself() {
