--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseModel.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/LeaseModel.java
@@ -102,7 +102,7 @@
   long maxCallDelayMillis = 12_000;
 
   /** Whether the answers to starts and stops name the instance, as lists of runs always do. */
-  private final boolean namesProcessInAnswers;
+  private final boolean namesInstanceInAnswers;
 
   /** Share of calls to upstreams that are carried out, but whose answer is lost. */
   double lostAnswerShare;
@@ -246,7 +246,7 @@
     this.network = network;
     this.layout = layout;
     this.isFullSize = (seed & 2) == 0;
-    this.namesProcessInAnswers = (seed & 16) == 0;
+    this.namesInstanceInAnswers = (seed & 16) == 0;
     int number = 0;
     for (String domain : DOMAINS) {
       for (int i = 0; i < hostsInDomain; i++) {
@@ -275,7 +275,7 @@
 
   /** Returns the start time of an instance in its answers to starts and stops. */
   OptionalLong startTimeInAnswers(ModelUpstream upstream) {
-    return namesProcessInAnswers ? OptionalLong.of(upstream.startedAt()) : OptionalLong.empty();
+    return namesInstanceInAnswers ? OptionalLong.of(upstream.startedAt()) : OptionalLong.empty();
   }
 
   WorkLimits workLimits() {
--- a/burdockbay-core/src/test/java/org/burdockbay/core/lease/RestartedUpstreamTest.java
+++ b/burdockbay-core/src/test/java/org/burdockbay/core/lease/RestartedUpstreamTest.java
@@ -135,7 +135,7 @@
 
   /** Guards against a late copy of a start that a new instance begins after the run is over. */
   @Test
-  public void stopsLateCopiesOfEndedRunsAtNewProcess() {
+  public void stopsLateCopiesOfEndedRunsAtNewInstance() {
     RunId run = start("w", 1).getFirst();
     handle(
         new LeaseEvent.StartAnswered(upstream, run, OrderResult.NO_ANSWER, OptionalLong.empty()));
